--- /dev/null
+++ b/geraniumrail/core/__init__.py
@@ -0,0 +1,1 @@
+"""Clock, codec, event log and the records that packages share."""
--- /dev/null
+++ b/geraniumrail/core/backend.py
@@ -0,0 +1,25 @@
+"""What a backend server announces about itself."""
+
+from geraniumrail.core.cache_event import CacheEvent
+from geraniumrail.core.codec import record
+from geraniumrail.core.load_report import LoadReport
+
+
+@record
+class Backend:
+    """One announcement; a new one with the same `instance` replaces it."""
+
+    instance: str
+    service: str
+    address: str  # ip:port
+    data_centre: str
+    region: str
+    version: str
+    kind: str = 'engine'  # engine | plain
+    models: tuple[str, ...] = ()
+    adapters: tuple[str, ...] = ()
+    state: str = 'serving'  # serving | leaving
+    lease_s: float = 6
+    sequence: int = 0  # grows with each announcement of this instance
+    load: LoadReport = LoadReport()
+    cache_events: tuple[CacheEvent, ...] = ()
--- /dev/null
+++ b/geraniumrail/errors/consensus.py
@@ -0,0 +1,52 @@
+"""Failures of the replicated log."""
+
+from geraniumrail.errors.base import GeraniumrailError
+
+
+class ConsensusError(GeraniumrailError):
+    """A failure of the replicated log."""
+
+    status = 503
+
+
+class NotLeaderError(ConsensusError):
+    """This replica is not the leader; `leader` is the address of the leader if it is known."""
+
+    type_name = 'not_leader'
+    template = 'this replica is not the leader (leader: {leader})'
+
+
+class NoQuorumError(ConsensusError):
+    """The leader can't reach a majority; nothing was appended."""
+
+    type_name = 'no_quorum'
+    template = 'no majority of voters of group {group} can be reached'
+
+
+class ProposalLostError(ConsensusError):
+    """The proposal may or may not commit: leadership or the time limit was lost while waiting."""
+
+    type_name = 'proposal_lost'
+    template = 'the outcome of the proposal at index {index} is unknown'
+
+
+class LogDamagedError(ConsensusError):
+    """A record in the middle of the log or a snapshot fails its checksum."""
+
+    type_name = 'log_damaged'
+    template = '{file} is damaged at offset {offset}: {reason}'
+
+
+class MembershipError(ConsensusError):
+    """A membership change was refused."""
+
+    type_name = 'membership_refused'
+    status = 409
+    template = 'membership change of {replica_id} refused: {reason}'
+
+
+class NoGroupError(ConsensusError):
+    """This replica belongs to no group yet."""
+
+    type_name = 'no_group'
+    template = 'this replica belongs to no group; run `geraniumrail members init` or `add`'
