Add the settings tree

Operators need one tree of typed settings with compare-and-set changes that either hold for every request they reach or change nothing.

--- /dev/null
+++ b/geraniumrail/settings/__init__.py
@@ -0,0 +1,1 @@
+"""The settings tree: schema, validation, change, resolve and explain."""
