Check setting combinations on plain values

The explanation was built for every request that the node reaches. Values are now merged directly and explained only when there is a problem, and paths are built without joins.

Leaving out requests was ruled out: each may have its own contradiction.

--- a/geraniumrail/settings/change_test.py
+++ b/geraniumrail/settings/change_test.py
@@ -91,8 +91,8 @@
             self.assertEqual(tree, before)
         for request in REQUESTS:
             found = {item.key: item for item in explain(tree, *request)}
-            self.assertEqual(list(problems(found)), [])
             shown = {key: item.value for key, item in found.items()}
+            self.assertEqual(list(problems(shown)), [])
             self.assertEqual(shown, dataclasses.asdict(resolve(tree, *request)))
             for item in found.values():
                 if item.path == 'default':
@@ -198,6 +198,7 @@
             tree = apply_change(tree, change(path, first_token_ms=limit))
             self.assertEqual(resolve(tree, 'a', 's', 'r').first_token_ms, limit)
         self.assertEqual(resolve(tree, 'b', 's', 'r').first_token_ms, 3)
+        self.assertEqual(resolve(tree, '*', 's', 'r').first_token_ms, 3)
         self.assertEqual(resolve(tree, 'b', 't', 'r').first_token_ms, 1)
 
     def test_names_with_a_slash_do_not_reach_another_node(self):
--- a/geraniumrail/settings/combinations.py
+++ b/geraniumrail/settings/combinations.py
@@ -6,11 +6,9 @@
 
 from geraniumrail.errors.settings import SettingCombinationError
 from geraniumrail.settings.path import ROOT, SHARED, Path
-from geraniumrail.settings.resolve import Explained, explain
+from geraniumrail.settings.resolve import Values, explain, values_of
 from geraniumrail.settings.tree import Tree
 
-_Found = dict[str, Explained]
-
 # (smaller, larger): a limit below what it has to leave room for never holds or always fires.
 _ORDERED = (
     ('first_token_ms', 'first_token_timeout_ms'),
@@ -30,10 +28,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class Problem:
-    """A key whose effective value contradicts another one."""
+    """A key whose effective value contradicts that of another key."""
 
     key: str
     reason: str
+    other: str
 
 
 def check_tree(tree: Tree, changed: str, keys: Collection[str]) -> None:
@@ -47,28 +46,35 @@
     if _COMBINED.isdisjoint(keys):
         return
     for request in requests_under(tree, Path.parse(changed)):
-        found = {item.key: item for item in explain(tree, *request)}
-        for problem in problems(found):
-            where = ROOT + '/'.join(name or SHARED for name in request)
+        problem = next(problems(values_of(tree, *request)), None)
+        if problem is not None:
             raise SettingCombinationError(
                 node=changed,
                 key=problem.key,
-                reason=f'{problem.reason}; in force at {where}',
+                reason=_explained(tree, request, problem),
             )
 
 
-def problems(found: _Found) -> Iterator[Problem]:
+def problems(values: Values) -> Iterator[Problem]:
     """Yields the contradictions among the effective values of one request.
 
-    :param found: explained values by key.
+    :param values: effective values by key.
     """
     for smaller, larger in _ORDERED:
-        if found[larger].value < found[smaller].value:
-            yield Problem(larger, f'{_shown(found, larger)} is below {_shown(found, smaller)}')
-    if found['kind'].value == 'engine':
-        yield from _engine_problems(found)
-    if found['traffic_class'].value == 'review':
-        yield from _review_problems(found)
+        if values[larger] < values[smaller]:
+            yield Problem(larger, 'is below', smaller)
+    if values['kind'] == 'engine':
+        if not values['repeatable']:
+            yield Problem('repeatable', 'may not be false together with', 'kind')
+        if values['outcome_path']:
+            yield Problem('outcome_path', 'has no meaning together with', 'kind')
+    if values['traffic_class'] == 'review':
+        if values['deadline_ms'] < values['review_completion_s'] * _MS_PER_S:
+            yield Problem(
+                'deadline_ms',
+                'ends a request of class review before',
+                'review_completion_s',
+            )
 
 
 def requests_under(tree: Tree, changed: Path) -> Iterator[tuple[str, str, str]]:
@@ -92,20 +98,6 @@
             yield from ((organisation, service, route) for route in routes)
 
 
-def _engine_problems(found: _Found) -> Iterator[Problem]:
-    if not found['repeatable'].value:
-        yield Problem('repeatable', f'may not be false where {_shown(found, "kind")}')
-    if found['outcome_path'].value:
-        yield Problem('outcome_path', f'has no meaning where {_shown(found, "kind")}')
-
-
-def _review_problems(found: _Found) -> Iterator[Problem]:
-    completion_ms = found['review_completion_s'].value * _MS_PER_S
-    if found['deadline_ms'].value < completion_ms:
-        both = f'{_shown(found, "deadline_ms")} is below {_shown(found, "review_completion_s")}'
-        yield Problem('deadline_ms', f'{both}, so a review could not use its completion time')
-
-
 def _routes(owned: list[Path], service: str) -> tuple[str, ...]:
     return _names(path.route for path in owned if path.service == service)
 
@@ -114,6 +106,11 @@
     return tuple(dict.fromkeys(concatenate(('',), found)))
 
 
-def _shown(found: _Found, key: str) -> str:
-    item = found[key]
-    return f'{key}={item.value} ({item.path})'
+def _explained(tree: Tree, request: tuple[str, str, str], problem: Problem) -> str:
+    found = {item.key: item for item in explain(tree, *request)}
+    key, other = found[problem.key], found[problem.other]
+    where = ROOT + '/'.join(name or SHARED for name in request)
+    return (
+        f'({key.value} from {key.path}) {problem.reason} {other.key} '
+        f'({other.value} from {other.path}) for requests of {where}'
+    )
--- a/geraniumrail/settings/path.py
+++ b/geraniumrail/settings/path.py
@@ -50,13 +50,19 @@
 def chain(organisation: str, service: str, route: str) -> tuple[str, ...]:
     """Lists the paths that are in force for a request, the strongest last.
 
-    :param organisation: name, or empty for an organisation without nodes.
-    :param service: name, or empty for a service without nodes.
-    :param route: name, or empty for a route without nodes.
+    :param organisation: name; empty or `*` for an organisation without nodes.
+    :param service: name; empty for a service without nodes.
+    :param route: name; empty for a route without nodes.
     """
-    shared = (_join(SHARED, service), _join(SHARED, service, route))
-    own = (_join(organisation), _join(organisation, service))
-    return (ROOT, *shared, *own, _join(organisation, service, route))
+    # A name with a slash could otherwise reach the node of another service or route. The path of
+    # an empty name ends in a slash, so it has no node.
+    service = '' if ROOT in service else service
+    route = '' if ROOT in route else route
+    shared = (ROOT, f'/*/{service}', f'/*/{service}/{route}')
+    if ROOT in organisation or organisation in {'', SHARED}:
+        return shared
+    own = f'/{organisation}/{service}'
+    return (*shared, f'/{organisation}', own, f'{own}/{route}')
 
 
 def _fault(lead: str, names: list[str]) -> str:
@@ -71,13 +77,6 @@
     return '' if bad is None else f'{bad[:_MAX_SHOWN]!r} is not a name'
 
 
-def _join(*names: str) -> str:
-    # A name with a slash could otherwise reach the node of another service or route.
-    if any('/' in name for name in names):
-        return ''
-    return ROOT + '/'.join(names) if all(names) else ''
-
-
 def _level(depth: int, *, is_shared: bool) -> Level:
     if is_shared:
         return Level.SHARED_SERVICE if depth == 2 else Level.SHARED_ROUTE
--- a/geraniumrail/settings/resolve.py
+++ b/geraniumrail/settings/resolve.py
@@ -15,6 +15,8 @@
 _MAX_TREES = 4
 _MAX_REQUESTS = 4096
 
+Values = dict[str, Value]
+_DEFAULTS: Values = {setting.key: setting.default for setting in SCHEMA}
 _Request = tuple[str, str, str]
 _Cache = dict[_Request, Effective]
 _cached_by_tree_id: dict[int, tuple[Tree, _Cache]] = {}
@@ -42,14 +44,29 @@
     request = (organisation, service, route)
     effective = cached.get(request)
     if effective is None:
-        values_by_key = {item.key: item.value for item in explain(tree, *request)}
-        effective = Effective(**values_by_key)  # type: ignore[arg-type]
+        effective = Effective(**values_of(tree, *request))  # type: ignore[arg-type]
         if len(cached) >= _MAX_REQUESTS:
             cached.clear()
         cached[request] = effective
     return effective
 
 
+def values_of(tree: Tree, organisation: str, service: str, route: str) -> Values:
+    """Returns the effective values by key, without the cache.
+
+    :param tree: the settings in force.
+    :param organisation: name of the caller's organisation.
+    :param service: name of the service.
+    :param route: name of the route; empty for the service as a whole.
+    """
+    values = dict(_DEFAULTS)
+    for path in chain(organisation, service, route):
+        node = tree.nodes_by_path.get(path)
+        if node is not None:
+            values.update(node.values)
+    return values
+
+
 def explain(
     tree: Tree,
     organisation: str,
