--- /dev/null
+++ b/geraniumrail/control/booking_waiters.py
@@ -0,0 +1,57 @@
+"""Answers when a booking becomes final."""
+
+import asyncio
+import contextlib
+
+from geraniumrail.errors.state import UnknownBookingError
+from geraniumrail.links.messages import AwaitBooking, BookingNow
+from geraniumrail.state import results
+from geraniumrail.state.machine import Machine
+
+
+class BookingWaiters:
+    """One event for each booking that somebody waits for."""
+
+    def __init__(self, machine: Machine) -> None:
+        """Listens to the applied commands.
+
+        :param machine: replicated state.
+        """
+        self._machine = machine
+        self._waiters_by_label: dict[str, set[asyncio.Event]] = {}
+        machine.listen(self._applied)
+
+    async def wait(self, request: AwaitBooking) -> BookingNow:
+        """Answers with the booking when it is final, or as it is after the limit.
+
+        :param request: key and limit.
+        :raises UnknownBookingError: if the key is not known.
+        """
+        label = request.key.label()
+        event = asyncio.Event()
+        waiters = self._waiters_by_label.setdefault(label, set())
+        waiters.add(event)
+        try:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(request.limit_s):
+                    await self._until_final(label, event)
+        finally:
+            waiters.discard(event)
+            if not waiters:
+                self._waiters_by_label.pop(label, None)
+        return BookingNow(booking=self._machine.tables.bookings_by_label[label])
+
+    async def _until_final(self, label: str, event: asyncio.Event) -> None:
+        while True:
+            booking = self._machine.tables.bookings_by_label.get(label)
+            if booking is None:
+                raise UnknownBookingError(key=label)
+            if booking.final():
+                return
+            await event.wait()
+            event.clear()
+
+    def _applied(self, command: object, answer: object) -> None:
+        if isinstance(answer, results.BookingUpdated) and answer.booking.final():
+            for event in self._waiters_by_label.get(answer.booking.key.label(), ()):
+                event.set()
--- /dev/null
+++ b/geraniumrail/control/entry_leases.py
@@ -0,0 +1,102 @@
+"""Settings leases of the entries: soft state of the control leader."""
+
+import dataclasses
+from collections.abc import Iterable
+
+from geraniumrail.control import events
+from geraniumrail.core.events import log
+from geraniumrail.links.messages import EntryInfo
+
+LEASE_S = 4.0  # an entry that was not answered for so long stops serving
+LEASE_MARGIN_S = 0.25  # difference of clock rates and of the two ends' rounding
+
+
+@dataclasses.dataclass(frozen=True)
+class EntryLease:
+    """The newest report of one entry.
+
+    Invariant: `expires_at` is never earlier than the end of the lease by the entry's own clock,
+    because the entry counts from sending the report and the leader from receiving it.
+    """
+
+    info: EntryInfo
+    expires_at: float
+
+
+class EntryLeases:
+    """Which entries may serve, and which revision each has applied."""
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self.leases_by_entry: dict[str, EntryLease] = {}
+        self._leader_since: float | None = None
+
+    def restart(self, now: float) -> None:
+        """Forgets all leases: this process has just become the leader.
+
+        :param now: monotonic seconds.
+        """
+        self.leases_by_entry = {}
+        self._leader_since = now
+
+    def renew(self, info: EntryInfo, now: float) -> None:
+        """Records a report.
+
+        :param info: the entry.
+        :param now: monotonic seconds.
+        """
+        if info.entry not in self.leases_by_entry:
+            log(events.ENTRY_JOINED, entry=info.entry, address=info.address)
+        expires_at = now + LEASE_S + LEASE_MARGIN_S
+        self.leases_by_entry[info.entry] = EntryLease(info, expires_at)
+
+    def expire(self, now: float) -> tuple[str, ...]:
+        """Removes and returns the entries whose lease ran out.
+
+        :param now: monotonic seconds.
+        """
+        expired = tuple(
+            entry for entry, lease in self.leases_by_entry.items() if lease.expires_at < now
+        )
+        for entry in expired:
+            self.leases_by_entry.pop(entry)
+            log(events.ENTRY_EXPIRED, entry=entry)
+        return expired
+
+    def complete(self, now: float) -> bool:
+        """Tells whether every entry with a lease is known to this leader.
+
+        A lease that an earlier leader granted ends at most one lease after its leadership.
+
+        :param now: monotonic seconds.
+        """
+        if self._leader_since is None:
+            return False
+        return now >= self._leader_since + LEASE_S + LEASE_MARGIN_S
+
+    def in_force(self, revision: int, now: float) -> bool:
+        """Tells whether no entry can serve an older revision any more.
+
+        :param revision: settings revision.
+        :param now: monotonic seconds.
+        """
+        held = (lease for lease in self.leases_by_entry.values() if lease.expires_at >= now)
+        return self.complete(now) and all(
+            lease.info.applied_revision >= revision for lease in held
+        )
+
+    def infos(self) -> tuple[EntryInfo, ...]:
+        """Returns the entries with a lease."""
+        return tuple(lease.info for lease in self.leases_by_entry.values())
+
+    def serving(self, drained: Iterable[str] = ()) -> tuple[EntryInfo, ...]:
+        """Returns the entries that take new work.
+
+        :param drained: instances that operators are draining.
+        """
+        skipped = frozenset(drained)
+        return tuple(
+            info
+            for info in self.infos()
+            if info.state == 'serving' and info.instance not in skipped
+        )
--- /dev/null
+++ b/geraniumrail/control/events.py
@@ -0,0 +1,47 @@
+"""Log events of the control role."""
+
+from absl import logging
+
+from geraniumrail.core.events import Event
+
+ENTRY_JOINED = Event.define(1400, 'control.entry_joined', 'An entry opened its control stream.')
+ENTRY_EXPIRED = Event.define(
+    1401,
+    'control.entry_expired',
+    'The lease of an entry ran out; callers are not sent to it any more.',
+    logging.WARNING,
+)
+BACKEND_ADDED = Event.define(1402, 'control.backend_added', 'A backend server was announced.')
+BACKEND_CHANGED = Event.define(
+    1403,
+    'control.backend_changed',
+    'A backend server announced another state, version, address, models or adapters.',
+)
+BACKEND_GONE = Event.define(
+    1404,
+    'control.backend_gone',
+    'The lease of a backend server ran out.',
+    logging.WARNING,
+)
+BOOKING_REASSIGNED = Event.define(
+    1405,
+    'control.booking_reassigned',
+    'A booking of a lost entry was handed to another entry.',
+    logging.WARNING,
+)
+MOVE_STEPPED = Event.define(1406, 'control.move_stepped', 'A version move changed its share.')
+MOVE_ENDED = Event.define(1407, 'control.move_ended', 'A version move has its recorded end.')
+IN_FORCE = Event.define(1408, 'control.in_force', 'A settings revision is in force everywhere.')
+TASK_FAILED = Event.define(
+    1409,
+    'control.task_failed',
+    'A periodic task met a failure and goes on.',
+    logging.WARNING,
+)
+ORDER_SENT = Event.define(1410, 'control.order_sent', 'An order was sent to an engine.')
+ORDER_FAILED = Event.define(
+    1411,
+    'control.order_failed',
+    'An order to an engine failed.',
+    logging.WARNING,
+)
--- /dev/null
+++ b/geraniumrail/control/follower_session.py
@@ -0,0 +1,118 @@
+"""What the control leader has sent to one entry so far."""
+
+import asyncio
+
+from geraniumrail.control.entry_leases import LEASE_S, EntryLeases
+from geraniumrail.control.registry import Registry
+from geraniumrail.control.usage_shares import UsageShares
+from geraniumrail.links.messages import ControlUpdate, EntryInfo, EntryReport
+from geraniumrail.settings.node import Node
+from geraniumrail.state.booking import Booking
+from geraniumrail.state.move import Move
+from geraniumrail.state.tables import Tables
+
+RECENT_MOVES = 8
+
+
+class FollowerSession:
+    """One open stream; lists that did not change since the last update are not sent again."""
+
+    def __init__(self, first: EntryReport) -> None:
+        """Starts from the first report.
+
+        :param first: tells what the entry holds.
+        """
+        self.info = first.info
+        self.wake = asyncio.Event()
+        self._answers = first.sequence
+        self._revision = first.info.applied_revision
+        self._registry_version = first.registry_version
+        self._sent_moves: tuple[Move, ...] | None = None
+        self._sent_entries: tuple[EntryInfo, ...] | None = None
+
+    def reported(self, report: EntryReport) -> None:
+        """Notes a report that the next update will answer.
+
+        :param report: the report.
+        """
+        self.info = report.info
+        self._answers = report.sequence
+        self.wake.set()
+
+    def build_update(
+        self,
+        term: int,
+        tables: Tables,
+        registry: Registry,
+        leases: EntryLeases,
+        usage: UsageShares,
+    ) -> ControlUpdate:
+        """Builds the next update and remembers what it holds.
+
+        :param term: term of the leader.
+        :param tables: replicated state.
+        :param registry: announced backend servers.
+        :param leases: entries with a lease.
+        :param usage: use of the organisations.
+        """
+        difference = registry.since(self._registry_version, self.info.entry)
+        update = ControlUpdate(
+            term=term,
+            answers=self._answers,
+            lease_s=LEASE_S,
+            revision=tables.tree.revision,
+            nodes=self._nodes(tables),
+            moves=self._moves(tables),
+            registry_version=difference.version,
+            registry_full=difference.full,
+            backends=difference.backends,
+            gone=difference.gone,
+            entries=self._entries(leases, tables),
+            share=usage.share(self.info.entry),
+            drained=tuple(tables.drains_by_target),
+            assigned=self._assigned(tables),
+        )
+        self._revision = tables.tree.revision
+        self._registry_version = difference.version
+        return update
+
+    def _nodes(self, tables: Tables) -> tuple[Node, ...]:
+        return tuple(
+            tables.tree.nodes_by_path[path]
+            for path, revision in tables.revisions_by_path.items()
+            if revision > self._revision
+        )
+
+    def _moves(self, tables: Tables) -> tuple[Move, ...]:
+        moves = tuple(tables.moves_by_id.values())
+        recent = tuple(move for move in moves if move.running() or move in moves[-RECENT_MOVES:])
+        if recent == self._sent_moves:
+            return ()
+        self._sent_moves = recent
+        return recent
+
+    def _entries(self, leases: EntryLeases, tables: Tables) -> tuple[EntryInfo, ...]:
+        drained = tables.drains_by_target
+        entries = tuple(
+            EntryInfo(
+                entry=info.entry,
+                instance=info.instance,
+                address=info.address,
+                peer_address=info.peer_address,
+                data_centre=info.data_centre,
+                region=info.region,
+            )
+            for info in leases.serving(drained)
+        )
+        if entries == self._sent_entries:
+            return ()
+        self._sent_entries = entries
+        return entries
+
+    def _assigned(self, tables: Tables) -> tuple[Booking, ...]:
+        unfinished = (tables.bookings_by_label[label] for label in tables.open_labels)
+        return tuple(
+            booking
+            for booking in unfinished
+            if booking.owner == self.info.entry and booking.handovers
+        )
--- /dev/null
+++ b/geraniumrail/control/ownership.py
@@ -0,0 +1,74 @@
+"""Hands unfinished bookings of lost entries to other entries."""
+
+import itertools
+
+from geraniumrail.control import events
+from geraniumrail.control.proposer import Proposer
+from geraniumrail.control.publisher import Publisher
+from geraniumrail.core.clock import Clock
+from geraniumrail.core.events import log
+from geraniumrail.errors.state import StateError
+from geraniumrail.links.messages import EntryInfo
+from geraniumrail.state import commands
+from geraniumrail.state.booking import Booking
+from geraniumrail.state.machine import Machine
+
+MAX_REASSIGNED_AT_ONCE = 64
+
+
+class Ownership:
+    """Runs on the leader; every handover goes through the log."""
+
+    def __init__(
+        self,
+        machine: Machine,
+        publisher: Publisher,
+        proposer: Proposer,
+        clock: Clock,
+    ) -> None:
+        """Connects the parts.
+
+        :param machine: replicated state.
+        :param publisher: knows which entries hold a lease.
+        :param proposer: proposes commands.
+        :param clock: time.
+        """
+        self._machine = machine
+        self._publisher = publisher
+        self._proposer = proposer
+        self._clock = clock
+
+    async def run_once(self) -> None:
+        """Reassigns the bookings whose owner holds no lease."""
+        leases = self._publisher.leases
+        takers = leases.serving(self._machine.tables.drains_by_target)
+        # Before this time an owner that is alive may not have reported to this leader yet.
+        if not leases.complete(self._clock.now()) or not takers:
+            return
+        lost = itertools.islice(self._lost(), MAX_REASSIGNED_AT_ONCE)
+        for booking, taker in zip(list(lost), itertools.cycle(takers), strict=False):
+            await self._reassign(booking, taker)
+
+    def _lost(self) -> list[Booking]:
+        held = self._publisher.leases.leases_by_entry
+        tables = self._machine.tables
+        unfinished = (tables.bookings_by_label[label] for label in tables.open_labels)
+        return [booking for booking in unfinished if booking.owner not in held]
+
+    async def _reassign(self, booking: Booking, taker: EntryInfo) -> None:
+        command = commands.ReassignBooking(
+            key=booking.key,
+            from_owner=booking.owner,
+            to_owner=taker.entry,
+        )
+        try:
+            await self._proposer.propose(command)
+        except StateError:
+            return  # finished or reassigned in the meantime
+        log(
+            events.BOOKING_REASSIGNED,
+            booking=booking.key.label(),
+            phase=booking.phase,
+            from_owner=booking.owner,
+            to_owner=taker.entry,
+        )
--- /dev/null
+++ b/geraniumrail/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry role: takes callers' requests and carries them to backend servers."""
--- /dev/null
+++ b/geraniumrail/entry/admission.py
@@ -0,0 +1,89 @@
+"""Decides when a completion goes to an engine: fair queue, short engine queues, shedding."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from geraniumrail.core.clock import Clock
+from geraniumrail.errors.backend import NoBackendError
+from geraniumrail.fairness.engine_window import EngineWindow
+from geraniumrail.fairness.fair_queue import FairQueue
+from geraniumrail.fairness.queue_item import QueueItem
+from geraniumrail.fairness.shedder import Shedder
+from geraniumrail.routing.decision import Decision
+
+Chooser = Callable[[EngineWindow], Decision]
+
+
+class Admission:
+    """One queue, for one service and model; grants a turn together with the chosen engine."""
+
+    def __init__(self, window: EngineWindow, clock: Clock, rng: random.Random) -> None:
+        """Connects the parts.
+
+        :param window: requests in flight at each engine, shared by the queues of a service.
+        :param clock: time.
+        :param rng: source of routing draws.
+        """
+        self.queue = FairQueue()
+        self.window = window
+        self._shedder = Shedder()
+        self._clock = clock
+        self._rng = rng
+        self._waiting_by_id: dict[str, tuple[Chooser, asyncio.Future[Decision]]] = {}
+
+    async def turn(self, item: QueueItem, choose: Chooser, limit_s: float) -> Decision:
+        """Waits for the item's turn and returns the chosen engine; `release` must follow.
+
+        :param item: the request in the queue.
+        :param choose: chooses among the engines whose window has room.
+        :param limit_s: longest wait, in seconds.
+        :raises OverloadedError: if the request is shed.
+        :raises NoBackendError: if no engine had room in time.
+        """
+        now = self._clock.now()
+        if self.queue.depth():
+            self._shedder.check(item, self.queue)
+        self.queue.push(item, now)
+        future: asyncio.Future[Decision] = asyncio.get_running_loop().create_future()
+        self._waiting_by_id[item.item_id] = (choose, future)
+        self.pump()
+        try:
+            return await asyncio.wait_for(asyncio.shield(future), limit_s)
+        except TimeoutError as error:
+            raise NoBackendError(backend='', service=item.item_id, reason='timeout') from error
+        finally:
+            self._waiting_by_id.pop(item.item_id, None)
+            if not future.done():
+                self.queue.remove(item.item_id)
+                future.cancel()
+
+    def release(self, item: QueueItem, engine: str, tokens: float) -> None:
+        """Ends a turn and grants the next.
+
+        :param item: the request in the queue.
+        :param engine: instance that had the request.
+        :param tokens: tokens that it took there.
+        """
+        now = self._clock.now()
+        self.queue.settle(item.item_id, tokens, now)
+        self._shedder.rate.finished(tokens, now)
+        self.window.finished(engine)
+        self.pump()
+
+    def pump(self) -> None:
+        """Grants turns while engines have room."""
+        while True:
+            now = self._clock.now()
+            item = self.queue.peek(now)
+            if item is None:
+                return
+            choose, future = self._waiting_by_id[item.item_id]
+            try:
+                decision = choose(self.window)
+            except NoBackendError:
+                return
+            self.queue.pop(now)
+            self._waiting_by_id.pop(item.item_id)
+            self.window.started(decision.backend.instance)
+            future.set_result(decision)
--- /dev/null
+++ b/geraniumrail/entry/bookings.py
@@ -0,0 +1,195 @@
+"""Bookings and orders of this entry: recorded first, sent at most once, answered from the log."""
+
+import asyncio
+import random
+from collections.abc import Coroutine
+
+from geraniumrail.backends.service_client import ServiceClient
+from geraniumrail.core.clock import Clock
+from geraniumrail.core.events import log
+from geraniumrail.entry import events
+from geraniumrail.entry.booking_run import BookingRun
+from geraniumrail.entry.cluster_view import ClusterView
+from geraniumrail.entry.control_link import ControlLink
+from geraniumrail.errors.base import GeraniumrailError
+from geraniumrail.errors.link import NoControlError
+from geraniumrail.errors.request import NotRunError, OutcomeUnknownError
+from geraniumrail.errors.state import NotOwnerError, WrongPhaseError
+from geraniumrail.links.messages import AwaitBooking
+from geraniumrail.state import booking as phases
+from geraniumrail.state import commands, results
+from geraniumrail.state.booking import Booking
+from geraniumrail.state.booking_key import BookingKey
+from geraniumrail.state.stored_answer import StoredAnswer
+from geraniumrail.state.stored_call import StoredCall
+
+AWAIT_STEP_S = 2.0
+CLAIM_LIMIT_S = 10.0
+STILL_RUNNING = 'still running; ask again with the same key'
+
+
+class Bookings:
+    """One task for each booking that this entry owns; callers attach to it."""
+
+    def __init__(
+        self,
+        entry: str,
+        view: ClusterView,
+        control: ControlLink,
+        client: ServiceClient,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        """Connects the parts.
+
+        :param entry: id of this entry with its incarnation.
+        :param view: settings and backend servers.
+        :param control: the control leader.
+        :param client: sends to plain services.
+        :param clock: time.
+        :param rng: source of routing draws.
+        """
+        self._entry = entry
+        self._view = view
+        self._control = control
+        self._client = client
+        self._clock = clock
+        self._rng = rng
+        self._runs_by_claim: dict[tuple[str, str], asyncio.Task[Booking]] = {}
+
+    @property
+    def in_progress(self) -> int:
+        """Number of bookings that this entry works on."""
+        return len(self._runs_by_claim)
+
+    async def answer(
+        self,
+        key: BookingKey,
+        digest: str,
+        call: StoredCall,
+        limit_s: float,
+    ) -> StoredAnswer:
+        """Accepts a booking, or attaches to the same one, and returns its answer.
+
+        :param key: identity of the booking.
+        :param digest: digest of method, path and body.
+        :param call: the request.
+        :param limit_s: time left for the caller, in seconds.
+        :raises KeyReusedError: if the key was used with another digest.
+        :raises NotRunError: if it certainly did not run.
+        :raises OutcomeUnknownError: if it may have run.
+        """
+        claim = commands.ClaimBooking(
+            key=key,
+            body_digest=digest,
+            call=call,
+            owner=self._entry,
+            at=self._clock.wall(),
+        )
+        end = self._clock.now() + limit_s
+        run = self._runs_by_claim.get((key.label(), digest))
+        if run is None:
+            run = self._start(key.label(), digest, self._claim_and_drive(claim))
+        booking = await self._join(run, key, limit_s)
+        if not booking.final():
+            booking = await self._await_final(key, end - self._clock.now())
+        return answer_of(booking)
+
+    def take_over(self, assigned: tuple[Booking, ...]) -> None:
+        """Starts work on bookings of lost entries that the log gave to this entry.
+
+        :param assigned: bookings with this entry as owner.
+        """
+        for booking in assigned:
+            claim = (booking.key.label(), booking.body_digest)
+            if booking.owner == self._entry and claim not in self._runs_by_claim:
+                log(events.BOOKING_TAKEN_OVER, booking=booking.key.label(), phase=booking.phase)
+                self._start(*claim, self._new_run().drive(booking))
+
+    async def drain(self) -> None:
+        """Waits until no booking is in progress."""
+        while self._runs_by_claim:
+            await asyncio.wait(list(self._runs_by_claim.values()))
+
+    async def _join(
+        self,
+        run: asyncio.Task[Booking],
+        key: BookingKey,
+        limit_s: float,
+    ) -> Booking:
+        end = self._clock.now() + limit_s
+        try:
+            # The booking goes on when its caller has gone.
+            return await asyncio.wait_for(asyncio.shield(run), limit_s)
+        except TimeoutError as error:
+            raise OutcomeUnknownError(reason=STILL_RUNNING, key=key.key) from error
+        except (NotOwnerError, WrongPhaseError):
+            # Another entry took the booking over; the log has its outcome.
+            return await self._await_final(key, end - self._clock.now())
+        except NoControlError as error:
+            raise OutcomeUnknownError(reason=str(error), key=key.key) from error
+
+    async def _claim_and_drive(self, claim: commands.ClaimBooking) -> Booking:
+        while True:
+            try:
+                result = await self._control.propose(claim, CLAIM_LIMIT_S)
+            except NoControlError:
+                # The claim may be in the log, so it can't be given up.
+                continue
+            if isinstance(result, results.Claimed):
+                return await self._new_run().drive(result.booking)
+            return result.booking
+
+    def _new_run(self) -> BookingRun:
+        return BookingRun(
+            self._entry,
+            self._view,
+            self._control,
+            self._client,
+            self._clock,
+            self._rng,
+        )
+
+    def _start(
+        self,
+        label: str,
+        digest: str,
+        work: Coroutine[None, None, Booking],
+    ) -> asyncio.Task[Booking]:
+        task = asyncio.create_task(work, name=label)
+        self._runs_by_claim[(label, digest)] = task
+        task.add_done_callback(lambda done: self._ended((label, digest), done))
+        return task
+
+    def _ended(self, claim: tuple[str, str], task: asyncio.Task[Booking]) -> None:
+        self._runs_by_claim.pop(claim, None)
+        if task.cancelled():
+            return
+        error = task.exception()
+        if error is not None and not isinstance(error, GeraniumrailError):
+            log(events.TASK_FAILED, task=claim[0], reason=repr(error))
+
+    async def _await_final(self, key: BookingKey, limit_s: float) -> Booking:
+        end = self._clock.now() + limit_s
+        while self._clock.now() < end:
+            step_s = min(AWAIT_STEP_S, end - self._clock.now())
+            request = AwaitBooking(key=key, limit_s=step_s)
+            reply = await self._control.await_booking(request, end - self._clock.now())
+            if reply.booking.final():
+                return reply.booking
+        raise OutcomeUnknownError(reason=STILL_RUNNING, key=key.key)
+
+
+def answer_of(booking: Booking) -> StoredAnswer:
+    """Returns the answer of a final booking.
+
+    :param booking: a final booking.
+    :raises NotRunError: if it certainly did not run.
+    :raises OutcomeUnknownError: if it may have run.
+    """
+    answer = booking.answer or StoredAnswer(status=0)
+    if booking.phase == phases.DONE:
+        return answer
+    if booking.phase == phases.NOT_RUN:
+        raise NotRunError(reason=answer.reason, key=booking.key.key)
+    raise OutcomeUnknownError(reason=answer.reason, key=booking.key.key)
--- /dev/null
+++ b/geraniumrail/entry/cluster_view.py
@@ -0,0 +1,149 @@
+"""What this entry knows of settings, moves, backend servers and other entries."""
+
+from collections.abc import Iterable
+
+from geraniumrail.core.backend import Backend
+from geraniumrail.core.clock import Clock
+from geraniumrail.core.events import log
+from geraniumrail.entry import events
+from geraniumrail.fairness.entry_share import EntryShare
+from geraniumrail.links.messages import ControlUpdate, EntryInfo
+from geraniumrail.routing.knowledge import Knowledge
+from geraniumrail.settings.effective import Effective
+from geraniumrail.settings.node import Node
+from geraniumrail.settings.resolve import resolve
+from geraniumrail.settings.tree import Tree
+from geraniumrail.state.move import Move
+
+
+class ClusterView:
+    """Updated by the follower task; read by the tasks of requests.
+
+    Invariant: `tree.revision` never falls, so the entry never serves older settings than before.
+    """
+
+    def __init__(self, clock: Clock, knowledge: Knowledge) -> None:
+        """Starts empty and without a lease.
+
+        :param clock: time.
+        :param knowledge: routing's view of the backend servers.
+        """
+        self.tree = Tree.empty()
+        self.moves_by_id: dict[str, Move] = {}
+        self.backends_by_instance: dict[str, Backend] = {}
+        self.entries: tuple[EntryInfo, ...] = ()
+        self.share = EntryShare(entries=1, share_by_organisation={})
+        self.drained: frozenset[str] = frozenset()
+        self.registry_version = -1
+        self.knowledge = knowledge
+        self._clock = clock
+        self._term = 0
+        self._lease_until = 0.0
+
+    def holds_lease(self) -> bool:
+        """Tells whether the entry may serve with the settings that it has."""
+        return self._clock.now() < self._lease_until
+
+    def take(self, update: ControlUpdate, sent_at: float) -> bool:
+        """Applies an update of the control leader.
+
+        :param update: differences since the last update.
+        :param sent_at: monotonic seconds when the report that it answers was sent.
+        :returns: False if the update is older than what the entry has served.
+        """
+        if update.term < self._term or update.revision < self.tree.revision:
+            return False
+        if update.term > self._term:
+            self.registry_version = -1
+        self._term = update.term
+        self._take_settings(update)
+        self._take_registry(update)
+        if update.entries:
+            self.entries = update.entries
+        self.share = update.share
+        self.drained = frozenset(update.drained)
+        self._renew(sent_at + update.lease_s)
+        return True
+
+    def end_lease(self) -> None:
+        """Notes that the lease ran out, once."""
+        if self._lease_until and not self.holds_lease():
+            self._lease_until = 0.0
+            log(events.LEASE_LOST, revision=self.tree.revision)
+
+    def observe(self, backends: Iterable[Backend]) -> None:
+        """Takes announcements that reached this entry directly or from another entry.
+
+        :param backends: announcements.
+        """
+        now = self._clock.now()
+        for backend in backends:
+            known = self.backends_by_instance.get(backend.instance)
+            if known is not None and backend.sequence < known.sequence:
+                continue
+            if backend.state == 'leaving' and (known is None or known.state != 'leaving'):
+                log(events.BACKEND_LEAVING, instance=backend.instance, service=backend.service)
+            self.backends_by_instance[backend.instance] = backend
+            self.knowledge.observe(backend, now)
+
+    def candidates(self, service: str) -> list[Backend]:
+        """Returns the backend servers of a service that may get new work.
+
+        :param service: name of the service.
+        """
+        now = self._clock.now()
+        return [
+            backend
+            for backend in self.backends_by_instance.values()
+            if backend.service == service
+            and backend.instance not in self.drained
+            and self.knowledge.usable(backend, now)
+        ]
+
+    def effective(self, organisation: str, service: str, route: str) -> Effective:
+        """Returns the effective settings.
+
+        :param organisation: organisation of the caller.
+        :param service: name of the service.
+        :param route: name of the route.
+        """
+        return resolve(self.tree, organisation, service, route)
+
+    def running_move(self, service: str) -> Move | None:
+        """Returns the running version move of a service.
+
+        :param service: name of the service.
+        """
+        running = (move for move in self.moves_by_id.values() if move.running())
+        return next((move for move in running if move.service == service), None)
+
+    def version_shares(self, service: str) -> tuple[tuple[str, float], ...]:
+        """Returns the share of new work for each version; empty if any version may serve.
+
+        :param service: name of the service.
+        """
+        move = self.running_move(service)
+        if move is not None:
+            return ((move.from_version, 1 - move.share), (move.to_version, move.share))
+        version = self.effective('*', service, '').version
+        return ((version, 1.0),) if version else ()
+
+    def _take_settings(self, update: ControlUpdate) -> None:
+        self.moves_by_id.update({move.move_id: move for move in update.moves})
+        if update.revision > self.tree.revision:
+            nodes: dict[str, Node] = dict(self.tree.nodes_by_path)
+            nodes.update({node.path: node for node in update.nodes})
+            self.tree = Tree(revision=update.revision, nodes_by_path=nodes)
+            log(events.REVISION_APPLIED, revision=update.revision, nodes=len(update.nodes))
+
+    def _take_registry(self, update: ControlUpdate) -> None:
+        self.registry_version = update.registry_version
+        self.observe(update.backends)
+        for instance in update.gone:
+            self.backends_by_instance.pop(instance, None)
+            self.knowledge.forget(instance)
+
+    def _renew(self, until: float) -> None:
+        if not self.holds_lease():
+            log(events.LEASE_GAINED, term=self._term, revision=self.tree.revision)
+        self._lease_until = max(self._lease_until, until)
--- /dev/null
+++ b/geraniumrail/entry/outcomes.py
@@ -0,0 +1,88 @@
+"""Feeds outcomes to the breaker at once and to the control leader with the next report."""
+
+from geraniumrail.core.clock import Clock
+from geraniumrail.entry.cluster_view import ClusterView
+from geraniumrail.rollout.breaker import Breaker
+from geraniumrail.rollout.outcome_log import OutcomeLog
+
+
+class Outcomes:
+    """What this entry saw of each version."""
+
+    def __init__(self, view: ClusterView, clock: Clock) -> None:
+        """Connects the parts.
+
+        :param view: knows the running moves.
+        :param clock: time.
+        """
+        self.breaker = Breaker()
+        self.log = OutcomeLog()
+        self._view = view
+        self._clock = clock
+        self._moved_services: frozenset[str] = frozenset()
+
+    def follow_moves(self) -> None:
+        """Tells the breaker which moves run."""
+        running = [move for move in self._view.moves_by_id.values() if move.running()]
+        for move in running:
+            self.breaker.follow(move.service, move.from_version, move.to_version, move.step)
+        services = frozenset(move.service for move in running)
+        for service in self._moved_services - services:
+            self.breaker.forget(service)
+        self._moved_services = services
+
+    def shares(self, service: str, route: str) -> tuple[tuple[str, float], ...]:
+        """Returns the share of new work for each version that no breaker blocks.
+
+        :param service: name of the service.
+        :param route: name of the route.
+        """
+        now = self._clock.now()
+        shares = self._view.version_shares(service)
+        usable = tuple(
+            (version, share)
+            for version, share in shares
+            if share and not self.breaker.blocked(service, version, route, now)
+        )
+        return usable or shares[:1]
+
+    def observe(
+        self,
+        service: str,
+        version: str,
+        route: str,
+        organisation: str,
+        failed: bool | None,
+        first_token_s: float | None = None,
+        between_tokens_s: float | None = None,
+    ) -> None:
+        """Counts an outcome, in parts as soon as each part is known.
+
+        :param service: name of the service.
+        :param version: version of the backend server.
+        :param route: name of the route.
+        :param organisation: organisation of the caller.
+        :param failed: whether the attempt failed; None while it has not ended.
+        :param first_token_s: seconds to the first token, if known.
+        :param between_tokens_s: mean seconds between tokens, if known.
+        """
+        now = self._clock.now()
+        self.log.observe(
+            service,
+            version,
+            route,
+            organisation,
+            failed,
+            first_token_s,
+            between_tokens_s,
+            self._clock.wall(),
+        )
+        self.breaker.observe(
+            service,
+            version,
+            route,
+            failed,
+            first_token_s,
+            between_tokens_s,
+            now,
+        )
--- /dev/null
+++ b/geraniumrail/links/messages.py
@@ -0,0 +1,137 @@
+"""Records between the entry and control roles."""
+
+from geraniumrail.core.backend import Backend
+from geraniumrail.core.codec import record
+from geraniumrail.fairness.entry_share import EntryShare
+from geraniumrail.rollout.breaker_report import BreakerReport
+from geraniumrail.rollout.outcome_stat import OutcomeStat
+from geraniumrail.settings.node import Node
+from geraniumrail.state.booking import Booking
+from geraniumrail.state.booking_key import BookingKey
+from geraniumrail.state.move import Move
+
+
+@record
+class Propose:
+    """Asks the leader to put a command through the log."""
+
+    command: bytes
+
+
+@record
+class Proposed:
+    """The result of the command."""
+
+    result: bytes
+
+
+@record
+class AwaitBooking:
+    """Asks the leader to answer when a booking is final, or after the limit."""
+
+    key: BookingKey
+    limit_s: float
+
+
+@record
+class BookingNow:
+    """The booking at the time of the answer."""
+
+    booking: Booking
+
+
+@record
+class Usage:
+    """What one organisation asked of one entry since its last report."""
+
+    organisation: str
+    tokens: float  # refused requests included
+
+
+@record
+class EntryInfo:
+    """One entry as callers and operators see it."""
+
+    entry: str  # id with incarnation
+    instance: str
+    address: str  # ip:port for callers
+    peer_address: str  # ip:port of the links
+    data_centre: str
+    region: str
+    state: str = 'serving'  # serving | leaving
+    applied_revision: int = 0
+
+
+@record
+class EntryReport:
+    """What an entry tells the control leader, about once a second."""
+
+    sequence: int
+    info: EntryInfo
+    registry_version: int = -1  # version of the registry that the entry holds; -1: none
+    announces: tuple[Backend, ...] = ()
+    outcomes: tuple[OutcomeStat, ...] = ()
+    usage: tuple[Usage, ...] = ()
+    breakers: tuple[BreakerReport, ...] = ()
+
+
+@record
+class ControlUpdate:
+    """What the control leader tells an entry: differences since its last update."""
+
+    term: int
+    answers: int  # sequence of the report that this update answers
+    lease_s: float  # counted from when that report was sent
+    revision: int
+    nodes: tuple[Node, ...] = ()
+    moves: tuple[Move, ...] = ()
+    registry_version: int = 0
+    registry_full: bool = False  # `backends` is everything, not a difference
+    backends: tuple[Backend, ...] = ()
+    gone: tuple[str, ...] = ()
+    entries: tuple[EntryInfo, ...] = ()
+    share: EntryShare = EntryShare(entries=1, share_by_organisation={})
+    drained: tuple[str, ...] = ()
+    assigned: tuple[Booking, ...] = ()
+
+
+@record
+class LeavingNotice:
+    """Sent from entry to entry so that a leaving backend server gets no new work anywhere."""
+
+    backends: tuple[Backend, ...]
+
+
+@record
+class Accepted:
+    """An answer without content."""
+
+
+@record
+class Hello:
+    """Asks a daemon who it is."""
+
+
+@record
+class HelloReply:
+    """Identity of a daemon and of its replica, if it runs the control role."""
+
+    instance: str
+    replica_id: str = ''
+    group: str = ''  # empty: belongs to no group yet
+
+
+@record
+class MembersChange:
+    """Asks the leader to change the members of the group."""
+
+    action: str  # add | promote | remove
+    replica_id: str
+    address: str = ''
+
+
+@record
+class TransferLeadership:
+    """Asks the leader to hand over before a planned stop."""
+
+    replica_id: str = ''
--- /dev/null
+++ b/geraniumrail/state/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated state machine: what survives a crash, and the commands that change it."""
--- /dev/null
+++ b/geraniumrail/state/booking.py
@@ -0,0 +1,37 @@
+"""A request that may not be repeated, and how far it has come."""
+
+from geraniumrail.core.codec import record
+from geraniumrail.state.booking_key import BookingKey
+from geraniumrail.state.stored_answer import StoredAnswer
+from geraniumrail.state.stored_call import StoredCall
+
+ACCEPTED = 'accepted'
+DISPATCHED = 'dispatched'
+DONE = 'done'
+NOT_RUN = 'not_run'
+OUTCOME_UNKNOWN = 'outcome_unknown'
+FINAL_PHASES = frozenset((DONE, NOT_RUN, OUTCOME_UNKNOWN))
+
+
+@record
+class Booking:
+    """One booking or order.
+
+    Invariant: `attempt` is set if and only if the first byte may have left for `backend`.
+    Only `owner` may dispatch or finish it.
+    """
+
+    key: BookingKey
+    body_digest: str
+    call: StoredCall
+    owner: str  # entry id, with its incarnation
+    phase: str = ACCEPTED
+    attempt: str = ''
+    backend: str = ''
+    answer: StoredAnswer | None = None
+    claimed_at: float = 0  # wall seconds of the claiming entry
+    handovers: int = 0  # how often another entry took it over
+
+    def final(self) -> bool:
+        """Tells whether the booking will not change any more, but for a new claim after not_run."""
+        return self.phase in FINAL_PHASES
--- /dev/null
+++ b/geraniumrail/state/results.py
@@ -0,0 +1,65 @@
+"""Results of commands; a refused command has the result `core.refused.Refused`."""
+
+from geraniumrail.core.codec import record
+from geraniumrail.state.booking import Booking
+from geraniumrail.state.move import Move
+
+
+@record
+class Changed:
+    """The settings change is in the log."""
+
+    change_id: str
+    path: str
+    version: int
+    revision: int
+
+
+@record
+class Claimed:
+    """The caller of ClaimBooking is the owner and may dispatch."""
+
+    booking: Booking
+
+
+@record
+class Attached:
+    """The key is known: `booking` is running under another owner or is final."""
+
+    booking: Booking
+
+
+@record
+class BookingUpdated:
+    """The booking after the command."""
+
+    booking: Booking
+
+
+@record
+class BookingsExpired:
+    """How many bookings were removed."""
+
+    count: int
+
+
+@record
+class MoveUpdated:
+    """The move after the command."""
+
+    move: Move
+
+
+@record
+class DrainSet:
+    """The drain is recorded."""
+
+    target: str
+    draining: bool
+
+
+@record
+class OrderIssued:
+    """The number of the order; the term comes from the leader."""
+
+    number: int
--- /dev/null
+++ b/geraniumrail/state/tables.py
@@ -0,0 +1,89 @@
+"""The tables of the replicated state machine."""
+
+import dataclasses
+
+from geraniumrail.core.codec import record
+from geraniumrail.core.refused import Refused
+from geraniumrail.settings.tree import Tree
+from geraniumrail.state.booking import Booking
+from geraniumrail.state.move import Move
+from geraniumrail.state.results import Changed
+
+
+@record
+class ChangeEntry:
+    """One line of the settings history, and the answer to a resend of its change id."""
+
+    change_id: str
+    path: str
+    operator: str
+    at: float
+    values: dict[str, bool | int | float | str | None]
+    changed: Changed | None = None
+    refused: Refused | None = None
+
+
+@dataclasses.dataclass
+class Tables:
+    """Mutable tables; only `apply` functions change them, on the one applying task."""
+
+    tree: Tree = dataclasses.field(default_factory=Tree.empty)
+    revisions_by_path: dict[str, int] = dataclasses.field(default_factory=dict)
+    changes_by_id: dict[str, ChangeEntry] = dataclasses.field(default_factory=dict)
+    bookings_by_label: dict[str, Booking] = dataclasses.field(default_factory=dict)
+    open_labels: dict[str, None] = dataclasses.field(default_factory=dict)
+    moves_by_id: dict[str, Move] = dataclasses.field(default_factory=dict)
+    drains_by_target: dict[str, str] = dataclasses.field(default_factory=dict)
+    last_order: int = 0
+
+    def running_move(self, service: str) -> Move | None:
+        """Returns the move of a service that has no end yet.
+
+        :param service: name of the service.
+        """
+        running = (move for move in self.moves_by_id.values() if move.running())
+        return next((move for move in running if move.service == service), None)
+
+
+@record
+class TablesImage:
+    """The tables as they are kept in a snapshot."""
+
+    tree: Tree
+    revisions_by_path: dict[str, int]
+    changes: tuple[ChangeEntry, ...]
+    bookings: tuple[Booking, ...]
+    moves: tuple[Move, ...]
+    drains_by_target: dict[str, str]
+    last_order: int
+
+    @classmethod
+    def from_tables(cls, tables: Tables) -> 'TablesImage':
+        """Copies the tables.
+
+        :param tables: the live tables.
+        """
+        return cls(
+            tree=tables.tree,
+            revisions_by_path=dict(tables.revisions_by_path),
+            changes=tuple(tables.changes_by_id.values()),
+            bookings=tuple(tables.bookings_by_label.values()),
+            moves=tuple(tables.moves_by_id.values()),
+            drains_by_target=dict(tables.drains_by_target),
+            last_order=tables.last_order,
+        )
+
+    def to_tables(self) -> Tables:
+        """Builds live tables."""
+        return Tables(
+            tree=self.tree,
+            revisions_by_path=dict(self.revisions_by_path),
+            changes_by_id={change.change_id: change for change in self.changes},
+            bookings_by_label={booking.key.label(): booking for booking in self.bookings},
+            open_labels={
+                booking.key.label(): None for booking in self.bookings if not booking.final()
+            },
+            moves_by_id={move.move_id: move for move in self.moves},
+            drains_by_target=dict(self.drains_by_target),
+            last_order=self.last_order,
+        )
