Add routing and fairness decision packages

Routing keeps one view per entry (last report, own sends since, prefix hints, recent failures), draws the version first, samples four backend servers plus up to two prefix holders and takes the lowest expected cost in seconds. Fairness holds the fair queue, divided limits, shedding, retry budget and engine windows.

A strict order of classes over all organisations was ruled out: a flood of chat from one organisation would starve quick questions of the others. Classes are bounded handicaps in the organisation's virtual time instead.

--- /dev/null
+++ b/geraniumrail/fairness/__init__.py
@@ -0,0 +1,23 @@
+"""Fair queueing by organisation, limits, shedding and retry budgets of one entry."""
+
+from geraniumrail.fairness.engine_window import EngineWindow
+from geraniumrail.fairness.entry_share import EntryShare, divide
+from geraniumrail.fairness.fair_queue import FairQueue
+from geraniumrail.fairness.limits import Limits
+from geraniumrail.fairness.organisation_limit import OrganisationLimit
+from geraniumrail.fairness.queue_item import QueueItem
+from geraniumrail.fairness.retry_budget import RetryBudget, delay
+from geraniumrail.fairness.shedder import Shedder
+
+__all__ = (
+    'EngineWindow',
+    'EntryShare',
+    'FairQueue',
+    'Limits',
+    'OrganisationLimit',
+    'QueueItem',
+    'RetryBudget',
+    'Shedder',
+    'delay',
+    'divide',
+)
--- /dev/null
+++ b/geraniumrail/fairness/account.py
@@ -0,0 +1,67 @@
+"""Queue state of one organisation."""
+
+import collections
+
+from geraniumrail.fairness.classes import rule_of
+from geraniumrail.fairness.queue_item import PROMOTE_SHARE, QueueItem
+from geraniumrail.fairness.waiting import Waiting
+
+
+class Account:
+    """Waiting items by class, and the virtual time at which the next one starts."""
+
+    def __init__(self, virtual: float) -> None:
+        """Starts without items.
+
+        :param virtual: virtual time now, in tokens for a weight of 1.
+        """
+        self.tag = virtual
+        self.in_flight = 0
+        self.depth = 0
+        self._waiting_by_class: dict[str, collections.OrderedDict[str, Waiting]] = {}
+        self._tokens_by_class: collections.Counter[str] = collections.Counter()
+
+    def add(self, item: QueueItem, now: float) -> None:
+        """Appends an item.
+
+        :param item: not in the queue yet.
+        :param now: monotonic seconds.
+        """
+        promote_at = None if item.bound_s is None else now + PROMOTE_SHARE * item.bound_s
+        waiting = self._waiting_by_class.setdefault(item.traffic_class, collections.OrderedDict())
+        waiting[item.item_id] = Waiting(item, promote_at)
+        self.depth += 1
+        self._tokens_by_class[item.traffic_class] += item.share_tokens
+
+    def discard(self, item: QueueItem) -> None:
+        """Removes a waiting item.
+
+        :param item: in this account's queue.
+        """
+        self._waiting_by_class[item.traffic_class].pop(item.item_id)
+        self.depth -= 1
+        self._tokens_by_class[item.traffic_class] -= item.share_tokens
+
+    def best(self, now: float) -> tuple[float, QueueItem] | None:
+        """Returns the item to go next and its position; the lowest position goes first.
+
+        :param now: monotonic seconds.
+        """
+        heads = [next(iter(each.values())) for each in self._waiting_by_class.values() if each]
+        if not heads:
+            return None
+        # A promoted item goes before the organisation's own chat, at the same position.
+        head = min(heads, key=lambda each: (each.handicap(now), not each.promoted(now)))
+        return self.tag + head.handicap(now), head.item
+
+    def backlog(self, traffic_class: str) -> float:
+        """Returns the waiting tokens, for a weight of 1, of this class and those before it.
+
+        :param traffic_class: chat, quick or review.
+        """
+        limit = rule_of(traffic_class).handicap_tokens
+        return sum(
+            tokens
+            for name, tokens in self._tokens_by_class.items()
+            if rule_of(name).handicap_tokens <= limit
+        )
--- /dev/null
+++ b/geraniumrail/fairness/entry_share.py
@@ -0,0 +1,36 @@
+"""Part of each organisation's limits that one entry may use."""
+
+import collections
+from collections.abc import Mapping
+
+from geraniumrail.core.codec import record
+
+
+@record
+class EntryShare:
+    """Sent to each entry once a second."""
+
+    entries: int  # entries that serve now
+    share_by_organisation: dict[str, float]  # of recent demand, 0 to 1
+
+
+def divide(demand_by_entry: Mapping[str, Mapping[str, float]]) -> dict[str, EntryShare]:
+    """Returns the share for each entry by its part of each organisation's demand.
+
+    :param demand_by_entry: entry -> organisation -> tokens asked for recently, refused ones
+        included; entries without demand are present with an empty mapping.
+    """
+    totals: collections.Counter[str] = collections.Counter()
+    for each in demand_by_entry.values():
+        totals.update(each)
+    return {
+        entry: EntryShare(
+            entries=len(demand_by_entry),
+            share_by_organisation=_shares(demand, totals),
+        )
+        for entry, demand in demand_by_entry.items()
+    }
+
+
+def _shares(demand: Mapping[str, float], totals: Mapping[str, float]) -> dict[str, float]:
+    return {name: tokens / totals[name] for name, tokens in demand.items() if tokens > 0}
--- /dev/null
+++ b/geraniumrail/fairness/fair_queue.py
@@ -0,0 +1,134 @@
+"""Start-time fair queueing over organisations, in tokens."""
+
+from geraniumrail.errors.request import OverloadedError
+from geraniumrail.fairness.account import Account
+from geraniumrail.fairness.queue_item import QueueItem
+
+# How far an organisation that was idle may go ahead of the others, in tokens for a weight of 1.
+IDLE_CREDIT_TOKENS = 2000
+QUEUE_LIMIT_RETRY_S = 2
+
+
+class FairQueue:
+    """Shares the engines between organisations by weight; one for each engine service.
+
+    Each organisation has a tag, the tokens charged to it divided by its weight. The item with the
+    lowest tag plus class handicap goes first, so a class goes ahead only by a bounded amount.
+    """
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self._virtual: float = 0
+        self._accounts_by_organisation: dict[str, Account] = {}
+        self._items_by_id: dict[str, QueueItem] = {}
+        self._dispatched_by_id: dict[str, QueueItem] = {}
+
+    def push(self, item: QueueItem, now: float) -> None:
+        """Adds an item.
+
+        :param item: request to wait.
+        :param now: monotonic seconds.
+        :raises OverloadedError: if the organisation has too many waiting items.
+        """
+        account = self._accounts_by_organisation.get(item.organisation)
+        if account is None:
+            account = Account(self._virtual)
+            self._accounts_by_organisation[item.organisation] = account
+        if account.depth >= item.queue_limit:
+            raise OverloadedError(reason='queue limit', retry_after_s=QUEUE_LIMIT_RETRY_S)
+        if not account.depth:
+            account.tag = max(account.tag, self._virtual - IDLE_CREDIT_TOKENS)
+        account.add(item, now)
+        self._items_by_id[item.item_id] = item
+
+    def pop(self, now: float) -> QueueItem | None:
+        """Removes and charges the item to dispatch next, or returns None if nothing waits.
+
+        :param now: monotonic seconds.
+        """
+        found = self._best(now)
+        if found is None:
+            return None
+        item = self._items_by_id.pop(found.item_id)
+        account = self._accounts_by_organisation[item.organisation]
+        account.discard(item)
+        self._virtual = max(self._virtual, account.tag)
+        account.tag += item.share_tokens
+        account.in_flight += 1
+        self._dispatched_by_id[item.item_id] = item
+        return item
+
+    def peek(self, now: float) -> QueueItem | None:
+        """Returns the item that `pop` would return.
+
+        :param now: monotonic seconds.
+        """
+        return self._best(now)
+
+    def settle(self, item_id: str, tokens: float, now: float) -> None:
+        """Corrects the charge of a dispatched item when it ends; a second call does nothing.
+
+        :param item_id: id of the item.
+        :param tokens: prompt and answer tokens that it really took.
+        :param now: monotonic seconds.
+        """
+        item = self._dispatched_by_id.pop(item_id, None)
+        if item is None:
+            return
+        account = self._accounts_by_organisation[item.organisation]
+        account.tag += tokens / item.weight - item.share_tokens
+        account.in_flight -= 1
+        self._drop_idle(item.organisation, account)
+
+    def remove(self, item_id: str) -> bool:
+        """Removes a waiting item whose caller is gone; tells whether it was waiting.
+
+        :param item_id: id of the item.
+        """
+        item = self._items_by_id.pop(item_id, None)
+        if item is None:
+            return False
+        account = self._accounts_by_organisation[item.organisation]
+        account.discard(item)
+        self._drop_idle(item.organisation, account)
+        return True
+
+    def depth(self, organisation: str | None = None) -> int:
+        """Returns the number of waiting items.
+
+        :param organisation: count only its items.
+        """
+        if organisation is None:
+            return len(self._items_by_id)
+        account = self._accounts_by_organisation.get(organisation)
+        return account.depth if account else 0
+
+    def tokens_ahead(self, item: QueueItem) -> float:
+        """Returns about how many tokens are dispatched before the item if it is pushed now.
+
+        Each organisation goes ahead at most by its own backlog, and by what it may take until its
+        tag passes that of the item.
+
+        :param item: not in the queue.
+        """
+        own = self._accounts_by_organisation.get(item.organisation)
+        tag = max(own.tag, self._virtual - IDLE_CREDIT_TOKENS) if own else self._virtual
+        own_backlog = own.backlog(item.traffic_class) if own else 0
+        start = tag + own_backlog
+        others = sum(
+            min(account.backlog('review'), max(0, start - account.tag))
+            for account in self._accounts_by_organisation.values()
+            if account is not own
+        )
+        return own_backlog * item.weight + others
+
+    def _best(self, now: float) -> QueueItem | None:
+        found = (account.best(now) for account in self._accounts_by_organisation.values())
+        heads = [head for head in found if head is not None]
+        return min(heads, key=lambda head: head[0])[1] if heads else None
+
+    def _drop_idle(self, organisation: str, account: Account) -> None:
+        # The tag of an organisation that is ahead is kept until the others have caught up.
+        idle = not account.depth and not account.in_flight
+        if idle and account.tag <= self._virtual - IDLE_CREDIT_TOKENS:
+            del self._accounts_by_organisation[organisation]
--- /dev/null
+++ b/geraniumrail/fairness/fair_queue_test.py
@@ -0,0 +1,128 @@
+"""Guards the fair queue: shares, class order, idle credit, review bound and corrections."""
+
+import collections
+import unittest
+
+from geraniumrail.errors.request import OverloadedError
+from geraniumrail.fairness import FairQueue, QueueItem, Shedder
+from geraniumrail.fairness.fair_queue import IDLE_CREDIT_TOKENS
+
+
+class FairQueueTest(unittest.TestCase):
+    def setUp(self):
+        self.queue = FairQueue()
+        self.count = 0
+
+    def push(self, organisation, count=1, tokens=100, now=0, traffic_class='chat', **fields):
+        for _ in range(count):
+            self.count += 1
+            item = QueueItem(
+                item_id=f'{organisation}{self.count}',
+                organisation=organisation,
+                traffic_class=traffic_class,
+                tokens=tokens,
+                **fields,
+            )
+            self.queue.push(item, now)
+
+    def pop(self, count=1, now=0):
+        return [self.queue.pop(now) for _ in range(count)]
+
+    def organisations(self, count, now=0):
+        return collections.Counter(item.organisation for item in self.pop(count, now))
+
+    def test_tokens_are_shared_by_weight(self):
+        """Shares count tokens, not requests, and follow the weights."""
+        self.push('long', 50, tokens=400)
+        self.push('short', 100, tokens=100)
+        self.push('double', 100, tokens=100, weight=2)
+        served = self.organisations(70)
+        self.assertAlmostEqual(served['long'] * 4 / served['short'], 1, delta=0.25)
+        self.assertAlmostEqual(served['double'] / served['short'], 2, delta=0.2)
+
+    def test_small_organisation_does_not_wait_for_a_flood(self):
+        """The first request of a small organisation goes next despite a long queue."""
+        self.push('large', 500)
+        self.pop(100)
+        self.push('small')
+        self.assertEqual(self.pop()[0].organisation, 'small')
+
+    def test_idle_credit_is_bounded(self):
+        """An organisation that was idle for long must not take over the engines."""
+        self.push('busy', 500)
+        self.pop(300)
+        self.push('idle', 500)
+        served = self.organisations(60)
+        lead = served['idle'] * 100 - served['busy'] * 100
+        self.assertLessEqual(lead, IDLE_CREDIT_TOKENS + 200)
+
+    def test_idle_credit_is_bounded_for_a_known_organisation(self):
+        """The same after use in the past."""
+        self.push('idle')
+        self.queue.settle(self.pop()[0].item_id, 100, 0)
+        self.push('busy', 500)
+        self.pop(300)
+        self.push('idle', 500)
+        lead = self.organisations(100)
+        self.assertLessEqual((lead['idle'] - lead['busy']) * 100, IDLE_CREDIT_TOKENS + 200)
+
+    def test_classes_go_in_order_but_do_not_starve_other_organisations(self):
+        """A flood of chat may delay another organisation's quick question only so far."""
+        self.push('a', traffic_class='review')
+        self.push('a', traffic_class='quick')
+        self.push('a', 100)
+        self.push('b', traffic_class='quick')
+        order = [(item.organisation, item.traffic_class) for item in self.pop(103)]
+        self.assertEqual(order[0], ('a', 'chat'))
+        self.assertLess(order.index(('b', 'quick')), 25)
+        self.assertLess(order.index(('a', 'quick')), order.index(('a', 'review')))
+
+    def test_review_is_promoted_when_its_bound_nears(self):
+        """Without promotion a steady flow of chat starves reviews."""
+        self.push('a', traffic_class='review', bound_s=60)
+        review = f'a{self.count}'
+        self.push('a', 100)
+        self.assertNotIn(review, [item.item_id for item in self.pop(20, now=29)])
+        self.assertEqual(self.pop(now=30)[0].item_id, review)
+
+    def test_settle_corrects_the_charge(self):
+        """Estimates that are too low must not give an organisation more than its share."""
+        self.push('low', 100, tokens=100)
+        self.push('exact', 100, tokens=100)
+        served = collections.Counter()
+        for _ in range(60):
+            item = self.pop()[0]
+            served[item.organisation] += 1
+            self.queue.settle(item.item_id, 200 if item.organisation == 'low' else 100, 0)
+            self.queue.settle(item.item_id, 900, 0)
+        self.assertAlmostEqual(served['exact'] / served['low'], 2, delta=0.3)
+
+    def test_queue_limit_and_removal(self):
+        """One organisation must not fill the memory, and callers that left free their place."""
+        self.push('a', 5, queue_limit=5)
+        with self.assertRaises(OverloadedError):
+            self.push('a', queue_limit=5)
+        self.push('b', queue_limit=5)
+        self.assertTrue(self.queue.remove('a1'))
+        self.assertFalse(self.queue.remove('a1'))
+        self.push('a', queue_limit=5)
+        self.assertEqual(self.queue.depth(), 6)
+        self.assertEqual(self.queue.depth('a'), 5)
+
+    def test_shedder_refuses_the_flood_and_not_the_small_organisation(self):
+        """Load that cannot be answered in time is refused early, at the one who causes it."""
+        shedder = Shedder()
+        self.push('large', 300)
+        for tick in range(100):
+            self.pop(now=tick / 10)
+            shedder.rate.dispatched(100, self.queue.depth(), tick / 10)
+        item = QueueItem(item_id='x', organisation='large', traffic_class='chat', tokens=100)
+        with self.assertRaises(OverloadedError) as caught:
+            shedder.check(item, self.queue)
+        self.assertGreaterEqual(caught.exception.fields['retry_after_s'], 10)
+        small = QueueItem(item_id='y', organisation='small', traffic_class='chat', tokens=100)
+        shedder.check(small, self.queue)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/geraniumrail/fairness/limits.py
@@ -0,0 +1,109 @@
+"""Per-organisation limits, divided over the entries."""
+
+import math
+
+from geraniumrail.errors.request import OverloadedError
+from geraniumrail.fairness.bucket import Bucket
+from geraniumrail.fairness.entry_share import EntryShare
+from geraniumrail.fairness.organisation_limit import OrganisationLimit
+
+BURST_S = 2.0
+CONCURRENT_RETRY_S = 1.0
+# Demand above this multiple of the limit does not attract more share, or a flood at one entry
+# would starve the organisation's callers at the others.
+MAX_DEMAND = 1.0
+
+
+class _Usage:
+    def __init__(self) -> None:
+        self.requests = Bucket(BURST_S)
+        self.tokens = Bucket(BURST_S)
+        self.concurrent = 0
+        self.demand: float = 0
+        self.limit = OrganisationLimit()
+
+
+class Limits:
+    """Admits requests within this entry's share, without asking other processes."""
+
+    def __init__(self, entries: int = 1) -> None:
+        """Starts with an equal share.
+
+        :param entries: number of entries, until the first update.
+        """
+        self._share = EntryShare(entries=entries, share_by_organisation={})
+        self._updated = False
+        self._usage_by_organisation: dict[str, _Usage] = {}
+
+    def update(self, share: EntryShare) -> None:
+        """Takes in the shares sent by control.
+
+        :param share: newest shares.
+        """
+        self._share = share
+        self._updated = True
+
+    def share(self, organisation: str) -> float:
+        """Returns the part of the limits that this entry may use.
+
+        :param organisation: name.
+        """
+        entries = max(1, self._share.entries)
+        recent = self._share.share_by_organisation.get(organisation, 0)
+        # Half an equal share stays free for an entry that the organisation has just begun to use.
+        return max(recent, 1 / (2 * entries)) if self._updated else 1 / entries
+
+    def admit(self, organisation: str, tokens: float, limit: OrganisationLimit, now: float) -> None:
+        """Takes a request into account, or refuses it.
+
+        :param organisation: name.
+        :param tokens: estimate of prompt and answer tokens.
+        :param limit: limits over all entries.
+        :param now: monotonic seconds.
+        :raises OverloadedError: if a limit is exceeded; nothing is taken then.
+        """
+        usage = self._usage_by_organisation.setdefault(organisation, _Usage())
+        usage.demand += tokens
+        usage.limit = limit
+        share = self.share(organisation)
+        if usage.concurrent >= max(1, limit.concurrent * share):
+            raise OverloadedError(reason='concurrent limit', retry_after_s=CONCURRENT_RETRY_S)
+        self._check('requests_per_s', usage.requests.wait_s(1, limit.requests_per_s * share, now))
+        self._check('tokens_per_s', usage.tokens.wait_s(tokens, limit.tokens_per_s * share, now))
+        usage.requests.take(1, limit.requests_per_s * share, now)
+        usage.tokens.take(tokens, limit.tokens_per_s * share, now)
+        usage.concurrent += 1
+
+    def settle(self, organisation: str, estimated: float, tokens: float, now: float) -> None:
+        """Ends a request and corrects its tokens.
+
+        :param organisation: name.
+        :param estimated: tokens given to `admit`.
+        :param tokens: tokens that it really took.
+        :param now: monotonic seconds.
+        """
+        usage = self._usage_by_organisation.get(organisation)
+        if usage is None:
+            return
+        usage.concurrent = max(0, usage.concurrent - 1)
+        rate = usage.limit.tokens_per_s * self.share(organisation)
+        usage.tokens.take(tokens - estimated, rate, now)
+
+    def take_demand(self, elapsed_s: float) -> dict[str, float]:
+        """Returns the tokens asked for since the last call, for the report to control.
+
+        :param elapsed_s: seconds since the last call.
+        """
+        demand = {
+            organisation: min(usage.demand, MAX_DEMAND * usage.limit.tokens_per_s * elapsed_s)
+            for organisation, usage in self._usage_by_organisation.items()
+            if usage.demand
+        }
+        for usage in self._usage_by_organisation.values():
+            usage.demand = 0
+        return demand
+
+    def _check(self, reason: str, wait_s: float) -> None:
+        if wait_s > 0:
+            retry_after_s = min(60, max(1, math.ceil(wait_s))) if math.isfinite(wait_s) else 60
+            raise OverloadedError(reason=reason, retry_after_s=retry_after_s)
--- /dev/null
+++ b/geraniumrail/fairness/limits_test.py
@@ -0,0 +1,124 @@
+"""Guards limits divided over entries, the retry budget and the engine window."""
+
+import random
+import unittest
+
+from geraniumrail.errors.request import OverloadedError
+from geraniumrail.fairness import (
+    EngineWindow,
+    EntryShare,
+    Limits,
+    OrganisationLimit,
+    RetryBudget,
+    delay,
+    divide,
+)
+from geraniumrail.fairness.retry_budget import MAX_DELAY_S, MAX_SAVED, MIN_RETRIES_PER_S
+
+
+def admitted(limits, limit, seconds, tokens=100, start=0):
+    """Counts the requests admitted of 100 asked for each second."""
+    count = 0
+    for tick in range(seconds * 100):
+        now = start + tick / 100
+        try:
+            limits.admit('org', tokens, limit, now)
+        except OverloadedError:
+            continue
+        limits.settle('org', tokens, tokens, now)
+        count += 1
+    return count
+
+
+class LimitsTest(unittest.TestCase):
+    def test_newly_used_entry_keeps_a_floor(self):
+        """An entry without recent use must admit requests before control has heard of it."""
+        limits = Limits()
+        limits.update(EntryShare(entries=4, share_by_organisation={}))
+        self.assertEqual(limits.share('org'), 1 / 8)
+        limit = OrganisationLimit(requests_per_s=40)
+        self.assertAlmostEqual(admitted(limits, limit, 20) / 20, 5, delta=1)
+
+    def test_share_follows_demand(self):
+        """An organisation whose callers use one entry gets its whole limit there."""
+        shares = divide({'a': {'org': 900.0}, 'b': {'org': 100.0}, 'c': {}})
+        limits = Limits()
+        limits.update(shares['a'])
+        self.assertAlmostEqual(limits.share('org'), 0.9)
+        limit = OrganisationLimit(tokens_per_s=2000)
+        self.assertAlmostEqual(admitted(limits, limit, 20) * 100 / 20, 1800, delta=250)
+        self.assertEqual(limits.take_demand(20), {'org': 40000})
+
+    def test_corrections_and_concurrent_limit(self):
+        """Longer answers than estimated count, and open streams are bounded."""
+        limits = Limits()
+        limit = OrganisationLimit(tokens_per_s=100, concurrent=2)
+        limits.admit('org', 50, limit, 0)
+        limits.admit('org', 50, limit, 0)
+        with self.assertRaises(OverloadedError):
+            limits.admit('org', 1, limit, 0)
+        limits.settle('org', 50, 250, 0)
+        with self.assertRaises(OverloadedError) as caught:
+            limits.admit('org', 1, limit, 0)
+        self.assertEqual(caught.exception.fields['reason'], 'tokens_per_s')
+        limits.admit('org', 1, limit, 2)
+
+    def test_single_request_above_the_burst_is_possible(self):
+        """A long review must not be refused for ever because it exceeds the bucket."""
+        Limits().admit('org', 10_000, OrganisationLimit(tokens_per_s=100), 0)
+
+
+class RetryBudgetTest(unittest.TestCase):
+    def test_retries_stay_within_share_plus_constant_rate(self):
+        """Retries of everything would double an overload."""
+        budget = RetryBudget()
+        retries = 0
+        for tick in range(6000):
+            budget.requested('s', 0.1, tick / 100)
+            retries += budget.take('s', tick / 100)
+        self.assertLessEqual(retries, 600 + 60 * MIN_RETRIES_PER_S + 1)
+        self.assertGreaterEqual(retries, 600)
+
+    def test_saved_retries_are_bounded(self):
+        """A long calm time must not allow a burst of retries."""
+        budget = RetryBudget()
+        budget.requested('s', 1, 0)
+        allowed = sum(budget.take('s', 100_000) for _ in range(1000))
+        self.assertLessEqual(allowed, MAX_SAVED)
+
+    def test_delay_grows_and_is_bounded(self):
+        """Retries in step would arrive as a wave."""
+        rng = random.Random(1)
+        late = [delay(20, rng) for _ in range(100)]
+        self.assertLessEqual(max(late), MAX_DELAY_S)
+        self.assertGreater(max(late), max(delay(1, rng) for _ in range(100)))
+        self.assertEqual(len(set(late)), 100)
+
+
+class EngineWindowTest(unittest.TestCase):
+    def test_window_shrinks_when_late_and_grows_when_in_time(self):
+        """A queue inside the engine escapes the fair order."""
+        window = EngineWindow(4)
+        for _ in range(4):
+            window.started('e')
+        self.assertFalse(window.allows('e', 'chat'))
+        window.first_token('e', 0.1, 0.51, 1)
+        self.assertGreater(window.size('e'), 4)
+        for tick in range(100):
+            window.first_token('e', 2, 0.51, 2 + tick)
+        self.assertEqual(window.size('e'), 1)
+        for _ in range(4):
+            window.finished('e')
+        self.assertTrue(window.allows('e', 'review'))
+
+    def test_reviews_leave_room(self):
+        """Long reviews must not occupy all slots that chat needs."""
+        window = EngineWindow(4)
+        for _ in range(3):
+            window.started('e')
+        self.assertFalse(window.allows('e', 'review'))
+        self.assertTrue(window.allows('e', 'chat'))
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/geraniumrail/routing/choice.py
@@ -0,0 +1,113 @@
+"""Chooses a backend server for a request."""
+
+import itertools
+import random
+from collections.abc import Sequence
+
+from geraniumrail.core.backend import Backend
+from geraniumrail.routing.decision import Decision
+from geraniumrail.routing.eligible import eligible
+from geraniumrail.routing.estimate import Estimate
+from geraniumrail.routing.knowledge import Knowledge
+from geraniumrail.routing.request import LanguageRequest, RouteRequest
+from geraniumrail.routing.score import score
+from geraniumrail.routing.score_part import ScorePart
+from geraniumrail.routing.scored import Scored
+
+# Backend servers drawn at random; all entries preferring the same least loaded one would herd.
+SAMPLE_SIZE = 4
+# Backend servers with a prefix hint that join the sample.
+MAX_HOLDERS = 2
+# A holder beyond this multiple of the sample's mean load (plus one request) is left out.
+AFFINITY_CAP = 1.25
+
+
+def choose(
+    candidates: Sequence[Backend],
+    request: RouteRequest,
+    knowledge: Knowledge,
+    rng: random.Random,
+    now: float,
+) -> Decision:
+    """Draws a version, then a few backend servers, and takes the one with the lowest score.
+
+    :param candidates: backend servers of the service.
+    :param request: a `LanguageRequest` or `PlainRequest`.
+    :param knowledge: this entry's view.
+    :param rng: source of all draws, so that a seed repeats the decision.
+    :param now: monotonic seconds.
+    :raises NoBackendError: if no backend server may take the request.
+    """
+    usable = eligible(candidates, request, knowledge, rng, now)
+    sample = rng.sample(usable, min(SAMPLE_SIZE, len(usable)))
+    estimates = [knowledge.estimate(each, now) for each in sample]
+    mean_occupancy = sum(each.occupancy for each in estimates) / len(estimates)
+    for holder in _holders(request, usable, knowledge):
+        if holder not in sample:
+            sample.append(holder)
+            estimates.append(knowledge.estimate(holder, now))
+    scored = []
+    for backend, estimate in zip(sample, estimates, strict=True):
+        parts = score(request, backend, estimate, knowledge, now)
+        if not within_cap(estimate, mean_occupancy):
+            parts = _without_affinity(parts, request, knowledge)
+        scored.append(Scored(backend, parts))
+    scored.sort(key=lambda each: each.total)
+    return _decide(request, scored)
+
+
+def _decide(request: RouteRequest, scored: Sequence[Scored]) -> Decision:
+    best, *others = scored
+    return Decision(
+        request_id=request.request_id,
+        service=request.service,
+        backend=best.backend,
+        score=best.total,
+        parts=best.parts,
+        alternatives=tuple((other.backend.instance, other.total) for other in others),
+        reason=_reason(best.parts, others[0].parts if others else ()),
+    )
+
+
+def within_cap(estimate: Estimate, mean_occupancy: float) -> bool:
+    """Tells whether prefix affinity may add a request to a backend server.
+
+    :param estimate: its expected load.
+    :param mean_occupancy: mean of the sample.
+    """
+    return estimate.requests <= AFFINITY_CAP * mean_occupancy * estimate.slots + 1
+
+
+def _without_affinity(
+    parts: tuple[ScorePart, ...], request: RouteRequest, knowledge: Knowledge
+) -> tuple[ScorePart, ...]:
+    """Counts the whole prompt as not cached, so that a popular prefix overloads no engine."""
+    if not isinstance(request, LanguageRequest):
+        return parts
+    whole = request.prompt_tokens / knowledge.prefill_tokens_per_s
+    return tuple(ScorePart(part.name, whole) if part.name == 'prefill' else part for part in parts)
+
+
+def _holders(
+    request: RouteRequest, usable: Sequence[Backend], knowledge: Knowledge
+) -> tuple[Backend, ...]:
+    if not isinstance(request, LanguageRequest):
+        return ()
+    usable_by_id = {backend.instance: backend for backend in usable}
+    found = (
+        usable_by_id[instance]
+        for instance in knowledge.hints.holders(request.prefixes)
+        if instance in usable_by_id
+    )
+    return tuple(itertools.islice(found, MAX_HOLDERS))
+
+
+def _reason(best: tuple[ScorePart, ...], second: tuple[ScorePart, ...]) -> str:
+    """Names the part in which the chosen one beats the next best most clearly."""
+    if not second:
+        return 'only_candidate'
+    gains = {
+        mine.name: other.amount - mine.amount for mine, other in zip(best, second, strict=True)
+    }
+    strongest = max(gains, key=lambda name: gains[name])
+    return f'lowest_{strongest}' if gains[strongest] > 0 else 'equal_scores'
--- /dev/null
+++ b/geraniumrail/routing/decision.py
@@ -0,0 +1,19 @@
+"""The outcome of a routing choice."""
+
+import dataclasses
+
+from geraniumrail.core.backend import Backend
+from geraniumrail.routing.score_part import ScorePart
+
+
+@dataclasses.dataclass(frozen=True)
+class Decision:
+    """The chosen backend server and why; scores are seconds, the lowest wins."""
+
+    request_id: str
+    service: str
+    backend: Backend
+    score: float
+    parts: tuple[ScorePart, ...]
+    alternatives: tuple[tuple[str, float], ...]  # (instance, score) of the others that were scored
+    reason: str
--- /dev/null
+++ b/geraniumrail/routing/events.py
@@ -0,0 +1,28 @@
+"""Log events of routing."""
+
+from geraniumrail.core.events import Event, log
+from geraniumrail.routing.decision import Decision
+
+CHOSEN = Event.define(
+    401,
+    'routing.chosen',
+    'A backend server was chosen; scores are seconds and the lowest wins.',
+)
+
+
+def log_decision(decision: Decision) -> None:
+    """Writes the line of one routing decision.
+
+    :param decision: result of `choose`.
+    """
+    log(
+        CHOSEN,
+        request=decision.request_id,
+        service=decision.service,
+        backend=decision.backend.instance,
+        version=decision.backend.version,
+        reason=decision.reason,
+        score=round(decision.score, 4),
+        parts={part.name: round(part.amount, 4) for part in decision.parts},
+        alternatives={name: round(total, 4) for name, total in decision.alternatives},
+    )
--- /dev/null
+++ b/geraniumrail/routing/knowledge_test.py
@@ -0,0 +1,90 @@
+"""Guards the view of load and prefix caches."""
+
+import unittest
+
+from geraniumrail.core.backend import Backend
+from geraniumrail.core.cache_event import CacheEvent
+from geraniumrail.core.load_report import LoadReport
+from geraniumrail.routing.hints import MAX_HINTS_PER_BACKEND, PrefixHints
+from geraniumrail.routing.knowledge import Knowledge
+from geraniumrail.routing.prefixes import digest_prefixes
+
+
+def added(sequence, prefix):
+    return CacheEvent(sequence=sequence, prefix=prefix, added=True)
+
+
+class HintsTest(unittest.TestCase):
+    def test_gap_lowers_the_worth_of_older_hints_only(self):
+        """An eviction lost in a gap must not keep a hint at full worth."""
+        hints = PrefixHints()
+        hints.observe('e', [added(1, 'old')], 0)
+        self.assertEqual(hints.worth('e', 'old', 0), 1)
+        hints.observe('e', [added(4, 'new')], 0)
+        self.assertEqual(hints.worth('e', 'old', 0), 0.5)
+        self.assertEqual(hints.worth('e', 'new', 0), 1)
+
+    def test_late_events_are_ignored(self):
+        """An old 'added' event must not bring back an evicted prefix."""
+        hints = PrefixHints()
+        evicted = CacheEvent(sequence=2, prefix='p', added=False)
+        hints.observe('e', [evicted, added(1, 'p')], 0)
+        hints.observe('e', [added(1, 'p')], 0)
+        self.assertEqual(hints.worth('e', 'p', 0), 0)
+        self.assertEqual(list(hints.holders(['p'])), [])
+
+    def test_hints_are_bounded(self):
+        """Memory must not grow with the number of prompts."""
+        hints = PrefixHints()
+        for number in range(MAX_HINTS_PER_BACKEND + 10):
+            hints.sent('e', [str(number)], 0)
+        self.assertEqual(list(hints.holders(['9'])), [])
+        self.assertEqual(list(hints.holders(['10'])), ['e'])
+
+    def test_digests_cover_all_text_before(self):
+        """Equal blocks after different starts are different prefixes."""
+        first = digest_prefixes('abcd' + 'same', 4)
+        second = digest_prefixes('wxyz' + 'same', 4)
+        self.assertFalse(set(first) & set(second))
+        self.assertEqual(first, digest_prefixes('abcdsame-', 4))
+
+
+class KnowledgeTest(unittest.TestCase):
+    def backend(self, sequence, report, address='127.0.0.1:1'):
+        return Backend(
+            instance='e',
+            service='s',
+            address=address,
+            data_centre='d',
+            region='r',
+            version='v',
+            sequence=sequence,
+            load=report,
+        )
+
+    def test_report_replaces_the_sends_that_it_covers(self):
+        """Own sends must be counted once: before the report arrives, then in it."""
+        knowledge = Knowledge()
+        backend = self.backend(1, LoadReport())
+        knowledge.observe(backend, 0)
+        knowledge.sent('e', 100, (), 1)
+        knowledge.sent('e', 100, (), 2)
+        self.assertAlmostEqual(knowledge.estimate(backend, 2).requests, 2, delta=0.2)
+        knowledge.observe(self.backend(2, LoadReport(running=1, age_s=0.5)), 2)
+        self.assertAlmostEqual(knowledge.estimate(backend, 2).requests, 2, delta=0.2)
+        knowledge.finished('e', 100, 2)
+        self.assertAlmostEqual(knowledge.estimate(backend, 2).requests, 1, delta=0.2)
+
+    def test_restarted_backend_starts_afresh(self):
+        """A restart at another address counts from 1 again and has an empty cache."""
+        knowledge = Knowledge()
+        knowledge.observe(self.backend(90, LoadReport(running=5)), 0)
+        knowledge.sent('e', 100, ['p'], 0)
+        restarted = self.backend(1, LoadReport(), '127.0.0.1:2')
+        knowledge.observe(restarted, 1)
+        self.assertEqual(knowledge.estimate(restarted, 1).requests, 0)
+        self.assertEqual(list(knowledge.hints.holders(['p'])), [])
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/geraniumrail/routing/request.py
@@ -0,0 +1,33 @@
+"""What routing needs to know about a request."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RouteRequest:
+    """Fields that all requests have; use one of the subclasses."""
+
+    request_id: str
+    service: str
+    data_centre: str  # of this entry
+    region: str  # of this entry
+    version_shares: tuple[tuple[str, float], ...] = ()  # empty: any version
+    excluded: frozenset[str] = frozenset()  # instances that already failed this request
+    traffic_class: str = 'chat'
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class LanguageRequest(RouteRequest):
+    """A completion; the i-th digest covers the first `(i + 1) * block_tokens` prompt tokens."""
+
+    model: str
+    adapter: str = ''
+    prefixes: tuple[str, ...] = ()
+    block_tokens: int = 64
+    prompt_tokens: int = 0
+    expected_answer_tokens: int = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PlainRequest(RouteRequest):
+    """A call of a plain service."""
--- /dev/null
+++ b/geraniumrail/routing/scored.py
@@ -0,0 +1,19 @@
+"""A candidate with its score."""
+
+import dataclasses
+
+from geraniumrail.core.backend import Backend
+from geraniumrail.routing.score_part import ScorePart
+
+
+@dataclasses.dataclass(frozen=True)
+class Scored:
+    """A candidate and the parts of its score."""
+
+    backend: Backend
+    parts: tuple[ScorePart, ...]
+
+    @property
+    def total(self) -> float:
+        """Expected cost in seconds."""
+        return sum(part.amount for part in self.parts)
