--- /dev/null
+++ b/geraniumrail/callers/server.py
@@ -0,0 +1,76 @@
+"""Runs an aiohttp application on an address with the limits of the settings file."""
+
+import ssl
+
+from aiohttp import web
+
+from geraniumrail.callers.auth import KEY_RING
+from geraniumrail.callers.bodies import BODY_TIMEOUT_S
+from geraniumrail.callers.failures import answer_failures
+from geraniumrail.config.key_ring import KeyRing
+from geraniumrail.config.limits import LimitsConfig
+from geraniumrail.config.listen import ListenConfig
+
+LINE_BYTES = 8190
+IDLE_CONNECTION_S = 75.0
+
+
+class HttpServer:
+    """One listening address."""
+
+    def __init__(
+        self,
+        listen: ListenConfig,
+        limits: LimitsConfig,
+        key_ring: KeyRing,
+        routes: list[web.RouteDef],
+    ) -> None:
+        """Builds the application.
+
+        :param listen: address and TLS files.
+        :param limits: limits on requests.
+        :param key_ring: API keys.
+        :param routes: route table.
+        """
+        self._listen = listen
+        self._limits = limits
+        application = web.Application(middlewares=[answer_failures])
+        application[KEY_RING] = key_ring
+        application[BODY_TIMEOUT_S] = float(limits.body_timeout_s)
+        application.add_routes(routes)
+        self._runner = web.AppRunner(
+            application,
+            access_log=None,
+            handler_cancellation=True,
+            keepalive_timeout=IDLE_CONNECTION_S,
+            max_line_size=LINE_BYTES,
+            max_field_size=limits.max_header_bytes,
+        )
+        self._site: web.TCPSite | None = None
+
+    async def start(self) -> None:
+        """Listens."""
+        await self._runner.setup()
+        self._site = web.TCPSite(
+            self._runner,
+            self._listen.host,
+            self._listen.port,
+            ssl_context=self._tls(),
+            shutdown_timeout=1,
+        )
+        await self._site.start()
+
+    async def stop(self) -> None:
+        """Stops listening and ends the connections."""
+        await self._runner.cleanup()
+
+    def _tls(self) -> ssl.SSLContext | None:
+        files = self._listen.tls
+        if files is None:
+            return None
+        context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+        context.load_cert_chain(files.certificate, files.key)
+        if files.authority is not None:
+            context.load_verify_locations(files.authority)
+            context.verify_mode = ssl.CERT_REQUIRED
+        return context
--- a/geraniumrail/entry/admission.py
+++ b/geraniumrail/entry/admission.py
@@ -1,7 +1,6 @@
 """Decides when a completion goes to an engine: fair queue, short engine queues, shedding."""
 
 import asyncio
-import random
 from collections.abc import Callable
 
 from geraniumrail.core.clock import Clock
@@ -18,18 +17,18 @@
 class Admission:
     """One queue, for one service and model; grants a turn together with the chosen engine."""
 
-    def __init__(self, window: EngineWindow, clock: Clock, rng: random.Random) -> None:
+    def __init__(self, service: str, window: EngineWindow, clock: Clock) -> None:
         """Connects the parts.
 
+        :param service: name of the service.
         :param window: requests in flight at each engine, shared by the queues of a service.
         :param clock: time.
-        :param rng: source of routing draws.
         """
         self.queue = FairQueue()
         self.window = window
         self._shedder = Shedder()
+        self._service = service
         self._clock = clock
-        self._rng = rng
         self._waiting_by_id: dict[str, tuple[Chooser, asyncio.Future[Decision]]] = {}
 
     async def turn(self, item: QueueItem, choose: Chooser, limit_s: float) -> Decision:
@@ -51,7 +50,7 @@
         try:
             return await asyncio.wait_for(asyncio.shield(future), limit_s)
         except TimeoutError as error:
-            raise NoBackendError(backend='', service=item.item_id, reason='timeout') from error
+            raise NoBackendError(service=self._service) from error
         finally:
             self._waiting_by_id.pop(item.item_id, None)
             if not future.done():
@@ -67,7 +66,6 @@
         """
         now = self._clock.now()
         self.queue.settle(item.item_id, tokens, now)
-        self._shedder.rate.finished(tokens, now)
         self.window.finished(engine)
         self.pump()
 
@@ -85,5 +83,6 @@
                 return
             self.queue.pop(now)
             self._waiting_by_id.pop(item.item_id)
+            self._shedder.rate.dispatched(item.tokens, self.queue.depth(), now)
             self.window.started(decision.backend.instance)
             future.set_result(decision)
--- /dev/null
+++ b/geraniumrail/entry/completion_run.py
@@ -0,0 +1,276 @@
+"""Carries one completion to its end, over as many attempts as it takes."""
+
+import dataclasses
+from collections.abc import AsyncIterator
+
+from geraniumrail.backends.chunk import Chunk
+from geraniumrail.backends.engine_call import EngineCall
+from geraniumrail.core.backend import Backend
+from geraniumrail.core.events import log
+from geraniumrail.core.ids import new_id
+from geraniumrail.entry import events
+from geraniumrail.entry.completion_call import CompletionCall
+from geraniumrail.entry.completions import Completions
+from geraniumrail.errors.backend import BackendError, NoBackendError
+from geraniumrail.errors.request import IncompleteAnswerError, NotRunError
+from geraniumrail.fairness.engine_window import EngineWindow
+from geraniumrail.fairness.queue_item import QueueItem
+from geraniumrail.fairness.retry_budget import delay
+from geraniumrail.routing.choice import choose
+from geraniumrail.routing.decision import Decision
+from geraniumrail.routing.events import log_decision
+from geraniumrail.routing.request import LanguageRequest
+
+PRIORITY_BY_CLASS = {'chat': 0, 'quick': 1, 'review': 2}
+
+
+class CompletionRun:
+    """Invariant: `offset` tokens, exactly `text`, have been handed to the caller."""
+
+    def __init__(self, call: CompletionCall, shared: Completions) -> None:
+        """Prepares a run.
+
+        :param call: the request.
+        :param shared: the parts that all runs share.
+        """
+        self.call = call
+        self.shared = shared
+        self.text = ''
+        self.offset = 0
+        self.attempts = 0
+        self.settings = shared.view.effective(call.organisation, call.service, call.route)
+        self._excluded: frozenset[str] = frozenset()
+        self._draw = shared.rng.random()
+        self._end = shared.clock.now() + self.settings.deadline_ms / 1000
+
+    async def chunks(self) -> AsyncIterator[Chunk]:
+        """Yields the whole answer, in order, each token once.
+
+        :raises OverloadedError: if the request is shed.
+        :raises NotRunError: if no engine took it.
+        :raises IncompleteAnswerError: if it could not be completed before its deadline.
+        """
+        shared = self.shared
+        shared.admit(self.call, self.settings)
+        shared.in_progress += 1
+        try:
+            async for chunk in self._attempts():
+                yield chunk
+        finally:
+            shared.in_progress -= 1
+            used = self.call.prompt_tokens + self.offset
+            shared.limits.settle(
+                self.call.organisation,
+                self.call.tokens,
+                used,
+                shared.clock.now(),
+            )
+
+    async def _attempts(self) -> AsyncIterator[Chunk]:
+        while True:
+            item = self._item()
+            admission = self.shared.admission(self.call.service, self.call.model)
+            try:
+                decision = await admission.turn(item, self._choose, self._remaining_s())
+            except NoBackendError as error:
+                raise self._given_up(str(error)) from error
+            backend = decision.backend
+            before = self.offset
+            try:
+                async for chunk in self._attempt(backend):
+                    yield chunk
+            except BackendError as error:
+                failure = error
+            else:
+                return
+            finally:
+                prompt = self.call.prompt_tokens if self.attempts == 1 else before
+                admission.release(item, backend.instance, prompt + self.offset - before)
+            await self._lost(backend, failure)
+
+    async def _attempt(self, backend: Backend) -> AsyncIterator[Chunk]:
+        self.attempts += 1
+        attempt = new_id('attempt')
+        shared, call = self.shared, self.call
+        sent_at = shared.clock.now()
+        shared.view.knowledge.sent(backend.instance, call.tokens, call.prefixes, sent_at)
+        shared.outcomes.breaker.waiting(
+            attempt,
+            call.service,
+            backend.version,
+            call.route,
+            sent_at,
+        )
+        timing = _Timing(sent_at)
+        try:
+            async for chunk in shared.client.stream(backend, self._engine_call(attempt)):
+                timing = timing.with_chunk(chunk, shared.clock.now())
+                if timing.tokens == chunk.tokens:
+                    self._first_token(backend, attempt, timing)
+                self.text += chunk.text
+                self.offset += chunk.tokens
+                yield chunk
+        except BackendError:
+            self._ended(backend, attempt, timing, failed=True)
+            raise
+        else:
+            self._ended(backend, attempt, timing, failed=False)
+        finally:
+            shared.view.knowledge.finished(backend.instance, call.tokens, shared.clock.now())
+
+    def _engine_call(self, attempt: str) -> EngineCall:
+        settings = self.settings
+        return EngineCall(
+            path=self.call.path,
+            body=self.call.body,
+            request_id=self.call.request_id,
+            attempt=attempt,
+            priority=PRIORITY_BY_CLASS.get(settings.traffic_class, 1),
+            resume_offset=self.offset,
+            resume_text=self.text,
+            first_token_timeout_s=settings.first_token_timeout_ms / 1000,
+            between_tokens_timeout_s=settings.between_tokens_timeout_ms / 1000,
+            fresh=self.attempts > 1,
+        )
+
+    def _first_token(self, backend: Backend, attempt: str, timing: '_Timing') -> None:
+        call, shared = self.call, self.shared
+        now = shared.clock.now()
+        shared.outcomes.breaker.answered(attempt, call.service, call.route)
+        target_s = self.settings.first_token_ms / 1000
+        shared.window.first_token(backend.instance, timing.first_token_s, target_s, now)
+        if not self.offset:
+            self._observe(backend, failed=None, first_token_s=timing.first_token_s)
+
+    def _ended(self, backend: Backend, attempt: str, timing: '_Timing', failed: bool) -> None:
+        call, shared = self.call, self.shared
+        shared.outcomes.breaker.answered(attempt, call.service, call.route)
+        known = shared.view.backends_by_instance.get(backend.instance)
+        if failed and (known is None or known.state == 'leaving'):
+            return  # an announced loss of the instance is no fault of the version
+        self._observe(backend, failed=failed, between_tokens_s=timing.between_tokens_s)
+
+    def _observe(
+        self,
+        backend: Backend,
+        failed: bool | None,
+        first_token_s: float | None = None,
+        between_tokens_s: float | None = None,
+    ) -> None:
+        self.shared.outcomes.observe(
+            self.call.service,
+            backend.version,
+            self.call.route,
+            self.call.organisation,
+            failed,
+            first_token_s,
+            between_tokens_s,
+        )
+
+    async def _lost(self, backend: Backend, error: BackendError) -> None:
+        """Prepares the next attempt, or gives up at the deadline."""
+        shared = self.shared
+        shared.view.knowledge.failed(backend.instance, shared.clock.now())
+        self._excluded |= {backend.instance}
+        log(
+            events.STREAM_RESUMED,
+            request=self.call.request_id,
+            backend=backend.instance,
+            offset=self.offset,
+            attempt=self.attempts,
+            reason=str(error),
+        )
+        while not shared.retries.take(self.call.service, shared.clock.now()):
+            if self._remaining_s() <= 0:
+                raise self._given_up(str(error)) from error
+            await shared.clock.sleep(delay(self.attempts, shared.rng))
+        if self._remaining_s() <= 0:
+            raise self._given_up(str(error)) from error
+
+    def _given_up(self, reason: str) -> IncompleteAnswerError | NotRunError:
+        if self.attempts:
+            return IncompleteAnswerError(reason=reason)
+        return NotRunError(reason=reason)
+
+    def _item(self) -> QueueItem:
+        settings = self.settings
+        is_review = settings.traffic_class == 'review'
+        return QueueItem(
+            item_id=f'{self.call.request_id}.{self.attempts}',
+            organisation=self.call.organisation,
+            traffic_class=settings.traffic_class,
+            tokens=self.call.tokens - self.offset,
+            weight=settings.weight,
+            bound_s=settings.review_completion_s if is_review else None,
+            queue_limit=settings.queue_limit,
+        )
+
+    def _choose(self, window: EngineWindow) -> Decision:
+        call, shared = self.call, self.shared
+        now = shared.clock.now()
+        candidates = shared.view.candidates(call.service)
+        full = frozenset(
+            backend.instance
+            for backend in candidates
+            if not window.allows(backend.instance, self.settings.traffic_class)
+        )
+        excluded = self._excluded
+        if all(backend.instance in excluded for backend in candidates):
+            excluded = frozenset()  # better an engine that failed before than none
+        request = LanguageRequest(
+            request_id=call.request_id,
+            service=call.service,
+            data_centre=shared.place.data_centre,
+            region=shared.place.region,
+            version_shares=self._version(),
+            excluded=excluded | full,
+            traffic_class=self.settings.traffic_class,
+            model=call.model,
+            adapter=call.adapter,
+            prefixes=call.prefixes,
+            prompt_tokens=call.prompt_tokens,
+            expected_answer_tokens=call.answer_tokens,
+        )
+        decision = choose(candidates, request, shared.view.knowledge, shared.rng, now)
+        log_decision(decision)
+        return decision
+
+    def _version(self) -> tuple[tuple[str, float], ...]:
+        """Draws the version once, so that a full engine of one sends nothing to the other."""
+        shares = self.shared.outcomes.shares(self.call.service, self.call.route)
+        mark = self._draw * sum(share for _, share in shares)
+        # The new version stands last and takes the lowest draws, whatever its share grows to.
+        for version, share in reversed(shares):
+            mark -= share
+            if mark < 0:
+                return ((version, 1.0),)
+        return shares
+
+    def _remaining_s(self) -> float:
+        return self._end - self.shared.clock.now()
+
+
+@dataclasses.dataclass(frozen=True)
+class _Timing:
+    sent_at: float
+    first_at: float = 0
+    last_at: float = 0
+    tokens: int = 0
+
+    def with_chunk(self, chunk: Chunk, now: float) -> '_Timing':
+        return dataclasses.replace(
+            self,
+            first_at=self.first_at or now,
+            last_at=now,
+            tokens=self.tokens + chunk.tokens,
+        )
+
+    @property
+    def first_token_s(self) -> float:
+        return self.first_at - self.sent_at
+
+    @property
+    def between_tokens_s(self) -> float | None:
+        if self.tokens < 2:
+            return None
+        return (self.last_at - self.first_at) / (self.tokens - 1)
--- /dev/null
+++ b/geraniumrail/entry/completions.py
@@ -0,0 +1,107 @@
+"""Completions: limits, fair queue and the parts that all runs of this entry share."""
+
+import dataclasses
+import random
+
+from geraniumrail.backends.engine_client import EngineClient
+from geraniumrail.core.clock import Clock
+from geraniumrail.entry.admission import Admission
+from geraniumrail.entry.cluster_view import ClusterView
+from geraniumrail.entry.completion_call import CompletionCall
+from geraniumrail.entry.outcomes import Outcomes
+from geraniumrail.errors.request import UnknownModelError
+from geraniumrail.fairness.engine_window import EngineWindow
+from geraniumrail.fairness.limits import Limits
+from geraniumrail.fairness.organisation_limit import OrganisationLimit
+from geraniumrail.fairness.retry_budget import RetryBudget
+from geraniumrail.settings.effective import Effective
+
+
+@dataclasses.dataclass(frozen=True)
+class Place:
+    """Where this entry stands."""
+
+    entry: str  # id with incarnation
+    data_centre: str
+    region: str
+
+
+class Completions:
+    """Shared state of the completion runs."""
+
+    def __init__(
+        self,
+        place: Place,
+        view: ClusterView,
+        outcomes: Outcomes,
+        client: EngineClient,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        """Connects the parts.
+
+        :param place: where this entry stands.
+        :param view: settings and backend servers.
+        :param outcomes: breaker and outcome log.
+        :param client: sends to engines.
+        :param clock: time.
+        :param rng: source of routing draws.
+        """
+        self.place = place
+        self.view = view
+        self.outcomes = outcomes
+        self.client = client
+        self.clock = clock
+        self.rng = rng
+        self.limits = Limits()
+        self.retries = RetryBudget()
+        self.window = EngineWindow()
+        self.in_progress = 0
+        self._admissions: dict[tuple[str, str], Admission] = {}
+
+    def admission(self, service: str, model: str) -> Admission:
+        """Returns the queue of a service and model.
+
+        :param service: name of the service.
+        :param model: name of the model.
+        """
+        key = (service, model)
+        if key not in self._admissions:
+            self._admissions[key] = Admission(service, self.window, self.clock)
+        return self._admissions[key]
+
+    def pump(self) -> None:
+        """Grants turns, after engines or settings have changed."""
+        for admission in self._admissions.values():
+            admission.pump()
+
+    def service_of(self, model: str) -> str:
+        """Returns the service that serves a model.
+
+        :param model: name of the model.
+        :raises UnknownModelError: if no live engine announced it.
+        """
+        for backend in self.view.backends_by_instance.values():
+            if model in backend.models:
+                return backend.service
+        raise UnknownModelError(model=model)
+
+    def models(self) -> list[str]:
+        """Returns the announced models."""
+        backends = self.view.backends_by_instance.values()
+        return sorted({model for backend in backends for model in backend.models})
+
+    def admit(self, call: CompletionCall, settings: Effective) -> None:
+        """Charges the organisation's limits.
+
+        :param call: the request.
+        :param settings: effective settings.
+        :raises OverloadedError: if a limit is exceeded.
+        """
+        limit = OrganisationLimit(
+            requests_per_s=settings.requests_per_s,
+            tokens_per_s=settings.tokens_per_s,
+            concurrent=settings.max_concurrent,
+        )
+        self.limits.admit(call.organisation, call.tokens, limit, self.clock.now())
+        self.retries.requested(call.service, settings.retry_budget, self.clock.now())
--- a/geraniumrail/errors/request.py
+++ b/geraniumrail/errors/request.py
@@ -93,3 +93,19 @@
     type_name = 'incomplete_answer'
     status = 504
     template = 'the request was not answered in full: {reason}'
+
+
+class UnknownPathError(RequestError):
+    """No handler exists for the method and path."""
+
+    type_name = 'unknown_path'
+    status = 404
+    template = '{method} {path} does not exist'
+
+
+class SlowRequestError(RequestError):
+    """The body did not arrive in time."""
+
+    type_name = 'request_timeout'
+    status = 408
+    template = 'the request body did not arrive within {limit_s} s'
