--- /dev/null
+++ b/geraniumrail/config/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon's YAML file as frozen dataclasses; errors name file, line and key."""
