Add the rollout package: breaker, sequential test and move controller

Cause: version moves need a judge that does not take load or mix for a fault. Outcomes of both versions are compared within windows and strata by the hypergeometric likelihood ratio, mixed over the window in which a fault may begin. A fixed error threshold was ruled out because a surge that slows both versions crosses it as well. The share grows so that the share times the excess not yet ruled out stays at the canary share.

--- /dev/null
+++ b/geraniumrail/rollout/__init__.py
@@ -0,0 +1,1 @@
+"""Judges new versions: outcome counts, breaker, sequential test and move controller."""
--- /dev/null
+++ b/geraniumrail/rollout/breaker_cell.py
@@ -0,0 +1,101 @@
+"""Breaker state of one version, or of one route of it."""
+
+import dataclasses
+import math
+from collections import deque
+
+# A sample is evidence of a fault by its likelihood under a failing version against the old one.
+_OPEN_SCORE = math.log(1000)
+_FAILING_RATE = 0.5
+_SLOW_SHARE_OLD = 0.05
+_SLOW_SHARE_FAULTY = 0.6
+_SLOW_SCORE = math.log(_SLOW_SHARE_FAULTY / _SLOW_SHARE_OLD)
+_FAST_SCORE = math.log((1 - _SLOW_SHARE_FAULTY) / (1 - _SLOW_SHARE_OLD))
+_TRIAL_INTERVAL_S = 0.5
+_TRIALS_TO_CLOSE = 3
+_HIGHEST_RATE = 0.95
+
+
+@dataclasses.dataclass
+class BreakerCell:
+    """Closed, open or half-open, with the scores that open it."""
+
+    state: str = 'closed'
+    cause: str = ''
+    step: int = 0
+    times: int = 0
+    error_score: float = 0
+    slow_score: float = 0
+    good_trials: int = 0
+    last_trial: float = float('-inf')
+    early_slow: int = 0  # waits counted as slow before their first token came
+    waits: deque[tuple[str, float]] = dataclasses.field(default_factory=deque)
+
+    def add_error(self, failed: bool, old_rate: float) -> bool:
+        """Scores the end of a request; returns whether the breaker is to open.
+
+        :param failed: whether it failed.
+        :param old_rate: recent error rate of the old version, above 0.
+        """
+        old_rate = min(old_rate, _HIGHEST_RATE)
+        faulty_rate = max(_FAILING_RATE, (1 + old_rate) / 2)
+        if failed:
+            self.error_score += math.log(faulty_rate / old_rate)
+        else:
+            self.error_score += math.log((1 - faulty_rate) / (1 - old_rate))
+        self.error_score = max(0, self.error_score)
+        return self.error_score >= _OPEN_SCORE
+
+    def add_latency(self, slow: bool) -> bool:
+        """Scores a latency sample; returns whether the breaker is to open.
+
+        :param slow: whether it is above the limit of the old version.
+        """
+        self.slow_score = max(0, self.slow_score + (_SLOW_SCORE if slow else _FAST_SCORE))
+        return self.slow_score >= _OPEN_SCORE
+
+    def open(self, cause: str, step: int) -> None:
+        """Opens the breaker.
+
+        :param cause: error_rate or latency.
+        :param step: step of the move.
+        """
+        self.state = 'open'
+        self.cause = cause
+        self.step = step
+        self.times += 1
+
+    def half_open(self) -> None:
+        """Lets single requests try the version."""
+        self.state = 'half_open'
+        self.good_trials = 0
+        self.error_score = 0
+        self.slow_score = 0
+        self.last_trial = float('-inf')
+
+    def count_trial(self, bad: bool, step: int) -> bool:
+        """Counts the outcome of a trial; returns whether the breaker has closed.
+
+        :param bad: whether it failed or was slow.
+        :param step: step of the move.
+        """
+        if bad:
+            self.open(self.cause, step)
+            return False
+        self.good_trials += 1
+        if self.good_trials < _TRIALS_TO_CLOSE:
+            return False
+        self.state = 'closed'
+        return True
+
+    def blocks(self, now: float) -> bool:
+        """Returns whether a request may not be sent; grants trials while half-open.
+
+        :param now: seconds.
+        """
+        if self.state == 'closed':
+            return False
+        if self.state == 'open' or now - self.last_trial < _TRIAL_INTERVAL_S:
+            return True
+        self.last_trial = now
+        return False
--- /dev/null
+++ b/geraniumrail/rollout/contrast.py
@@ -0,0 +1,73 @@
+"""Evidence that bad outcomes favour the new version, given how many there were in a window."""
+
+import math
+
+from geraniumrail.rollout.mixture import log_sum
+
+_EXACT_SUPPORT = 48
+
+
+def log_evidence(
+    new_bad: int, new_total: int, old_bad: int, old_total: int, ratios: tuple[float, ...]
+) -> list[float]:
+    """Returns the log likelihood ratio of each odds ratio against the tolerated one.
+
+    Given the number of bad outcomes and the sizes of both groups, the number of bad ones in the
+    new group is hypergeometric if both versions are alike. What changes the error rate of both
+    versions, such as load, therefore cancels out.
+
+    :param new_bad: bad outcomes of the new version.
+    :param new_total: outcomes of the new version.
+    :param old_bad: bad outcomes of the old version.
+    :param old_total: outcomes of the old version.
+    :param ratios: the tolerated odds ratio, then the odds ratios to test.
+    """
+    bad = new_bad + old_bad
+    if not new_total or not old_total or not bad or bad == new_total + old_total:
+        return [0 for _ in ratios[1:]]
+    log_tolerated = math.log(ratios[0])
+    tolerated = _log_mean_power(log_tolerated, new_total, old_total, bad, lower=True)
+    return [
+        (math.log(ratio) - log_tolerated) * new_bad
+        + tolerated
+        - _log_mean_power(math.log(ratio), new_total, old_total, bad)
+        for ratio in ratios[1:]
+    ]
+
+
+def _log_mean_power(
+    log_ratio: float, new_total: int, old_total: int, bad: int, *, lower: bool = False
+) -> float:
+    """Returns log E[ratio ** X] for hypergeometric X, or a bound if the support is large.
+
+    Sampling without replacement has a smaller expectation of a convex function than sampling
+    with replacement, which gives four upper bounds; Jensen's inequality gives the lower one.
+    """
+    total = new_total + old_total
+    low, high = max(0, bad - old_total), min(new_total, bad)
+    if high - low <= _EXACT_SUPPORT:
+        return _exact(log_ratio, new_total, old_total, bad)
+    if lower:
+        return log_ratio * bad * new_total / total
+    new_share, bad_share = new_total / total, bad / total
+    grow, shrink = math.expm1(log_ratio), math.expm1(-log_ratio)
+    return min(
+        bad * math.log1p(new_share * grow),
+        new_total * math.log1p(bad_share * grow),
+        bad * log_ratio + old_total * math.log1p(bad_share * shrink),
+        new_total * log_ratio + (total - bad) * math.log1p(new_share * shrink),
+    )
+
+
+def _exact(log_ratio: float, new_total: int, old_total: int, bad: int) -> float:
+    low, high = max(0, bad - old_total), min(new_total, bad)
+    log_weight: float = 0
+    weights, powers = [], []
+    for new_bad in range(low, high + 1):
+        weights.append(log_weight)
+        powers.append(log_weight + log_ratio * new_bad)
+        if new_bad < high:
+            rise = (new_total - new_bad) * (bad - new_bad)
+            fall = (new_bad + 1) * (old_total - bad + new_bad + 1)
+            log_weight += math.log(rise / fall)
+    return log_sum(powers) - log_sum(weights)
--- /dev/null
+++ b/geraniumrail/rollout/events.py
@@ -0,0 +1,28 @@
+"""Log events 600-699."""
+
+from absl import logging
+
+from geraniumrail.core.events import Event
+
+BREAKER_OPENED = Event.define(
+    600,
+    'rollout.breaker_opened',
+    'This entry sends no more requests to a version because it fails or is slow here.',
+    logging.WARNING,
+)
+BREAKER_HALF_OPEN = Event.define(
+    601, 'rollout.breaker_half_open', 'This entry tries a blocked version with single requests.'
+)
+BREAKER_CLOSED = Event.define(
+    602, 'rollout.breaker_closed', 'Trial requests succeeded; the version is used again.'
+)
+MOVE_STEPPED = Event.define(
+    610, 'rollout.move_stepped', 'The control leader changes the share of a new version.'
+)
+MOVE_ENDED = Event.define(611, 'rollout.move_ended', 'A move has ended; states end and reason.')
+MOVE_HELD = Event.define(
+    612, 'rollout.move_held', 'The share stays as it is because there are signs of a fault.'
+)
+MOVE_RESUMED = Event.define(
+    613, 'rollout.move_resumed', 'A new control leader continues a move with fresh evidence.'
+)
--- /dev/null
+++ b/geraniumrail/rollout/histogram.py
@@ -0,0 +1,50 @@
+"""Logarithmic latency buckets; a histogram is a sorted tuple of (bucket, count)."""
+
+import math
+from collections import Counter
+
+Histogram = tuple[tuple[int, int], ...]
+
+_LOWEST_S = 0.001
+_LOG_GROWTH = math.log(1.15)
+_HIGHEST_BUCKET = 95  # about 580 s
+
+
+def bucket(seconds: float) -> int:
+    """Returns the bucket of a latency.
+
+    :param seconds: latency.
+    """
+    if seconds <= _LOWEST_S:
+        return 0
+    return min(_HIGHEST_BUCKET, int(math.log(seconds / _LOWEST_S) / _LOG_GROWTH))
+
+
+def upper_s(number: int) -> float:
+    """Returns the upper bound of a bucket in seconds.
+
+    :param number: bucket.
+    """
+    return _LOWEST_S * math.exp((number + 1) * _LOG_GROWTH)
+
+
+def freeze(counts: Counter[int]) -> Histogram:
+    """Makes the histogram of counts by bucket.
+
+    :param counts: number of samples by bucket.
+    """
+    return tuple(sorted(counts.items()))
+
+
+def quantile_bucket(counts: Counter[int] | dict[int, float], share: float) -> int | None:
+    """Returns the bucket that holds a quantile, or None without samples.
+
+    :param counts: number of samples by bucket.
+    :param share: 0 to 1.
+    """
+    rest = sum(counts.values()) * share
+    for number in sorted(counts):
+        rest -= counts[number]
+        if rest <= 0:
+            return number
+    return None
--- /dev/null
+++ b/geraniumrail/rollout/move_controller_test.py
@@ -0,0 +1,169 @@
+"""Guards moves: faults end them, good versions arrive by the deadline, and no move ends twice."""
+
+import random
+import unittest
+
+from geraniumrail.rollout.breaker_report import BreakerReport
+from geraniumrail.rollout.end_reason import Ending, EndReason
+from geraniumrail.rollout.move_controller import MoveController
+from geraniumrail.rollout.move_end import MoveEnd
+from geraniumrail.rollout.move_order import MoveOrder
+from geraniumrail.rollout.outcome_log import OutcomeLog
+
+ORDER = MoveOrder(
+    move_id='m1',
+    service='assistant-llm',
+    from_version='v1',
+    to_version='v2',
+    started_at=0,
+    deadline=900,
+)
+ROUTES = ('chat', 'quick', 'review')
+
+
+def good(version, route, now, share):
+    return False, 0.1 * (1 + ROUTES.index(route))
+
+
+class Run:
+    """Feeds a controller with one request each 1/rate seconds until the move ends."""
+
+    def __init__(self, behave, *, rate=10, controller=None, start=0, seed=1):
+        self.behave = behave
+        self.rate = rate
+        self.rng = random.Random(seed)
+        self.controller = controller or MoveController.from_start(ORDER, start)
+        self.now = start
+        self.shares = []
+        self.decisions = []
+
+    def until(self, end):
+        log = OutcomeLog()
+        while self.now < end and self.controller.end is None:
+            self.now += 1
+            for _ in range(self.rate):
+                self._request(log)
+            self.controller.observe(log.drain(), entry='e1', now=self.now)
+            decision = self.controller.decide(self.now)
+            if decision is not None:
+                self.decisions.append(decision)
+                if not isinstance(decision, MoveEnd):
+                    self.shares.append(decision.share)
+                    self.controller.recorded(decision, self.now)
+        return self.controller.end
+
+    def _request(self, log):
+        share = self.controller.step.share
+        version = 'v2' if self.rng.random() < share else 'v1'
+        route = self.rng.choice(ROUTES)
+        failed, latency = self.behave(version, route, self.now, share)
+        latency *= self.rng.lognormvariate(0, 0.3)
+        log.observe('assistant-llm', version, route, 'org', failed, latency, None, self.now)
+
+
+class MoveControllerTest(unittest.TestCase):
+    def assert_end(self, end, ending, reason):
+        self.assertIsNotNone(end)
+        self.assertEqual((end.end, end.reason), (ending, reason))
+
+    def test_good_version_is_done_and_starts_at_the_canary_share(self):
+        run = Run(good)
+        self.assert_end(run.until(1000), Ending.done, EndReason.evidence)
+        self.assertLess(run.now, ORDER.deadline)
+        self.assertEqual(run.shares[0], 0.05)
+        self.assertEqual(run.shares[-1], ORDER.full_share)
+
+    def test_failing_version_never_gets_more_than_the_canary_share(self):
+        run = Run(lambda version, *_: (version == 'v2', 0.1))
+        self.assert_end(run.until(1000), Ending.taken_back, EndReason.error_rate)
+        self.assertEqual(set(run.shares), {0.05})
+
+    def test_fault_on_one_route_only_is_found(self):
+        run = Run(lambda version, route, *_: (version == 'v2' and route == 'review', 0.1))
+        end = run.until(1000)
+        self.assert_end(end, Ending.taken_back, EndReason.error_rate)
+        self.assertIn('route=review', end.detail)
+
+    def test_late_fault_after_full_share_is_found(self):
+        def behave(version, route, now, share):
+            if version == 'v2' and share >= ORDER.full_share:
+                self.faulty_since = min(self.faulty_since, now)
+                return now > self.faulty_since + 60, 0.1
+            return False, 0.1
+
+        self.faulty_since = float('inf')
+        run = Run(behave)
+        self.assert_end(run.until(1000), Ending.taken_back, EndReason.error_rate)
+        self.assertEqual(run.shares[-1], ORDER.full_share)
+
+    def test_version_slow_under_load_only_is_found(self):
+        def behave(version, route, now, share):
+            return False, 0.3 if version == 'v2' and share > 0.5 else 0.1
+
+        run = Run(behave)
+        self.assert_end(run.until(1000), Ending.taken_back, EndReason.latency)
+
+    def test_both_versions_slow_and_failing_together_is_not_a_fault(self):
+        def behave(version, route, now, share):
+            if 20 < now < 300:
+                return self.rng.random() < 0.2, 2
+            return False, 0.1
+
+        self.rng = random.Random(5)
+        self.assert_end(Run(behave).until(1000), Ending.done, EndReason.evidence)
+
+    def test_too_little_evidence_at_the_deadline_is_taken_back(self):
+        run = Run(good, rate=0)
+        self.assert_end(run.until(2000), Ending.taken_back, EndReason.deadline)
+        self.assertEqual(run.now, ORDER.deadline)
+
+    def test_resumed_move_keeps_its_share_and_finishes(self):
+        controller = MoveController.resume(ORDER, step=3, share=0.4, step_at=200, now=230)
+        run = Run(good, controller=controller, start=230)
+        self.assert_end(run.until(1000), Ending.done, EndReason.evidence)
+        self.assertEqual(run.decisions[0].step, 4)
+        self.assertGreater(run.decisions[0].share, 0.4)
+
+    def test_resumed_move_at_full_share_needs_fresh_evidence(self):
+        controller = MoveController.resume(
+            ORDER, step=5, share=ORDER.full_share, step_at=200, now=400
+        )
+        self.assertIsNone(controller.decide(401))
+
+    def test_lost_step_proposal_is_repeated(self):
+        controller = MoveController.from_start(ORDER, 0)
+        first = controller.decide(1)
+        self.assertEqual(controller.decide(5), first)
+        controller.recorded(first, 6)
+        self.assertIsNone(controller.decide(7))
+
+    def test_cancellation_does_not_replace_an_end(self):
+        run = Run(lambda version, *_: (version == 'v2', 0.1))
+        end = run.until(1000)
+        run.controller.cancel('ana')
+        self.assertIs(run.controller.decide(run.now + 1), end)
+
+    def test_cancellation_ends_a_running_move_once(self):
+        controller = MoveController.from_start(ORDER, 0)
+        controller.cancel('ana')
+        end = controller.decide(1)
+        self.assert_end(end, Ending.cancelled, EndReason.operator)
+        self.assertIs(controller.decide(ORDER.deadline + 1), end)
+
+    def test_open_breaker_is_tried_again_and_condemns_when_it_reopens(self):
+        controller = MoveController.from_start(ORDER, 0)
+        controller.recorded(controller.decide(1), 1)
+        fields = {'service': 'assistant-llm', 'version': 'v2', 'route': '', 'cause': 'error_rate'}
+        opened = BreakerReport(state='open', step=1, times=1, **fields)
+        controller.observe((), (opened,), 'e1', 2)
+        self.assertIsNone(controller.decide(3))
+        trial = controller.decide(6)
+        self.assertEqual((trial.step, trial.share), (2, 0.05))
+        controller.recorded(trial, 6)
+        reopened = BreakerReport(state='open', step=2, times=2, **fields)
+        controller.observe((), (reopened,), 'e1', 8)
+        self.assert_end(controller.decide(8), Ending.taken_back, EndReason.breaker)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/geraniumrail/rollout/move_end.py
@@ -0,0 +1,15 @@
+"""The one end of a move."""
+
+import dataclasses
+
+from geraniumrail.rollout.end_reason import Ending, EndReason
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class MoveEnd:
+    """How and why a move ended; `detail` names the figures behind it."""
+
+    move_id: str
+    end: Ending
+    reason: EndReason
+    detail: str = ''
--- /dev/null
+++ b/geraniumrail/rollout/reference.py
@@ -0,0 +1,53 @@
+"""Latency thresholds from earlier samples of the old version."""
+
+from collections import Counter, defaultdict
+
+from geraniumrail.rollout import histogram
+
+_SLOW_QUANTILE = 0.8
+_MIN_SAMPLES = 20
+_MAX_SAMPLES = 400  # older samples fade once there are more
+
+
+class Reference:
+    """Thresholds by key; samples count only after `refresh`, so no window sets its own."""
+
+    def __init__(self) -> None:
+        """Starts without samples."""
+        self._samples: dict[str, Counter[int]] = defaultdict(Counter)
+        self._pending: dict[str, Counter[int]] = defaultdict(Counter)
+        self._thresholds: dict[str, int] = {}
+
+    def add(self, key: str, counts: histogram.Histogram) -> None:
+        """Notes samples of the old version.
+
+        :param key: signal and route.
+        :param counts: latency histogram.
+        """
+        self._pending[key].update(dict(counts))
+
+    def threshold(self, key: str) -> int | None:
+        """Returns the highest bucket that is not slow, or None without enough samples.
+
+        :param key: signal and route.
+        """
+        return self._thresholds.get(key)
+
+    def is_due(self) -> bool:
+        """Tells whether a key has enough samples for its first threshold."""
+        return any(
+            key not in self._thresholds and counts.total() >= _MIN_SAMPLES
+            for key, counts in self._pending.items()
+        )
+
+    def refresh(self) -> None:
+        """Takes the noted samples into the thresholds."""
+        for key, counts in self._pending.items():
+            samples = self._samples[key]
+            samples.update(counts)
+            fade = max(1, samples.total() / _MAX_SAMPLES)
+            for number in samples:
+                samples[number] /= fade
+            if samples.total() >= _MIN_SAMPLES or key in self._thresholds:
+                self._thresholds[key] = histogram.quantile_bucket(samples, _SLOW_QUANTILE) or 0
+        self._pending.clear()
