--- a/geraniumrail/standins/engine.py
+++ b/geraniumrail/standins/engine.py
@@ -2,14 +2,14 @@
 
 import argparse
 
-from geraniumrail.standins import process
 from geraniumrail.standins.engine_server import Engine
+from geraniumrail.standins.process import add_server_options, run, serve_until
 
 
 def parser() -> argparse.ArgumentParser:
     """Returns the command line of the engine."""
     options = argparse.ArgumentParser(prog='geraniumrail.standins.engine', description=__doc__)
-    process.add_server_options(options)
+    add_server_options(options)
     add = options.add_argument
     add('--models', nargs='*', default=['bench'])
     add('--first-token-ms', type=float, default=40, help='for a prompt that is not cached')
@@ -32,8 +32,8 @@
     """
     engine = Engine(args)
     serving = await engine.start()
-    await process.serve_until(serving, engine.departure.stopped, engine.leave)
+    await serve_until(serving, engine.departure.stopped, engine.leave)
 
 
 if __name__ == '__main__':
-    process.run(main, parser().parse_args())
+    run(main, parser().parse_args())
--- a/geraniumrail/standins/engine_test.py
+++ b/geraniumrail/standins/engine_test.py
@@ -1,6 +1,7 @@
 """Guards the stand-in engine: wrong text or counts here would make every other test lie."""
 
 import asyncio
+import functools
 import unittest
 
 import aiohttp
@@ -63,7 +64,7 @@
             await self.post(engine, '/v1/orders', **order, term=2, name='new')
             answer = await self.post(engine, '/v1/orders', **order, term=1, name='old')
             self.assertEqual(answer[0], status)
-            await eventually(lambda: engine.orders.version, version)
+            await eventually(functools.partial(getattr, engine.orders, 'version'), version)
 
     async def test_leaving_is_announced_before_the_engine_stops(self):
         announced = asyncio.Queue()
--- a/geraniumrail/standins/testing.py
+++ b/geraniumrail/standins/testing.py
@@ -4,8 +4,9 @@
 import itertools
 from collections.abc import Callable, Sequence
 
-from geraniumrail.standins import engine
+from geraniumrail.standins import engine, service
 from geraniumrail.standins.engine_server import Engine
+from geraniumrail.standins.service_server import Service
 
 PLACE = ('--data-centre', 'cheras', '--region', 'klang-valley', '--report-lag-s', '0')
 
@@ -19,6 +20,14 @@
     return started
 
 
+async def start_service(options: Sequence[str] = (), instance: str = 's1') -> Service:
+    """Starts a fast plain service on a free port; `options` are added to its command line."""
+    named = ('--instance', instance, '--service', 'repair-desk', *PLACE)
+    started = Service(service.parser().parse_args([*named, '--work-ms', '1', *options]))
+    await started.start()
+    return started
+
+
 async def eventually(read: Callable[[], object], expected: object, limit_s: float = 20) -> None:
     """Waits until a value is as expected.
 
