--- a/geraniumrail/callers/service_routes.py
+++ b/geraniumrail/callers/service_routes.py
@@ -66,9 +66,8 @@
 
 
 def _route(request: web.Request) -> str:
-    """Returns `<method>-<first part of the path>`, such as `post-bookings`."""
-    first = request.match_info['path'].partition('/')[0]
-    route = f'{request.method.lower()}-{first}' if first else request.method.lower()
-    if not is_name(route):
+    """Returns the first part of the path, such as `bookings`; the root has the route `root`."""
+    first = request.match_info['path'].partition('/')[0] or 'root'
+    if not is_name(first):
         raise InvalidRequestError(reason='the first part of the path is not a route name')
-    return route
+    return first
--- /dev/null
+++ b/geraniumrail/control/control.py
@@ -0,0 +1,184 @@
+"""The control role of one process."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+
+from geraniumrail.consensus.config import ReplicaConfig
+from geraniumrail.consensus.file_storage import FileStorage
+from geraniumrail.consensus.interfaces import LogStorage
+from geraniumrail.consensus.memory_storage import MemoryStorage
+from geraniumrail.consensus.replica import Replica
+from geraniumrail.control import events
+from geraniumrail.control.booking_waiters import BookingWaiters
+from geraniumrail.control.leadership import Leadership
+from geraniumrail.control.members import Members
+from geraniumrail.control.mover import Mover
+from geraniumrail.control.ownership import Ownership
+from geraniumrail.control.peer_transport import PeerTransport, register_replica
+from geraniumrail.control.proposer import Proposer
+from geraniumrail.control.publisher import Publisher
+from geraniumrail.core.clock import Clock
+from geraniumrail.core.events import log
+from geraniumrail.config.daemon import DaemonConfig
+from geraniumrail.errors.base import GeraniumrailError
+from geraniumrail.errors.consensus import ConsensusError
+from geraniumrail.links.messages import AwaitBooking, BookingNow, Propose, Proposed
+from geraniumrail.links.pool import LinkPool
+from geraniumrail.links.server import LinkServer
+from geraniumrail.state import commands
+from geraniumrail.state.machine import Machine
+
+TICK_S = 0.2
+EXPIRE_INTERVAL_S = 300.0
+KEEP_ANSWERS_S = 86_400.0
+
+
+class Control:
+    """The replica of this process and what its leader does."""
+
+    def __init__(
+        self,
+        config: DaemonConfig,
+        storage: LogStorage,
+        links: LinkPool,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        """Connects the parts.
+
+        :param config: settings file.
+        :param storage: the replica's log.
+        :param links: connections to other daemons.
+        :param clock: time.
+        :param rng: source of election jitter.
+        """
+        self.machine = Machine()
+        transport = PeerTransport(links)
+        self.replica = Replica.from_config(
+            ReplicaConfig(name=config.instance, address=config.peers.listen),
+            storage,
+            transport,
+            self.machine,
+            clock,
+            rng,
+        )
+        self.leadership = Leadership(self.replica)
+        self.proposer = Proposer(self.replica)
+        self.publisher = Publisher(self.machine, self.leadership, clock)
+        self.members = Members(self.replica, transport, config.control.seeds)
+        self._waiters = BookingWaiters(self.machine)
+        self._ownership = Ownership(self.machine, self.publisher, self.proposer, clock)
+        self._mover = Mover(self.machine, self.proposer, clock)
+        self.publisher.sinks.append(self._mover)
+        self._clock = clock
+        self._expired_at = clock.now()
+        self._tasks: list[asyncio.Task[None]] = []
+
+    @classmethod
+    def from_config(
+        cls,
+        config: DaemonConfig,
+        links: LinkPool,
+        clock: Clock,
+        rng: random.Random,
+    ) -> 'Control':
+        """Creates the control role of a settings file.
+
+        :param config: settings file.
+        :param links: connections to other daemons.
+        :param clock: time.
+        :param rng: source of election jitter.
+        :raises LogDamagedError: if the data folder is damaged.
+        """
+        folder = config.control.data_folder
+        if folder is None:
+            storage: LogStorage = MemoryStorage(config.instance)
+        else:
+            storage = FileStorage.from_folder(folder, config.instance, config.control.durable)
+        return cls(config, storage, links, clock, rng)
+
+    def register(self, server: LinkServer) -> None:
+        """Handles the records of other daemons.
+
+        :param server: the links of this process.
+        """
+        register_replica(server, self.replica)
+        server.register(Propose, self._propose)
+        server.register(AwaitBooking, self._await_booking)
+        server.register_follow(self.publisher.follow)
+
+    async def start(self) -> None:
+        """Starts the replica and the leader's tasks."""
+        await self.replica.start()
+        self._tasks = [asyncio.create_task(self._run(), name='control')]
+
+    async def stop(self) -> None:
+        """Hands over leadership and stops."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self.leadership.holds():
+            try:
+                await self.replica.transfer_leadership()
+            except ConsensusError as error:
+                log(events.TASK_FAILED, task='transfer_leadership', reason=str(error))
+        await self.replica.stop()
+
+    def now(self) -> float:
+        """Returns monotonic seconds."""
+        return self._clock.now()
+
+    def wall(self) -> float:
+        """Returns seconds since the epoch."""
+        return self._clock.wall()
+
+    async def sleep(self, seconds: float) -> None:
+        """Waits.
+
+        :param seconds: duration.
+        """
+        await self._clock.sleep(seconds)
+
+    async def _propose(self, request: Propose) -> Proposed:
+        outcome = await self.replica.propose(request.command)
+        return Proposed(result=outcome.payload)
+
+    async def _await_booking(self, request: AwaitBooking) -> BookingNow:
+        self.leadership.require()
+        return await self._waiters.wait(request)
+
+    async def _run(self) -> None:
+        while True:
+            await self._clock.sleep(TICK_S)
+            if not self.leadership.elected():
+                continue
+            if not self.leadership.holds() and not await self._take_office():
+                continue
+            self.publisher.tick()
+            await self._attempt('ownership', self._ownership.run_once)
+            await self._attempt('moves', self._mover.run_once)
+            await self._attempt('expiry', self._expire)
+
+    async def _take_office(self) -> bool:
+        # Soft state is reset first, so that nobody is served from an earlier leadership's.
+        self.publisher.became_leader()
+        self._mover.became_leader()
+        try:
+            await self.leadership.take_office()
+        except ConsensusError:
+            return False
+        return True
+
+    async def _attempt(self, name: str, work: Callable[[], Awaitable[None]]) -> None:
+        try:
+            await work()
+        except GeraniumrailError as error:
+            log(events.TASK_FAILED, task=name, reason=str(error))
+
+    async def _expire(self) -> None:
+        if self._clock.now() < self._expired_at + EXPIRE_INTERVAL_S:
+            return
+        self._expired_at = self._clock.now()
+        before = self._clock.wall() - KEEP_ANSWERS_S
+        await self.proposer.propose(commands.ExpireBookings(claimed_before=before))
--- a/geraniumrail/control/leadership.py
+++ b/geraniumrail/control/leadership.py
@@ -5,7 +5,7 @@
 
 
 class Leadership:
-    """Tells whether this process may act as the leader now."""
+    """A leader acts only after it has taken office: its state then holds all earlier writes."""
 
     def __init__(self, replica: Replica) -> None:
         """Wraps a replica.
@@ -13,16 +13,30 @@
         :param replica: the replica of the group.
         """
         self._replica = replica
+        self._office_term = -1
 
-    def holds(self) -> bool:
-        """Tells whether the leader lease is valid."""
+    def elected(self) -> bool:
+        """Tells whether the replica leads with a valid lease."""
         return self._replica.is_leader_with_lease()
 
+    def holds(self) -> bool:
+        """Tells whether this process may act as the leader now."""
+        return self.elected() and self._replica.status().term == self._office_term
+
+    async def take_office(self) -> None:
+        """Waits until the local state holds everything that earlier leaders acknowledged.
+
+        :raises ConsensusError: if leadership was lost in the meantime.
+        """
+        term = self._replica.status().term
+        await self._replica.read_barrier()
+        self._office_term = term
+
     def require(self) -> int:
         """Returns the term.
 
-        :raises NotLeaderError: without a valid leader lease.
+        :raises NotLeaderError: if this process may not act as the leader.
         """
         if not self.holds():
             raise NotLeaderError(leader=self._replica.status().leader or None)
-        return self._replica.status().term
+        return self._office_term
--- /dev/null
+++ b/geraniumrail/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""One process: its roles, servers, signals and metrics."""
--- a/geraniumrail/entry/booking_run.py
+++ b/geraniumrail/entry/booking_run.py
@@ -3,7 +3,9 @@
 import dataclasses
 import random
 
-from geraniumrail.backends.service_client import ServiceAnswer, ServiceCall, ServiceClient
+from geraniumrail.backends.service_answer import ServiceAnswer
+from geraniumrail.backends.service_call import ServiceCall
+from geraniumrail.backends.service_client import ServiceClient
 from geraniumrail.core.backend import Backend
 from geraniumrail.core.clock import Clock
 from geraniumrail.core.events import log
@@ -11,6 +13,8 @@
 from geraniumrail.entry import events
 from geraniumrail.entry.cluster_view import ClusterView
 from geraniumrail.entry.control_link import ControlLink
+from geraniumrail.entry.outcomes import Outcomes
+from geraniumrail.entry.service_headers import content_type_of, request_headers
 from geraniumrail.errors.backend import BackendError, NoBackendError, NotSentError, RefusedError
 from geraniumrail.errors.link import NoControlError
 from geraniumrail.routing.choice import choose
@@ -28,6 +32,7 @@
 RETRY_DELAY_S = 0.2
 OUTCOME_QUERIES = 5
 MAX_STORED_BODY_BYTES = 262_144
+SERVER_ERROR = 500
 
 
 class BookingRun:
@@ -37,6 +42,7 @@
         self,
         entry: str,
         view: ClusterView,
+        outcomes: Outcomes,
         control: ControlLink,
         client: ServiceClient,
         clock: Clock,
@@ -46,6 +52,7 @@
 
         :param entry: id of this entry with its incarnation.
         :param view: settings and backend servers.
+        :param outcomes: breaker and outcome log.
         :param control: the control leader.
         :param client: sends to plain services.
         :param clock: time.
@@ -53,11 +60,14 @@
         """
         self._entry = entry
         self._view = view
+        self._outcomes = outcomes
+        self._draw = rng.random()
         self._control = control
         self._client = client
         self._clock = clock
         self._rng = rng
         self._excluded: frozenset[str] = frozenset()
+        self._sent = 0
 
     async def drive(self, booking: Booking) -> Booking:
         """Finishes a booking that this entry owns.
@@ -85,18 +95,43 @@
 
     async def _attempt(self, booking: Booking, backend: Backend) -> Booking | None:
         sent = await self._dispatch(booking, backend)
+        sent_at = self._clock.now()
         try:
             answer = await self._send(sent, backend)
         except (NotSentError, RefusedError) as error:
-            self._view.knowledge.failed(backend.instance, self._clock.now())
-            self._excluded |= {backend.instance}
+            self._failed(sent, backend)
             await self._release(sent, str(error))
             return None
         except BackendError as error:
-            self._view.knowledge.failed(backend.instance, self._clock.now())
+            self._failed(sent, backend)
             return await self._resolve(sent, str(error))
+        failed = answer.status >= SERVER_ERROR
+        self._observe(sent, backend, failed, self._clock.now() - sent_at)
         return await self._finish(sent, phases.DONE, stored(answer))
 
+    def _failed(self, booking: Booking, backend: Backend) -> None:
+        self._view.knowledge.failed(backend.instance, self._clock.now())
+        self._excluded |= {backend.instance}
+        known = self._view.backends_by_instance.get(backend.instance)
+        if known is not None and known.state != 'leaving':
+            self._observe(booking, backend, failed=True)
+
+    def _observe(
+        self,
+        booking: Booking,
+        backend: Backend,
+        failed: bool,
+        elapsed_s: float | None = None,
+    ) -> None:
+        self._outcomes.observe(
+            booking.key.service,
+            backend.version,
+            booking.call.route,
+            booking.key.organisation,
+            failed,
+            elapsed_s,
+        )
+
     async def _dispatch(self, booking: Booking, backend: Backend) -> Booking:
         command = commands.DispatchBooking(
             key=booking.key,
@@ -115,20 +150,19 @@
 
     async def _send(self, booking: Booking, backend: Backend) -> ServiceAnswer:
         settings = self._settings(booking)
+        self._sent += 1
         # Without a lease another entry may have been told to resolve this attempt.
         if not self._view.holds_lease():
             raise NotSentError(backend=backend.instance, reason='the settings lease ran out')
         call = ServiceCall(
             method=booking.call.method,
             path=booking.call.path,
-            headers={
-                'Content-Type': booking.call.content_type,
-                'Idempotency-Key': booking.key.key,
-                'X-Attempt': booking.attempt,
-                'X-Organisation': booking.key.organisation,
-            },
+            headers=request_headers(booking.call.content_type, booking.key.organisation),
             body=booking.call.body,
-            timeout_s=settings.deadline_ms / 1000,
+            request_id=booking.attempt,
+            attempt=self._sent,
+            key=booking.key.key,
+            limit_s=settings.deadline_ms / 1000,
         )
         self._view.knowledge.sent(backend.instance, 1, (), self._clock.now())
         try:
@@ -184,12 +218,13 @@
         return result.booking
 
     def _choose(self, booking: Booking) -> Backend:
+        version = self._outcomes.version(booking.key.service, booking.call.route, self._draw)
         request = PlainRequest(
             request_id=booking.key.label(),
             service=booking.key.service,
             data_centre='',
             region='',
-            version_shares=self._view.version_shares(booking.key.service),
+            version_shares=((version, 1.0),) if version else (),
             excluded=self._excluded,
         )
         decision = choose(
@@ -222,7 +257,7 @@
         )
     return StoredAnswer(
         status=answer.status,
-        content_type=answer.headers.get('Content-Type', ''),
+        content_type=content_type_of(answer),
         body=answer.body,
     )
 
--- a/geraniumrail/entry/bookings.py
+++ b/geraniumrail/entry/bookings.py
@@ -11,6 +11,7 @@
 from geraniumrail.entry.booking_run import BookingRun
 from geraniumrail.entry.cluster_view import ClusterView
 from geraniumrail.entry.control_link import ControlLink
+from geraniumrail.entry.outcomes import Outcomes
 from geraniumrail.errors.base import GeraniumrailError
 from geraniumrail.errors.link import NoControlError
 from geraniumrail.errors.request import NotRunError, OutcomeUnknownError
@@ -35,6 +36,7 @@
         self,
         entry: str,
         view: ClusterView,
+        outcomes: Outcomes,
         control: ControlLink,
         client: ServiceClient,
         clock: Clock,
@@ -44,6 +46,7 @@
 
         :param entry: id of this entry with its incarnation.
         :param view: settings and backend servers.
+        :param outcomes: breaker and outcome log.
         :param control: the control leader.
         :param client: sends to plain services.
         :param clock: time.
@@ -51,6 +54,7 @@
         """
         self._entry = entry
         self._view = view
+        self._outcomes = outcomes
         self._control = control
         self._client = client
         self._clock = clock
@@ -144,6 +148,7 @@
         return BookingRun(
             self._entry,
             self._view,
+            self._outcomes,
             self._control,
             self._client,
             self._clock,
--- a/geraniumrail/entry/completion_run.py
+++ b/geraniumrail/entry/completion_run.py
@@ -1,5 +1,6 @@
 """Carries one completion to its end, over as many attempts as it takes."""
 
+import contextlib
 import dataclasses
 from collections.abc import AsyncIterator
 
@@ -7,7 +8,6 @@
 from geraniumrail.backends.engine_call import EngineCall
 from geraniumrail.core.backend import Backend
 from geraniumrail.core.events import log
-from geraniumrail.core.ids import new_id
 from geraniumrail.entry import events
 from geraniumrail.entry.completion_call import CompletionCall
 from geraniumrail.entry.completions import Completions
@@ -54,8 +54,9 @@
         shared.admit(self.call, self.settings)
         shared.in_progress += 1
         try:
-            async for chunk in self._attempts():
-                yield chunk
+            async with contextlib.aclosing(self._attempts()) as chunks:
+                async for chunk in chunks:
+                    yield chunk
         finally:
             shared.in_progress -= 1
             used = self.call.prompt_tokens + self.offset
@@ -77,8 +78,9 @@
             backend = decision.backend
             before = self.offset
             try:
-                async for chunk in self._attempt(backend):
-                    yield chunk
+                async with contextlib.aclosing(self._attempt(backend)) as chunks:
+                    async for chunk in chunks:
+                        yield chunk
             except BackendError as error:
                 failure = error
             else:
@@ -90,8 +92,8 @@
 
     async def _attempt(self, backend: Backend) -> AsyncIterator[Chunk]:
         self.attempts += 1
-        attempt = new_id('attempt')
         shared, call = self.shared, self.call
+        attempt = f'{call.request_id}.{self.attempts}'
         sent_at = shared.clock.now()
         shared.view.knowledge.sent(backend.instance, call.tokens, call.prefixes, sent_at)
         shared.outcomes.breaker.waiting(
@@ -102,14 +104,16 @@
             sent_at,
         )
         timing = _Timing(sent_at)
+        stream = shared.client.stream(backend, self._engine_call())
         try:
-            async for chunk in shared.client.stream(backend, self._engine_call(attempt)):
-                timing = timing.with_chunk(chunk, shared.clock.now())
-                if timing.tokens == chunk.tokens:
-                    self._first_token(backend, attempt, timing)
-                self.text += chunk.text
-                self.offset += chunk.tokens
-                yield chunk
+            async with contextlib.aclosing(stream) as chunks:
+                async for chunk in chunks:
+                    timing = timing.with_chunk(chunk, shared.clock.now())
+                    if timing.tokens == chunk.tokens:
+                        self._first_token(backend, attempt, timing)
+                    self.text += chunk.text
+                    self.offset += chunk.tokens
+                    yield chunk
         except BackendError:
             self._ended(backend, attempt, timing, failed=True)
             raise
@@ -118,13 +122,13 @@
         finally:
             shared.view.knowledge.finished(backend.instance, call.tokens, shared.clock.now())
 
-    def _engine_call(self, attempt: str) -> EngineCall:
+    def _engine_call(self) -> EngineCall:
         settings = self.settings
         return EngineCall(
             path=self.call.path,
             body=self.call.body,
             request_id=self.call.request_id,
-            attempt=attempt,
+            attempt=self.attempts,
             priority=PRIORITY_BY_CLASS.get(settings.traffic_class, 1),
             resume_offset=self.offset,
             resume_text=self.text,
@@ -236,15 +240,9 @@
         return decision
 
     def _version(self) -> tuple[tuple[str, float], ...]:
-        """Draws the version once, so that a full engine of one sends nothing to the other."""
-        shares = self.shared.outcomes.shares(self.call.service, self.call.route)
-        mark = self._draw * sum(share for _, share in shares)
-        # The new version stands last and takes the lowest draws, whatever its share grows to.
-        for version, share in reversed(shares):
-            mark -= share
-            if mark < 0:
-                return ((version, 1.0),)
-        return shares
+        call = self.call
+        version = self.shared.outcomes.version(call.service, call.route, self._draw)
+        return ((version, 1.0),) if version else ()
 
     def _remaining_s(self) -> float:
         return self._end - self.shared.clock.now()
--- /dev/null
+++ b/geraniumrail/entry/entry.py
@@ -0,0 +1,273 @@
+"""The entry role of one process."""
+
+import asyncio
+import contextlib
+import random
+from collections.abc import AsyncIterator
+
+from geraniumrail.backends.chunk import Chunk
+from geraniumrail.backends.connections import Connections, ConnectionsConfig
+from geraniumrail.backends.engine_client import EngineClient
+from geraniumrail.backends.service_client import ServiceClient
+from geraniumrail.config.daemon import DaemonConfig
+from geraniumrail.core.backend import Backend
+from geraniumrail.core.clock import Clock
+from geraniumrail.core.events import log
+from geraniumrail.core.ids import new_id
+from geraniumrail.entry import events
+from geraniumrail.entry.announces import Announces
+from geraniumrail.entry.bookings import Bookings
+from geraniumrail.entry.cluster_view import ClusterView
+from geraniumrail.entry.completion_call import CompletionCall
+from geraniumrail.entry.completion_run import CompletionRun
+from geraniumrail.entry.completions import Completions, Place
+from geraniumrail.entry.control_link import ControlLink
+from geraniumrail.entry.follower import Follower
+from geraniumrail.entry.leader_finder import LeaderFinder
+from geraniumrail.entry.leaving_notices import LeavingNotices
+from geraniumrail.entry.outcomes import Outcomes
+from geraniumrail.entry.plain_call import PlainAnswer, PlainCall
+from geraniumrail.entry.plain_calls import PlainCalls, PlainParts
+from geraniumrail.errors.request import NotRunError
+from geraniumrail.links.messages import ControlUpdate, EntryInfo, EntryReport, Usage
+from geraniumrail.links.pool import LinkPool
+from geraniumrail.links.server import LinkServer
+from geraniumrail.routing.knowledge import Knowledge
+
+RENEW_IN_S = 2.0
+TICK_S = 0.1
+
+
+class Entry:
+    """Implements `callers.serving.Serving`."""
+
+    def __init__(
+        self,
+        config: DaemonConfig,
+        links: LinkPool,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        """Connects the parts.
+
+        :param config: settings file.
+        :param links: connections to other daemons.
+        :param clock: time.
+        :param rng: source of routing draws.
+        """
+        self.entry_id = new_id(config.instance)
+        self.view = ClusterView(clock, Knowledge())
+        self._config = config
+        self._clock = clock
+        self._state = 'serving'
+        self._reported_at = clock.now()
+        self._announces = Announces(clock)
+        finder = LeaderFinder(config.control.seeds)
+        self.control = ControlLink(finder, links, clock, rng)
+        self._outcomes = Outcomes(self.view, clock)
+        self._connections = Connections.from_config(ConnectionsConfig())
+        place = Place(self.entry_id, config.data_centre, config.region)
+        engine_client = EngineClient(self._connections)
+        self._completions = Completions(
+            place,
+            self.view,
+            self._outcomes,
+            engine_client,
+            clock,
+            rng,
+        )
+        service_client = ServiceClient(self._connections)
+        self._bookings = Bookings(
+            self.entry_id,
+            self.view,
+            self._outcomes,
+            self.control,
+            service_client,
+            clock,
+            rng,
+        )
+        parts = PlainParts(
+            view=self.view,
+            outcomes=self._outcomes,
+            limits=self._completions.limits,
+            retries=self._completions.retries,
+            client=service_client,
+            clock=clock,
+            rng=rng,
+        )
+        self._plain = PlainCalls(parts, self._bookings, config.data_centre, config.region)
+        self._notices = LeavingNotices(self.entry_id, self.view, links)
+        self._follower = Follower(
+            self.view,
+            self._announces,
+            finder,
+            links,
+            clock,
+            self._report,
+        )
+        self._follower.listeners.append(self._updated)
+        self._tasks: list[asyncio.Task[None]] = []
+
+    @classmethod
+    def from_config(
+        cls,
+        config: DaemonConfig,
+        links: LinkPool,
+        clock: Clock,
+        rng: random.Random,
+    ) -> 'Entry':
+        """Creates the entry role of a settings file.
+
+        :param config: settings file.
+        :param links: connections to other daemons.
+        :param clock: time.
+        :param rng: source of routing draws.
+        """
+        return cls(config, links, clock, rng)
+
+    def register(self, server: LinkServer) -> None:
+        """Handles the records that other entries send.
+
+        :param server: the links of this process.
+        """
+        self._notices.register(server)
+
+    async def start(self) -> None:
+        """Starts the background tasks."""
+        self._tasks = [
+            asyncio.create_task(self._follower.run(), name='follower'),
+            asyncio.create_task(self._tick(), name='tick'),
+            asyncio.create_task(self._notices.run(), name='leaving-notices'),
+        ]
+
+    async def stop(self) -> None:
+        """Stops the background tasks."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._connections.close()
+
+    async def drain(self) -> None:
+        """Leaves the list of entries and waits until no caller needs this entry any more."""
+        self._state = 'leaving'
+        self._follower.poke()
+        keep_for_s = self.view.effective('*', '', '').keep_for_s
+        log(events.PLANNED_STOP, step='left the list of entries', keep_for_s=keep_for_s)
+        # Callers keep the answer of /v1/entries for so long, and other entries hear of it late.
+        await self._clock.sleep(keep_for_s + 1)
+        while self.in_progress:
+            log(events.PLANNED_STOP, step='finishing requests', in_progress=self.in_progress)
+            await self._clock.sleep(0.2)
+        log(events.PLANNED_STOP, step='no request in progress')
+
+    @property
+    def in_progress(self) -> int:
+        """Number of requests that this entry works on."""
+        return (
+            self._completions.in_progress + self._plain.in_progress + self._bookings.in_progress
+        )
+
+    def require_lease(self) -> None:
+        """Checks that the entry may serve.
+
+        :raises NotRunError: without a settings lease.
+        """
+        if not self.view.holds_lease():
+            raise NotRunError(reason='this entry has lost contact with control')
+
+    def entry_addresses(self) -> tuple[list[str], float]:
+        """Returns the addresses for callers and how long to keep them, in seconds."""
+        keep_for_s = self.view.effective('*', '', '').keep_for_s
+        return [info.address for info in self.view.entries], keep_for_s
+
+    def models(self) -> list[str]:
+        """Returns the announced models."""
+        return self._completions.models()
+
+    def service_of(self, model: str) -> str:
+        """Returns the service that serves a model.
+
+        :param model: name of the model.
+        :raises UnknownModelError: if there is none.
+        """
+        return self._completions.service_of(model)
+
+    async def complete(self, call: CompletionCall) -> AsyncIterator[Chunk]:
+        """Yields the answer to a completion.
+
+        :param call: the request.
+        """
+        run = CompletionRun(call, self._completions)
+        async with contextlib.aclosing(run.chunks()) as chunks:
+            async for chunk in chunks:
+                yield chunk
+
+    async def call_service(self, call: PlainCall) -> PlainAnswer:
+        """Sends a request to a plain service.
+
+        :param call: the request.
+        """
+        return await self._plain.call(call)
+
+    def announce(self, backend: Backend) -> float:
+        """Takes an announcement and returns after how many seconds to renew it.
+
+        :param backend: the announcement.
+        """
+        known = self.view.backends_by_instance.get(backend.instance)
+        self._announces.add(backend)
+        self.view.observe((backend,))
+        if known is None or known.state != backend.state:
+            self._follower.poke()
+            if backend.state == 'leaving':
+                self._notices.add(backend)
+        self._completions.pump()
+        return RENEW_IN_S
+
+    def ready(self) -> bool:
+        """Tells whether callers should be sent here."""
+        return self._state == 'serving' and self.view.holds_lease()
+
+    def max_body_bytes(self) -> int:
+        """Returns the limit of a request body."""
+        in_tree = self.view.effective('*', '', '').max_body_bytes
+        return min(in_tree, self._config.limits.max_body_bytes)
+
+    def _report(self, sequence: int) -> EntryReport:
+        now = self._clock.now()
+        demand = self._completions.limits.take_demand(now - self._reported_at)
+        self._reported_at = now
+        return EntryReport(
+            sequence=sequence,
+            info=EntryInfo(
+                entry=self.entry_id,
+                instance=self._config.instance,
+                address=self._config.callers.listen,
+                peer_address=self._config.peers.listen,
+                data_centre=self._config.data_centre,
+                region=self._config.region,
+                state=self._state,
+                applied_revision=self.view.tree.revision,
+            ),
+            registry_version=self.view.registry_version,
+            announces=self._announces.take_pending(),
+            outcomes=self._outcomes.log.drain(),
+            usage=tuple(
+                Usage(organisation=organisation, tokens=tokens)
+                for organisation, tokens in demand.items()
+            ),
+            breakers=self._outcomes.breaker.reports(),
+        )
+
+    def _updated(self, update: ControlUpdate) -> None:
+        self._outcomes.follow_moves()
+        self._completions.limits.update(update.share)
+        if update.assigned:
+            self._bookings.take_over(update.assigned)
+        self._completions.pump()
+
+    async def _tick(self) -> None:
+        while True:
+            await self._clock.sleep(TICK_S)
+            self.view.end_lease()
+            self._completions.pump()
--- a/geraniumrail/entry/outcomes.py
+++ b/geraniumrail/entry/outcomes.py
@@ -31,20 +31,27 @@
             self.breaker.forget(service)
         self._moved_services = services
 
-    def shares(self, service: str, route: str) -> tuple[tuple[str, float], ...]:
-        """Returns the share of new work for each version that no breaker blocks.
+    def version(self, service: str, route: str, draw: float) -> str:
+        """Returns the version for a request; empty if any version may serve.
+
+        A request keeps its draw, so that a full engine of one version sends nothing to the other.
 
         :param service: name of the service.
         :param route: name of the route.
+        :param draw: from 0 to 1; the new version takes the lowest draws.
         """
+        move = self._view.running_move(service)
+        if move is None:
+            shares = self._view.version_shares(service)
+            return shares[0][0] if shares else ''
         now = self._clock.now()
-        shares = self._view.version_shares(service)
-        usable = tuple(
-            (version, share)
-            for version, share in shares
-            if share and not self.breaker.blocked(service, version, route, now)
-        )
-        return usable or shares[:1]
+        if draw >= move.share or not self._has_backend(service, move.to_version):
+            return move.from_version
+        blocked = self.breaker.blocked(service, move.to_version, route, now)
+        return move.from_version if blocked else move.to_version
+
+    def _has_backend(self, service: str, version: str) -> bool:
+        return any(backend.version == version for backend in self._view.candidates(service))
 
     def observe(
         self,
--- a/geraniumrail/links/messages.py
+++ b/geraniumrail/links/messages.py
@@ -105,33 +105,3 @@
 @record
 class Accepted:
     """An answer without content."""
-
-
-@record
-class Hello:
-    """Asks a daemon who it is."""
-
-
-@record
-class HelloReply:
-    """Identity of a daemon and of its replica, if it runs the control role."""
-
-    instance: str
-    replica_id: str = ''
-    group: str = ''  # empty: belongs to no group yet
-
-
-@record
-class MembersChange:
-    """Asks the leader to change the members of the group."""
-
-    action: str  # add | promote | remove
-    replica_id: str
-    address: str = ''
-
-
-@record
-class TransferLeadership:
-    """Asks the leader to hand over before a planned stop."""
-
-    replica_id: str = ''
--- /dev/null
+++ b/geraniumrail/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP interface for operators, used by the command line."""
