--- /dev/null
+++ b/geraniumrail/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Chooses instances by price and risk, and what to save when instances are reclaimed."""
