--- /dev/null
+++ b/geraniumrail/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The `geraniumrail` command line."""
