--- a/geraniumrail/callers/failures.py
+++ b/geraniumrail/callers/failures.py
@@ -1,6 +1,5 @@
 """Turns failures into JSON answers with a stable type."""
 
-import asyncio
 from collections.abc import Awaitable, Callable
 
 import msgspec
@@ -58,9 +57,9 @@
         return failure_response(error)
     except web.HTTPException as error:
         return failure_response(_typed(error, request))
-    except (asyncio.CancelledError, ConnectionError):
-        raise
     except Exception as error:
+        if isinstance(error, ConnectionError):
+            raise
         log(events.UNEXPECTED, path=request.path, reason=repr(error))
         return failure_response(GeraniumrailError())
 
--- a/geraniumrail/callers/info_routes.py
+++ b/geraniumrail/callers/info_routes.py
@@ -93,9 +93,11 @@
         split_address(backend.address)
     except ValueError as error:
         raise InvalidRequestError(reason=f'announcement: address: {error}') from error
-    if backend.state not in STATES:
-        raise InvalidRequestError(reason='announcement: state must be serving or leaving')
-    if not 0 < backend.lease_s <= MAX_LEASE_S:
-        raise InvalidRequestError(reason=f'announcement: lease_s must be in (0, {MAX_LEASE_S}]')
-    if not (backend.instance and backend.service and backend.version):
-        raise InvalidRequestError(reason='announcement: a name is empty')
+    faults = {
+        'state must be serving or leaving': backend.state not in STATES,
+        f'lease_s must be in (0, {MAX_LEASE_S}]': not 0 < backend.lease_s <= MAX_LEASE_S,
+        'a name is empty': not (backend.instance and backend.service and backend.version),
+    }
+    fault = next((reason for reason, found in faults.items() if found), None)
+    if fault:
+        raise InvalidRequestError(reason=f'announcement: {fault}')
--- a/geraniumrail/control/control.py
+++ b/geraniumrail/control/control.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Awaitable, Callable
 
+from geraniumrail.config.daemon import DaemonConfig
 from geraniumrail.consensus.config import ReplicaConfig
 from geraniumrail.consensus.file_storage import FileStorage
 from geraniumrail.consensus.interfaces import LogStorage
@@ -20,7 +21,6 @@
 from geraniumrail.control.publisher import Publisher
 from geraniumrail.core.clock import Clock
 from geraniumrail.core.events import log
-from geraniumrail.config.daemon import DaemonConfig
 from geraniumrail.errors.base import GeraniumrailError
 from geraniumrail.errors.consensus import ConsensusError
 from geraniumrail.links.messages import AwaitBooking, BookingNow, Propose, Proposed
--- a/geraniumrail/control/entry_leases.py
+++ b/geraniumrail/control/entry_leases.py
@@ -81,9 +81,7 @@
         :param now: monotonic seconds.
         """
         held = (lease for lease in self.leases_by_entry.values() if lease.expires_at >= now)
-        return self.complete(now) and all(
-            lease.info.applied_revision >= revision for lease in held
-        )
+        return self.complete(now) and all(lease.info.applied_revision >= revision for lease in held)
 
     def infos(self) -> tuple[EntryInfo, ...]:
         """Returns the entries with a lease."""
--- a/geraniumrail/control/mover.py
+++ b/geraniumrail/control/mover.py
@@ -54,14 +54,17 @@
     async def run_once(self) -> None:
         """Records what the controllers decide."""
         moves = self._machine.tables.moves_by_id
-        for move in [move for move in moves.values() if move.running()]:
+        running = tuple(move for move in moves.values() if move.running())
+        for move in running:
             controller = self._controller(move)
             decision = controller.decide(self._clock.wall())
             if decision is not None:
                 await self._record(decision, controller)
-        for move_id in list(self._controllers_by_move):
-            if move_id not in moves or not moves[move_id].running():
-                self._controllers_by_move.pop(move_id)
+        self._controllers_by_move = {
+            move_id: controller
+            for move_id, controller in self._controllers_by_move.items()
+            if move_id in moves and moves[move_id].running()
+        }
 
     async def _record(self, decision: MoveStep | MoveEnd, controller: MoveController) -> None:
         command = to_command(decision, self._clock.wall())
--- a/geraniumrail/control/publisher.py
+++ b/geraniumrail/control/publisher.py
@@ -88,10 +88,11 @@
                     yield update
         finally:
             reader.cancel()
-            with contextlib.suppress(asyncio.CancelledError, StopAsyncIteration):
-                await reader
-            if self._sessions_by_entry.get(session.info.entry) is session:
-                self._sessions_by_entry.pop(session.info.entry)
+            self._forget(session)
+
+    def _forget(self, session: FollowerSession) -> None:
+        if self._sessions_by_entry.get(session.info.entry) is session:
+            self._sessions_by_entry.pop(session.info.entry)
 
     async def _next_update(self, session: FollowerSession) -> ControlUpdate | None:
         with contextlib.suppress(TimeoutError):
@@ -135,4 +136,3 @@
             session = self._sessions_by_entry.get(command.to_owner)
             if session is not None:
                 session.wake.set()
-
--- a/geraniumrail/core/events.py
+++ b/geraniumrail/core/events.py
@@ -54,7 +54,7 @@
     :param event: the kind of line.
     :param fields: what happened, in the order to print.
     """
-    if not logging.vlog_is_on(-event.level):
+    if not logging.vlog_is_on(event.level):
         return
     pairs = ' '.join(f'{name}={json.dumps(field, default=str)}' for name, field in fields.items())
     logging.log(event.level, 'E%04d %s %s', event.number, event.name, pairs)
--- a/geraniumrail/entry/admission.py
+++ b/geraniumrail/entry/admission.py
@@ -12,6 +12,7 @@
 from geraniumrail.routing.decision import Decision
 
 Chooser = Callable[[EngineWindow], Decision]
+_Waiting = tuple[Chooser, 'asyncio.Future[Decision]']
 
 
 class Admission:
@@ -29,7 +30,7 @@
         self._shedder = Shedder()
         self._service = service
         self._clock = clock
-        self._waiting_by_id: dict[str, tuple[Chooser, asyncio.Future[Decision]]] = {}
+        self._waiting_by_id: dict[str, _Waiting] = {}
 
     async def turn(self, item: QueueItem, choose: Chooser, limit_s: float) -> Decision:
         """Waits for the item's turn and returns the chosen engine; `release` must follow.
--- a/geraniumrail/entry/announces.py
+++ b/geraniumrail/entry/announces.py
@@ -27,8 +27,9 @@
 
     def take_pending(self) -> tuple[Backend, ...]:
         """Returns what was not relayed yet."""
-        pending, self._pending = self._pending, {}
-        return self._live(tuple(pending))
+        pending = tuple(self._pending)
+        self._pending = {}
+        return self._live(pending)
 
     def requeue_all(self) -> None:
         """Relays everything again: a new control leader knows no backend servers."""
@@ -36,10 +37,8 @@
 
     def _live(self, instances: tuple[str, ...]) -> tuple[Backend, ...]:
         now = self._clock.now()
-        expired = [
-            instance for instance, (_, until) in self._received_by_instance.items() if until < now
-        ]
-        for instance in expired:
-            self._received_by_instance.pop(instance)
+        self._received_by_instance = {
+            name: kept for name, kept in self._received_by_instance.items() if kept[1] >= now
+        }
         found = (self._received_by_instance.get(instance) for instance in instances)
         return tuple(kept[0] for kept in found if kept is not None)
--- a/geraniumrail/entry/cluster_view.py
+++ b/geraniumrail/entry/cluster_view.py
@@ -38,7 +38,7 @@
         self.knowledge = knowledge
         self._clock = clock
         self._term = 0
-        self._lease_until = 0.0
+        self._lease_until: float = 0
 
     def holds_lease(self) -> bool:
         """Tells whether the entry may serve with the settings that it has."""
@@ -68,7 +68,7 @@
     def end_lease(self) -> None:
         """Notes that the lease ran out, once."""
         if self._lease_until and not self.holds_lease():
-            self._lease_until = 0.0
+            self._lease_until = 0
             log(events.LEASE_LOST, revision=self.tree.revision)
 
     def observe(self, backends: Iterable[Backend]) -> None:
--- a/geraniumrail/entry/completion_run.py
+++ b/geraniumrail/entry/completion_run.py
@@ -59,13 +59,7 @@
                     yield chunk
         finally:
             shared.in_progress -= 1
-            used = self.call.prompt_tokens + self.offset
-            shared.limits.settle(
-                self.call.organisation,
-                self.call.tokens,
-                used,
-                shared.clock.now(),
-            )
+            shared.settle(self.call, self.offset)
 
     async def _attempts(self) -> AsyncIterator[Chunk]:
         while True:
--- a/geraniumrail/entry/completions.py
+++ b/geraniumrail/entry/completions.py
@@ -105,3 +105,12 @@
         )
         self.limits.admit(call.organisation, call.tokens, limit, self.clock.now())
         self.retries.requested(call.service, settings.retry_budget, self.clock.now())
+
+    def settle(self, call: CompletionCall, answer_tokens: int) -> None:
+        """Corrects the charge of a request that has ended.
+
+        :param call: the request.
+        :param answer_tokens: tokens of the answer.
+        """
+        used = call.prompt_tokens + answer_tokens
+        self.limits.settle(call.organisation, call.tokens, used, self.clock.now())
--- a/geraniumrail/entry/entry.py
+++ b/geraniumrail/entry/entry.py
@@ -163,9 +163,7 @@
     @property
     def in_progress(self) -> int:
         """Number of requests that this entry works on."""
-        return (
-            self._completions.in_progress + self._plain.in_progress + self._bookings.in_progress
-        )
+        return self._completions.in_progress + self._plain.in_progress + self._bookings.in_progress
 
     def require_lease(self) -> None:
         """Checks that the entry may serve.
--- a/geraniumrail/entry/follower.py
+++ b/geraniumrail/entry/follower.py
@@ -116,9 +116,11 @@
         sent_at = self._sent_at_by_sequence.get(update.answers)
         if sent_at is None:
             return
-        known = list(self._sent_at_by_sequence)
-        for sequence in itertools.takewhile(lambda older: older < update.answers, known):
-            self._sent_at_by_sequence.pop(sequence)
+        self._sent_at_by_sequence = {
+            sequence: at
+            for sequence, at in self._sent_at_by_sequence.items()
+            if sequence >= update.answers
+        }
         before = self._view.tree.revision
         if self._view.take(update, sent_at):
             for listener in self.listeners:
--- a/geraniumrail/entry/outcomes.py
+++ b/geraniumrail/entry/outcomes.py
@@ -24,9 +24,9 @@
     def follow_moves(self) -> None:
         """Tells the breaker which moves run."""
         running = [move for move in self._view.moves_by_id.values() if move.running()]
+        services = frozenset(each.service for each in running)
         for move in running:
             self.breaker.follow(move.service, move.from_version, move.to_version, move.step)
-        services = frozenset(move.service for move in running)
         for service in self._moved_services - services:
             self.breaker.forget(service)
         self._moved_services = services
--- a/geraniumrail/entry/plain_calls.py
+++ b/geraniumrail/entry/plain_calls.py
@@ -225,5 +225,5 @@
 
 
 def _digest(call: PlainCall) -> str:
-    head = f'{call.method} {call.path} {call.content_type}'.encode()
-    return hashlib.blake2b(head + b'\0' + call.body, digest_size=16).hexdigest()
+    head = f'{call.method} {call.path} {call.content_type}'
+    return hashlib.blake2b(b'%b\0%b' % (head.encode(), call.body), digest_size=16).hexdigest()
--- a/geraniumrail/errors/operator.py
+++ b/geraniumrail/errors/operator.py
@@ -36,3 +36,17 @@
 
     type_name = 'conflict'
     status = 409
+
+
+class MissingOptionError(OperatorError):
+    """A command lacks an option."""
+
+    type_name = 'missing_option'
+    template = '{option} or the variable {variable} is needed'
+
+
+class BadAssignmentError(OperatorError):
+    """A command's argument is not of the form KEY=VALUE."""
+
+    type_name = 'bad_assignment'
+    template = '{text} is not of the form KEY=VALUE'
--- a/geraniumrail/links/client.py
+++ b/geraniumrail/links/client.py
@@ -6,11 +6,11 @@
 
 import grpc
 
-from geraniumrail.links.tls import LinkTls
 from geraniumrail.core import codec
 from geraniumrail.core.refused import Refused
 from geraniumrail.errors.link import LinkError
 from geraniumrail.links.method import CALL, FOLLOW, OPTIONS
+from geraniumrail.links.tls import LinkTls
 
 
 class LinkClient:
--- a/geraniumrail/links/pool.py
+++ b/geraniumrail/links/pool.py
@@ -2,8 +2,8 @@
 
 from typing import Any
 
-from geraniumrail.links.tls import LinkTls
 from geraniumrail.links.client import LinkClient
+from geraniumrail.links.tls import LinkTls
 
 
 class LinkPool:
--- a/geraniumrail/links/server.py
+++ b/geraniumrail/links/server.py
@@ -5,12 +5,12 @@
 
 import grpc
 
-from geraniumrail.links.tls import LinkTls
 from geraniumrail.core import codec
 from geraniumrail.core.refused import Refused
 from geraniumrail.errors.base import GeraniumrailError
 from geraniumrail.errors.link import UnknownCallError
 from geraniumrail.links.method import OPTIONS, SERVICE
+from geraniumrail.links.tls import LinkTls
 
 CallHandler = Callable[[Any], Awaitable[object]]
 FollowHandler = Callable[[AsyncIterator[Any]], AsyncIterator[object]]
--- a/geraniumrail/state/apply_moves.py
+++ b/geraniumrail/state/apply_moves.py
@@ -4,6 +4,7 @@
 
 from geraniumrail.errors.state import MoveConflictError, MoveEndedError, UnknownMoveError
 from geraniumrail.settings.resolve import resolve
+from geraniumrail.settings.schema import SETTINGS_BY_KEY
 from geraniumrail.state import commands, results
 from geraniumrail.state.apply import apply
 from geraniumrail.state.apply_settings import MOVED_KEY, change_tree, remember
@@ -39,6 +40,7 @@
             move_id=command.move_id,
             reason=f'move {running.move_id} of {command.service} is running',
         )
+    SETTINGS_BY_KEY[MOVED_KEY].check(f'/*/{command.service}', command.to_version)
     from_version = resolve(tables.tree, '*', command.service, '').version
     if from_version == command.to_version:
         raise MoveConflictError(
