Replicated log: elections, replication, membership, storage

A replica calls Transport.vote/append/install and answers through Replica.answer(request), which takes Hello-, Vote-, Append- and InstallRequest.

The replica id is stored in the log file itself rather than beside it: a separate file would let a replica that lost only its log vote again under its old id.

--- /dev/null
+++ b/geraniumrail/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated log: storage, snapshots, elections, replication and membership."""
--- /dev/null
+++ b/geraniumrail/consensus/applier.py
@@ -0,0 +1,104 @@
+"""Applies committed entries to the state machine."""
+
+import asyncio
+
+from geraniumrail.consensus import events
+from geraniumrail.consensus.entry import Entry, Snapshot
+from geraniumrail.consensus.interfaces import StateMachine
+from geraniumrail.consensus.journal import Journal
+from geraniumrail.consensus.status import Result
+from geraniumrail.core.events import log
+from geraniumrail.errors.consensus import ProposalLostError
+
+_Waiting = tuple[float, 'asyncio.Future[Result]']
+
+_READ_ENTRIES = 1024
+_READ_BYTES = 1 << 22
+
+
+class Applier:
+    """Knows what is committed and applied, and who waits for it."""
+
+    def __init__(self, journal: Journal, machine: StateMachine, snapshot_limits: tuple[int, int]):
+        """Creates the applier and loads the snapshot.
+
+        :param journal: log of the replica.
+        :param machine: state machine of the caller.
+        :param snapshot_limits: entries between snapshots, and entries kept before a snapshot.
+        """
+        self.commit_index = journal.snapshot.index
+        self.applied_index = journal.snapshot.index
+        self._journal = journal
+        self._machine = machine
+        self._snapshot_limits = snapshot_limits
+        self._waiting_by_index: dict[int, _Waiting] = {}
+        machine.restore(journal.snapshot.payload)
+
+    def advance(self, commit: int) -> None:
+        """Applies entries up to a committed position and resolves their proposals.
+
+        :param commit: position known to be committed.
+        """
+        self.commit_index = max(self.commit_index, min(commit, self._journal.last_index))
+        while self.applied_index < self.commit_index:
+            for entry in self._journal.read(self.applied_index + 1, _READ_ENTRIES, _READ_BYTES):
+                if entry.index > self.commit_index:
+                    break
+                self._apply(entry)
+        after, keep = self._snapshot_limits
+        if self.applied_index - self._journal.snapshot.index >= after:
+            payload = self._machine.snapshot()
+            self._journal.compact(self.applied_index, payload, keep)
+            log(events.SNAPSHOT, index=self.applied_index, bytes=len(payload))
+
+    def restore(self, snapshot: Snapshot) -> None:
+        """Replaces the state by a snapshot from the leader.
+
+        :param snapshot: newer than what is applied.
+        """
+        self._machine.restore(snapshot.payload)
+        self.applied_index = snapshot.index
+        self.commit_index = snapshot.index
+        self.lose_until(snapshot.index)
+
+    def expect(self, index: int, now: float) -> 'asyncio.Future[Result]':
+        """Returns a future for the result of an entry that this leader has appended.
+
+        :param index: position of the entry.
+        :param now: time in seconds.
+        """
+        future: asyncio.Future[Result] = asyncio.get_running_loop().create_future()
+        self._waiting_by_index[index] = (now, future)
+        return future
+
+    def lose(self, started_before: float) -> None:
+        """Ends the waits for proposals that started before a time; their outcome is unknown.
+
+        :param started_before: time in seconds.
+        """
+        old = [index for index, pair in self._waiting_by_index.items() if pair[0] <= started_before]
+        self._lose(old)
+
+    def lose_until(self, index: int) -> None:
+        """Ends the waits for proposals up to a position; their outcome is unknown.
+
+        :param index: last position.
+        """
+        self._lose([waiting for waiting in self._waiting_by_index if waiting <= index])
+
+    def _lose(self, indexes: list[int]) -> None:
+        for index in indexes:
+            future = self._waiting_by_index.pop(index)[1]
+            if not future.done():
+                future.set_exception(ProposalLostError(index=index))
+
+    def _apply(self, entry: Entry) -> None:
+        payload = b''
+        if entry.kind == 'command':
+            payload = self._machine.apply(entry.index, entry.payload)
+        elif entry.kind == 'membership':
+            log(events.MEMBERS, index=entry.index, term=entry.term)
+        self.applied_index = entry.index
+        _, future = self._waiting_by_index.pop(entry.index, (0, None))
+        if future is not None and not future.done():
+            future.set_result(Result(index=entry.index, payload=payload))
--- /dev/null
+++ b/geraniumrail/consensus/ballot.py
@@ -0,0 +1,92 @@
+"""Campaigns: a pre-vote, then a vote."""
+
+import asyncio
+import dataclasses
+
+from geraniumrail.consensus import events
+from geraniumrail.consensus.context import Context
+from geraniumrail.consensus.entry import HardState
+from geraniumrail.consensus.membership import Member
+from geraniumrail.consensus.messages import VoteReply, VoteRequest
+from geraniumrail.consensus.timeout import within
+from geraniumrail.core.events import log
+from geraniumrail.errors.base import GeraniumrailError
+
+
+async def campaign(context: Context) -> bool:
+    """Tries to win an election; returns whether this replica may lead the current term.
+
+    :param context: the replica.
+    """
+    standing = context.standing
+    transfer = standing.campaign_now
+    standing.campaign_now = False
+    started_term = context.term
+    log(events.CAMPAIGN, replica=context.replica_id, term=started_term + 1, transfer=transfer)
+    if not transfer and not await _ask(context, pre=True):
+        return False
+    if context.term != started_term or (context.hears_leader() and not transfer):
+        return False
+    standing.role = 'candidate'
+    standing.leader_id = ''
+    standing.leader_address = ''
+    term = started_term + 1
+    context.journal.remember(HardState(term=term, voted_for=context.replica_id))
+    await context.journal.sync()
+    won = await _ask(context, transfer=transfer)
+    return won and context.term == term and standing.role == 'candidate'
+
+
+async def _ask(context: Context, pre: bool = False, transfer: bool = False) -> bool:
+    """Collects votes until a majority has granted or all have answered."""
+    journal = context.journal
+    request = VoteRequest(
+        group=context.config.group,
+        group_id=context.membership.group_id,
+        target='',
+        sender=context.replica_id,
+        term=context.term + int(pre),
+        last_index=journal.last_index,
+        last_term=journal.last_term,
+        pre=pre,
+        transfer=transfer,
+    )
+    membership = context.membership
+    granted = frozenset((context.replica_id,))
+    others = (member for member in membership.members if member.replica_id != context.replica_id)
+    replies: asyncio.Queue[VoteReply] = asyncio.Queue()
+    calls = [
+        asyncio.ensure_future(_ask_member(context, member, request, replies))
+        for member in others
+        if member.voter
+    ]
+    try:
+        for _ in calls:
+            if membership.is_majority(granted):
+                break
+            reply = await replies.get()
+            if reply.granted:
+                granted |= {reply.replica_id}
+            elif reply.term > context.term:
+                context.follow(reply.term)
+                return False
+    finally:
+        for call in calls:
+            call.cancel()
+    return membership.is_majority(granted)
+
+
+async def _ask_member(
+    context: Context,
+    member: Member,
+    request: VoteRequest,
+    replies: 'asyncio.Queue[VoteReply]',
+) -> None:
+    addressed = dataclasses.replace(request, target=member.replica_id)
+    call = context.transport.vote(member.address, addressed)
+    try:
+        reply = await within(context.clock, context.config.call_timeout_s, call)
+    except (GeraniumrailError, OSError):
+        reply = VoteReply(replica_id='')
+    granted = reply.granted and reply.replica_id == member.replica_id
+    replies.put_nowait(dataclasses.replace(reply, granted=granted))
--- /dev/null
+++ b/geraniumrail/consensus/config.py
@@ -0,0 +1,27 @@
+"""Settings of a replica."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ReplicaConfig:
+    """Settings of one replica; times are in seconds."""
+
+    name: str  # first part of the replica id
+    address: str  # ip:port at which the other replicas reach this one
+    group: str = 'main'
+    heartbeat_s: float = 0.4
+    # A leader stops acting this long after it last heard from a majority. The difference to the
+    # election timeout allows for clocks that run at different speeds.
+    lease_s: float = 1.5
+    election_timeout_s: float = 2.0  # lower bound; each wait is drawn from one to two times this
+    tick_s: float = 0.05  # between looks at the lease and the election timeout
+    call_timeout_s: float = 1.0
+    propose_timeout_s: float = 5.0
+    # An idle leader tells followers about a commit after this delay, not with the next heartbeat.
+    commit_notice_s: float = 0.05
+    snapshot_after: int = 500  # entries applied since the last snapshot
+    keep_entries: int = 200  # kept before a snapshot, for followers that lag a little
+    append_entries: int = 512  # limits of one request
+    append_bytes: int = 524288
+    install_bytes: int = 262144
--- /dev/null
+++ b/geraniumrail/consensus/file_storage.py
@@ -0,0 +1,224 @@
+"""Log storage in files under a data folder.
+
+`log` starts with a `LogStart`, followed by one `LogBatch` for each sync; `snapshot` is a single
+`Snapshot`. The replica id is part of the log itself: a replica that has lost its log has also lost
+the id under which it voted. A log is replaced only after the snapshot that makes it shorter.
+"""
+
+import asyncio
+import dataclasses
+import fcntl
+import os
+import pathlib
+from collections.abc import Callable, Sequence
+from concurrent.futures import ThreadPoolExecutor
+
+from geraniumrail.consensus import events, frames
+from geraniumrail.consensus.entry import Entry, HardState, Snapshot, Stored
+from geraniumrail.consensus.folder import replace_file, sync_folder
+from geraniumrail.consensus.memory_storage import new_replica_id
+from geraniumrail.core.codec import decode, encode, record
+from geraniumrail.core.events import log
+from geraniumrail.errors.consensus import FolderInUseError, LogDamagedError
+
+
+@record
+class LogStart:
+    """First record of a log file."""
+
+    replica_id: str
+    hard: HardState
+    snapshot_index: int  # the snapshot that the log needs, or a newer one
+    base_index: int
+    base_term: int
+
+
+@record
+class LogBatch:
+    """Changes that were made durable with one sync."""
+
+    hard: HardState | None
+    entries: tuple[Entry, ...]
+
+
+class FileStorage:
+    """Keeps the log of one replica in one folder; blocking calls run in a thread."""
+
+    def __init__(self, folder: pathlib.Path, name: str, lock: int) -> None:
+        """Creates the storage; use `open`.
+
+        :param folder: existing folder.
+        :param name: first part of a new replica id.
+        :param lock: descriptor of the lock file, closed by `close`.
+        """
+        self._folder = folder
+        self._name = name
+        self._lock = lock
+        self._log = -1  # descriptor of the log file
+        self._size = 0
+        self._thread = ThreadPoolExecutor(1, f'log-{name}')
+
+    @classmethod
+    def open(cls, folder: pathlib.Path, name: str) -> 'FileStorage':
+        """Opens or creates a folder.
+
+        :param folder: used by one replica only.
+        :param name: first part of the replica id if the folder is new.
+        :raises FolderInUseError: if another process or replica has it open.
+        """
+        folder.mkdir(parents=True, exist_ok=True)
+        sync_folder(folder.parent)
+        lock = os.open(folder / 'lock', os.O_RDWR | os.O_CREAT, 0o600)
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError as error:
+            os.close(lock)
+            raise FolderInUseError(folder=folder) from error
+        return cls(folder, name, lock)
+
+    def load(self) -> Stored:
+        """Reads the folder and truncates an incomplete record at the end of the log.
+
+        :raises LogDamagedError: if any other record is damaged or a file is missing.
+        """
+        path = self._folder / 'log'
+        snapshot = self._load_snapshot()
+        if path.exists():
+            stored = self._load_log(path, snapshot)
+        elif snapshot is None:
+            stored = Stored(replica_id=new_replica_id(self._name))
+            replace_file(path, _log_content(stored))
+        else:
+            raise LogDamagedError(file=str(path), offset=0, reason='missing')
+        self._reopen()
+        return stored
+
+    async def write(self, hard: HardState | None, entries: Sequence[Entry]) -> None:
+        """Adds one record and syncs it.
+
+        :param hard: new term and vote, or None if unchanged.
+        :param entries: in the order they were accepted.
+        """
+        await self._in_thread(lambda: self._write(LogBatch(hard=hard, entries=tuple(entries))))
+
+    async def compact(self, state: Stored) -> None:
+        """Stores a snapshot, then replaces the log.
+
+        :param state: the snapshot and what remains of the log.
+        """
+        await self._in_thread(lambda: self._compact(state))
+
+    async def close(self) -> None:
+        """Closes the files after the write in progress."""
+        await asyncio.get_running_loop().run_in_executor(self._thread, self._close)
+        self._thread.shutdown(wait=False)
+
+    async def _in_thread(self, work: Callable[[], None]) -> None:
+        await asyncio.get_running_loop().run_in_executor(self._thread, work)
+
+    def _write(self, batch: LogBatch) -> None:
+        content = frames.frame(self._size, encode(batch))
+        remaining = memoryview(content)
+        while remaining:
+            remaining = remaining[os.write(self._log, remaining) :]
+        os.fdatasync(self._log)
+        self._size += len(content)
+
+    def _compact(self, state: Stored) -> None:
+        replace_file(
+            self._folder / 'snapshot',
+            frames.frame(0, encode(state.snapshot)),
+        )
+        replace_file(self._folder / 'log', _log_content(state))
+        os.close(self._log)
+        self._reopen()
+
+    def _close(self) -> None:
+        if self._log >= 0:
+            os.close(self._log)
+        os.close(self._lock)
+
+    def _reopen(self) -> None:
+        path = self._folder / 'log'
+        self._log = os.open(path, os.O_WRONLY | os.O_APPEND)
+        self._size = path.stat().st_size
+
+    def _load_snapshot(self) -> Snapshot | None:
+        path = self._folder / 'snapshot'
+        if not path.exists():
+            return None
+        content = path.read_bytes()
+        records = list(frames.read_frames(content))
+        if len(records) != 1 or records[0][0] != len(content):
+            raise LogDamagedError(file=str(path), offset=0, reason='checksum mismatch')
+        return decode(records[0][1])
+
+    def _load_log(self, path: pathlib.Path, snapshot: Snapshot | None) -> Stored:
+        content = path.read_bytes()
+        records = list(frames.read_frames(content))
+        end = records[-1][0] if records else 0
+        frames.check_tail(str(path), content, end)
+        if not records:
+            raise LogDamagedError(file=str(path), offset=0, reason='the first record is damaged')
+        start, *batches = [decode(payload) for _, payload in records]
+        if start.snapshot_index > (snapshot.index if snapshot else 0):
+            reason = f'the snapshot of index {start.snapshot_index} is missing'
+            raise LogDamagedError(file=str(path), offset=0, reason=reason)
+        if end < len(content):
+            log(events.TAIL_CUT, file=path, offset=end, bytes=len(content) - end)
+            os.truncate(path, end)
+        return _replay(start, batches, snapshot or Snapshot())
+
+
+def _replay(start: LogStart, batches: Sequence[LogBatch], snapshot: Snapshot) -> Stored:
+    hard = start.hard
+    entries: list[Entry] = []
+    for batch in batches:
+        hard = batch.hard or hard
+        for entry in batch.entries:
+            del entries[entry.index - start.base_index - 1 :]  # noqa: WPS420
+            entries.append(entry)
+    stored = Stored(
+        replica_id=start.replica_id,
+        hard=hard,
+        snapshot=snapshot,
+        base_index=start.base_index,
+        base_term=start.base_term,
+        entries=tuple(entries),
+    )
+    return drop_covered(stored)
+
+
+def drop_covered(stored: Stored) -> Stored:
+    """Drops a log that a newer snapshot contradicts or goes beyond.
+
+    The snapshot of a leader is stored before the log is replaced; a crash in between leaves both.
+
+    :param stored: content of the two files.
+    """
+    snapshot = stored.snapshot
+    offset = snapshot.index - stored.base_index
+    terms = (stored.base_term, *(entry.term for entry in stored.entries))
+    if offset < len(terms) and terms[offset] == snapshot.term:
+        return stored
+    return dataclasses.replace(
+        stored,
+        base_index=snapshot.index,
+        base_term=snapshot.term,
+        entries=(),
+    )
+
+
+def _log_content(state: Stored) -> bytes:
+    start = LogStart(
+        replica_id=state.replica_id,
+        hard=state.hard,
+        snapshot_index=state.snapshot.index,
+        base_index=state.base_index,
+        base_term=state.base_term,
+    )
+    first = frames.frame(0, encode(start))
+    if not state.entries:
+        return first
+    batch = LogBatch(hard=None, entries=state.entries)
+    return first + frames.frame(len(first), encode(batch))
--- /dev/null
+++ b/geraniumrail/consensus/file_storage_test.py
@@ -0,0 +1,124 @@
+"""Guards the log files: what was synced is read again, a torn tail is cut, damage is refused."""
+
+import pathlib
+import tempfile
+import unittest
+
+from geraniumrail.consensus.entry import Entry, HardState, Snapshot, Stored
+from geraniumrail.consensus.file_storage import FileStorage
+from geraniumrail.errors.consensus import FolderInUseError, LogDamagedError
+
+
+def entries(first, last, term=1):
+    return [Entry(index=index, term=term, payload=b'x' * 50) for index in range(first, last + 1)]
+
+
+class FileStorageTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name) / 'main'
+        self.log = self.folder / 'log'
+
+    async def written(self, *batches):
+        """Writes batches to a new folder and returns the size of the log after each."""
+        storage = FileStorage.open(self.folder, 'a')
+        storage.load()
+        sizes = [self.log.stat().st_size]
+        for batch in batches:
+            await storage.write(HardState(term=2, voted_for='b'), batch)
+            sizes.append(self.log.stat().st_size)
+        await storage.close()
+        return sizes
+
+    async def loaded(self):
+        storage = FileStorage.open(self.folder, 'a')
+        try:
+            return storage.load()
+        finally:
+            await storage.close()
+
+    async def test_what_was_written_is_loaded(self):
+        """An entry must replace those at and after its index, as in memory."""
+        await self.written(entries(1, 5), entries(4, 6, term=2))
+        stored = await self.loaded()
+        self.assertEqual([entry.term for entry in stored.entries], [1, 1, 1, 2, 2, 2])
+        self.assertEqual(stored.hard, HardState(term=2, voted_for='b'))
+        self.assertEqual(stored, await self.loaded())
+
+    async def test_every_torn_tail_is_cut(self):
+        """A crash in the middle of a write must not keep the replica from starting."""
+        sizes = await self.written(entries(1, 2), entries(3, 4))
+        content = self.log.read_bytes()
+        for end in range(sizes[1], sizes[2]):
+            self.log.write_bytes(content[:end])
+            self.assertEqual(len((await self.loaded()).entries), 2)
+            self.assertEqual(self.log.stat().st_size, sizes[1])
+
+    async def test_damage_before_the_tail_is_refused(self):
+        """Starting without an acknowledged entry would lose it."""
+        sizes = await self.written(entries(1, 2), entries(3, 4))
+        content = self.log.read_bytes()
+        for offset in range(sizes[1]):
+            damaged = bytearray(content)
+            damaged[offset] ^= 1
+            self.log.write_bytes(damaged)
+            with self.assertRaises(LogDamagedError):
+                await self.loaded()
+
+    async def test_lost_log_is_not_a_new_folder(self):
+        """A replica that kept its snapshot but lost its votes must not start."""
+        await self.compacted()
+        self.log.unlink()
+        with self.assertRaises(LogDamagedError):
+            await self.loaded()
+
+    async def test_lost_snapshot_is_refused(self):
+        """Without the snapshot the state before the log is missing."""
+        await self.compacted()
+        (self.folder / 'snapshot').unlink()
+        with self.assertRaises(LogDamagedError):
+            await self.loaded()
+
+    async def test_snapshot_replaces_the_log(self):
+        state = await self.compacted()
+        self.assertEqual(await self.loaded(), state)
+
+    async def test_crash_between_snapshot_and_log(self):
+        """The old log stays usable, or is dropped if the snapshot goes beyond it."""
+        await self.written(entries(1, 5))
+        log = self.log.read_bytes()
+        await self.compacted()
+        self.log.write_bytes(log)
+        stored = await self.loaded()
+        self.assertEqual((stored.snapshot.index, len(stored.entries)), (4, 5))
+        await self.compacted(index=9)
+        self.log.write_bytes(log)
+        stored = await self.loaded()
+        self.assertEqual((stored.base_index, stored.entries), (9, ()))
+
+    async def test_folder_is_locked(self):
+        """Two processes on one folder would both vote."""
+        storage = FileStorage.open(self.folder, 'a')
+        with self.assertRaises(FolderInUseError):
+            FileStorage.open(self.folder, 'a')
+        await storage.close()
+
+    async def compacted(self, index=4):
+        storage = FileStorage.open(self.folder, 'a')
+        replica_id = storage.load().replica_id
+        state = Stored(
+            replica_id=replica_id,
+            hard=HardState(term=2, voted_for='b'),
+            snapshot=Snapshot(index=index, term=1, payload=b'state'),
+            base_index=index - 1,
+            base_term=1,
+            entries=tuple(entries(index, index + 2)),
+        )
+        await storage.compact(state)
+        await storage.close()
+        return state
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/geraniumrail/consensus/journal.py
@@ -0,0 +1,175 @@
+"""The log of a replica in memory, and the task that makes it durable."""
+
+from collections.abc import Callable, Sequence
+
+from geraniumrail.consensus.entry import Entry, HardState, Snapshot, Stored
+from geraniumrail.consensus.interfaces import LogStorage
+from geraniumrail.consensus.membership_history import MembershipHistory
+from geraniumrail.consensus.write_queue import Batch, WriteQueue
+
+
+class Journal:
+    """Changes take effect in memory at once; one writer stores all that waits with one sync."""
+
+    def __init__(self, storage: LogStorage, stored: Stored) -> None:
+        """Creates the journal.
+
+        :param storage: where to write.
+        :param stored: what was loaded from there.
+        """
+        self.hard = stored.hard
+        self.snapshot = stored.snapshot
+        self.durable_index = stored.base_index + len(stored.entries)
+        self.on_durable: Callable[[], None] | None = None
+        self._storage = storage
+        self._stored = stored
+        self._base = (stored.base_index, stored.base_term)
+        self._entries = list(stored.entries)
+        self._queue = WriteQueue()
+        self.memberships = MembershipHistory(stored.snapshot)
+        self.memberships.add(stored.entries)
+
+    @property
+    def base_index(self) -> int:
+        """Position before the first entry that is kept."""
+        return self._base[0]
+
+    @property
+    def last_index(self) -> int:
+        """Position of the last entry."""
+        return self._base[0] + len(self._entries)
+
+    @property
+    def last_term(self) -> int:
+        """Term of the last entry."""
+        return self._entries[-1].term if self._entries else self._base[1]
+
+    def term_at(self, index: int) -> int | None:
+        """Returns the term of a position, or None if the position is not kept.
+
+        :param index: position.
+        """
+        offset = index - self._base[0]
+        if offset == 0:
+            return self._base[1]
+        return self._entries[offset - 1].term if 0 < offset <= len(self._entries) else None
+
+    def read(self, first: int, entries: int, size: int) -> tuple[Entry, ...]:
+        """Returns entries from a position on; at least one if there is one.
+
+        :param first: position of the first.
+        :param entries: limit of the number of entries.
+        :param size: limit of the bytes of payload.
+        """
+        offset = first - self._base[0] - 1
+        chosen = self._entries[offset : offset + entries]
+        total = 0
+        for count, entry in enumerate(chosen):
+            total += len(entry.payload)
+            if total > size and count:
+                return tuple(chosen[:count])
+        return tuple(chosen)
+
+    def remember(self, hard: HardState) -> None:
+        """Changes term and vote; durable after the next `sync`.
+
+        :param hard: new term and vote.
+        """
+        self.hard = hard
+        self._queue.put(hard)
+
+    def append(self, entries: Sequence[Entry]) -> None:
+        """Adds entries, replacing those at and after the first index; durable after `sync`.
+
+        :param entries: consecutive, the first at most one after the last index.
+        """
+        first = entries[0].index
+        if first <= self.last_index:
+            del self._entries[first - self._base[0] - 1 :]  # noqa: WPS420
+            self.durable_index = min(self.durable_index, first - 1)
+            self.memberships.truncate(first)
+        self._entries.extend(entries)
+        self.memberships.add(entries)
+        self._queue.put(*entries)
+
+    def compact(self, index: int, payload: bytes, keep: int) -> None:
+        """Records a snapshot of the applied state and drops entries before it.
+
+        :param index: position of the last applied entry.
+        :param payload: state of the state machine.
+        :param keep: number of entries to keep before the snapshot.
+        """
+        self.snapshot = Snapshot(
+            index=index,
+            term=self.term_at(index) or 0,
+            membership=self.memberships.at(index),
+            payload=payload,
+        )
+        base = max(self._base[0], index - keep)
+        base_term = self.term_at(base) or 0
+        self._entries = self._entries[base - self._base[0] :]
+        self._base = (base, base_term)
+        self.memberships.compact(self.snapshot)
+        self._restart_storage()
+
+    def install(self, snapshot: Snapshot) -> None:
+        """Replaces the log by a snapshot; entries that follow the snapshot are kept.
+
+        :param snapshot: received from the leader, newer than the commit index.
+        """
+        agrees = self.term_at(snapshot.index) == snapshot.term
+        kept = self._entries[snapshot.index - self._base[0] :] if agrees else []
+        self.snapshot = snapshot
+        self._base = (snapshot.index, snapshot.term)
+        self._entries = kept
+        if not agrees:
+            self.durable_index = 0
+        self.memberships = MembershipHistory(snapshot)
+        self.memberships.add(kept)
+        self._restart_storage()
+
+    async def sync(self) -> None:
+        """Waits until all changes made so far are durable."""
+        await self._queue.wait_written()
+
+    async def run(self) -> None:
+        """Writes what is queued until cancelled."""
+        while True:  # noqa: WPS457  ends by cancellation
+            for batch in await self._queue.take():
+                if isinstance(batch, Stored):
+                    await self._storage.compact(batch)
+                    self.durable_index = max(self.durable_index, batch.snapshot.index)
+                else:
+                    await self._write(batch)
+            self._queue.mark_written()
+
+    def fail(self, error: Exception) -> None:
+        """Ends all waits with an error.
+
+        :param error: what happened.
+        """
+        self._queue.fail(error)
+
+    async def _write(self, batch: Batch) -> None:
+        entries = [item for item in batch if isinstance(item, Entry)]
+        hards = [item for item in batch if isinstance(item, HardState)]
+        await self._storage.write(hards[-1] if hards else None, entries)
+        # Entries may have been replaced in memory while they were written.
+        current = (
+            item.index for item in reversed(entries) if self.term_at(item.index) == item.term
+        )
+        self.durable_index = max(self.durable_index, next(current, 0))
+        if self.on_durable is not None:
+            self.on_durable()
+
+    def _restart_storage(self) -> None:
+        self._queue.put(
+            Stored(
+                replica_id=self._stored.replica_id,
+                hard=self.hard,
+                snapshot=self.snapshot,
+                base_index=self._base[0],
+                base_term=self._base[1],
+                entries=tuple(self._entries),
+            ),
+        )
--- /dev/null
+++ b/geraniumrail/consensus/leadership.py
@@ -0,0 +1,191 @@
+"""What a replica does while it is the leader of a term."""
+
+import asyncio
+from collections.abc import Callable
+
+from geraniumrail.consensus import events
+from geraniumrail.consensus.context import Context
+from geraniumrail.consensus.entry import Entry, Kind
+from geraniumrail.consensus.journal import Journal
+from geraniumrail.consensus.membership import Membership
+from geraniumrail.consensus.peers import Peers
+from geraniumrail.consensus.status import Result
+from geraniumrail.core import codec
+from geraniumrail.core.events import log
+from geraniumrail.errors.consensus import MembershipError, NoQuorumError, NotLeaderError
+
+
+class Leadership:
+    """Replicates, commits and holds the lease until the term ends or a majority is lost."""
+
+    def __init__(self, context: Context) -> None:
+        """Creates the leadership of the current term.
+
+        :param context: the replica, which has won the election.
+        """
+        self.peers = Peers(context, self._on_reply)
+        self.handing_over = False
+        self._context = context
+        self._term = context.term
+        self._progress = asyncio.Event()
+        self._lease_lost = False
+        self._barrier_index = 0
+        self._started_at = context.clock.now()
+
+    async def run(self) -> None:
+        """Leads until this replica stops being the leader of its term."""
+        context = self._context
+        context.journal.on_durable = self._advance
+        context.standing.heard_at = self._started_at
+        self.peers.reconcile()
+        # Entries of earlier terms are committed by an entry of this term (Raft, section 5.4.2).
+        self._barrier_index = self._append('barrier', b'')
+        log(events.ELECTED, replica=context.replica_id, term=self._term, index=self._barrier_index)
+        while self._is_leader():
+            self._check_lease()
+            self.peers.raise_errors()
+            await context.pause()
+
+    def end(self) -> None:
+        """Stops the tasks; the outcome of proposals in progress is unknown."""
+        context = self._context
+        context.journal.on_durable = None
+        self.peers.stop()
+        context.applier.lose(float('inf'))
+        if context.standing.role == 'leader':
+            context.follow(context.term)
+        context.set_deadline()
+        self._signal()
+        log(events.ENDED, replica=context.replica_id, term=self._term)
+
+    def has_lease(self) -> bool:
+        """Tells whether a majority was heard within the lease."""
+        age = self._context.clock.now() - self.quorum_contact_at()
+        return self._is_leader() and not self.handing_over and age < self._context.config.lease_s
+
+    def quorum_contact_at(self) -> float:
+        """Returns when a majority was last known to follow this leader."""
+        return self.peers.majority(self._context.clock.now(), lambda peer: peer.contact_at)
+
+    def check(self) -> None:
+        """Refuses work that this leader may not do now.
+
+        :raises NotLeaderError: if leadership has ended or is being handed over.
+        :raises NoQuorumError: if the lease has run out.
+        """
+        if self.handing_over or not self._is_leader():
+            raise NotLeaderError(leader=self._context.standing.leader_address or None)
+        if not self.has_lease():
+            raise NoQuorumError(group=self._context.config.group)
+
+    async def propose(self, command: bytes, kind: Kind = 'command') -> Result:
+        """Appends an entry and waits until it is applied.
+
+        :param command: payload of the entry.
+        :param kind: what the payload is.
+        :raises ProposalLostError: if the outcome is unknown.
+        """
+        index = self._append(kind, command)
+        return await self._context.applier.expect(index, self._context.clock.now())
+
+    async def confirm(self) -> int:
+        """Waits until a majority has confirmed this leader after the call.
+
+        :return: position that was committed at the time of the call.
+        """
+        await self.until(lambda: self._context.applier.commit_index >= self._barrier_index)
+        index = self._context.applier.commit_index
+        number = self.peers.next_number()
+        self.peers.beat()
+        await self.until(lambda: self.peers.confirmed_number() > number)
+        return index
+
+    async def change(self, membership: Membership, replica_id: str) -> None:
+        """Commits a new membership that differs by one member.
+
+        :param membership: the new one.
+        :param replica_id: the member that changes.
+        :raises MembershipError: while another change is in progress.
+        """
+        applier = self._context.applier
+        # A membership of an earlier term must not be open (Raft, erratum of 2015).
+        await self.until(lambda: applier.commit_index >= self._barrier_index)
+        if self._context.journal.memberships.newest_index > applier.commit_index:
+            raise MembershipError(replica_id=replica_id, reason='another change is in progress')
+        await self.propose(codec.encode(membership), 'membership')
+
+    async def until(self, ready: Callable[[], bool]) -> None:
+        """Waits for progress.
+
+        :param ready: what to wait for.
+        """
+        while not ready():
+            await self._progress.wait()
+            self.check()
+
+    def _is_leader(self) -> bool:
+        return self._context.standing.role == 'leader' and self._context.term == self._term
+
+    def _append(self, kind: Kind, payload: bytes) -> int:
+        journal = self._context.journal
+        entry = Entry(index=journal.last_index + 1, term=self._term, kind=kind, payload=payload)
+        journal.append((entry,))
+        if kind == 'membership':
+            self.peers.reconcile()
+        self.peers.wake()
+        return entry.index
+
+    def _on_reply(self, term: int) -> None:
+        context = self._context
+        if not self._is_leader():
+            return
+        if term > self._term:
+            context.follow(term)
+            return
+        standing = context.standing
+        standing.heard_at = max(standing.heard_at, self.quorum_contact_at())
+        self._advance()
+        self._signal()
+
+    def _advance(self) -> None:
+        """Commits what a majority has stored."""
+        context = self._context
+        if not self._is_leader():
+            return
+        durable = context.journal.durable_index
+        index = int(self.peers.majority(durable, lambda peer: peer.match_index))
+        if index > context.applier.commit_index and may_commit(context.journal, index, self._term):
+            context.applier.advance(index)
+            self._signal()
+            self.peers.wake()
+
+    def _check_lease(self) -> None:
+        context = self._context
+        now = context.clock.now()
+        age = now - self.quorum_contact_at()
+        leading_for = now - self._started_at
+        lost = not self.handing_over and min(age, leading_for) >= context.config.lease_s
+        if lost:
+            context.applier.lose(now)
+            self._signal()
+        if lost and not self._lease_lost:
+            log(events.LEASE_LOST, replica=context.replica_id, term=self._term, age_s=age)
+        self._lease_lost = lost
+        context.applier.lose(now - context.config.propose_timeout_s)
+        if min(age, leading_for) >= context.config.election_timeout_s:
+            context.follow(self._term)
+
+    def _signal(self) -> None:
+        waiting = self._progress
+        self._progress = asyncio.Event()
+        waiting.set()
+
+
+def may_commit(journal: Journal, index: int, term: int) -> bool:
+    """Tells whether a stored position counts: only entries of the leader's own term do.
+
+    :param journal: log of the leader.
+    :param index: position that a majority has stored.
+    :param term: term of the leader.
+    """
+    return journal.term_at(index) == term
--- /dev/null
+++ b/geraniumrail/consensus/peer.py
@@ -0,0 +1,199 @@
+"""Replication to one other member."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable, Coroutine
+from typing import Any, TypeVar
+
+from geraniumrail.consensus.context import Context
+from geraniumrail.consensus.entry import Entry
+from geraniumrail.consensus.membership import Member
+from geraniumrail.consensus.messages import (
+    AppendReply,
+    AppendRequest,
+    InstallReply,
+    InstallRequest,
+)
+from geraniumrail.consensus.timeout import within
+from geraniumrail.errors.base import GeraniumrailError
+
+Reply = TypeVar('Reply', AppendReply, InstallReply)
+
+_UNREACHABLE = (GeraniumrailError, OSError)
+
+
+class Peer:
+    """What the leader of a term knows about one member, and the tasks that send to it.
+
+    Heartbeats have a task of their own: a request with entries is answered only after a sync, and a
+    slow disk must not look like a lost connection.
+    """
+
+    def __init__(
+        self,
+        context: Context,
+        member: Member,
+        on_send: Callable[[], int],
+        on_reply: Callable[[int], None],
+    ) -> None:
+        """Creates the peer.
+
+        :param context: the leader.
+        :param member: whom to send to.
+        :param on_send: numbers the requests to all members.
+        :param on_reply: called after each reply with the term of the member.
+        """
+        self.member = member
+        self.match_index = 0
+        self.contact_at = float('-inf')  # when the last answered request was sent
+        self.contact_number = -1  # number of that request, in the order of sending
+        self.caught_up_at = float('-inf')  # when it last had all that was committed
+        self.wake = asyncio.Event()  # there are entries to send
+        self.beat = asyncio.Event()  # a heartbeat is to be sent at once
+        self._context = context
+        self._term = context.term
+        self._on_send = on_send
+        self._on_reply = on_reply
+        self._next_index = context.journal.last_index + 1
+        self._told_commit = 0
+        self.wake.set()
+
+    async def replicate(self) -> None:
+        """Sends entries, one request at a time, each with all that is waiting."""
+        context = self._context
+        while True:
+            await self.wake.wait()
+            self.wake.clear()
+            try:
+                await self._send_all()
+            except _UNREACHABLE:
+                self.wake.set()
+                await context.clock.sleep(context.config.heartbeat_s / 2)
+
+    async def send_heartbeats(self) -> None:
+        """Sends heartbeats at a fixed rate, and at once when `beat` is set."""
+        context = self._context
+        while True:
+            self.beat.clear()
+            started = context.clock.now()
+            with contextlib.suppress(*_UNREACHABLE):
+                await self._append(self._heartbeat())
+            left = started + context.config.heartbeat_s - context.clock.now()
+            if left > 0:
+                with contextlib.suppress(TimeoutError):
+                    await within(context.clock, left, self.beat.wait())
+
+    async def hand_over(self) -> None:
+        """Asks the member to campaign; the sender must have stepped down."""
+        request = self._request(self._context.journal.last_index, campaign=True)
+        await self._call(self._context.transport.append(self.member.address, request))
+
+    async def _send_all(self) -> None:
+        context = self._context
+        while self.match_index < context.journal.last_index:
+            await self._send_next()
+        if self._told_commit < context.applier.commit_index:
+            try:
+                await within(context.clock, context.config.commit_notice_s, self.wake.wait())
+            except TimeoutError:
+                await self._append(self._heartbeat())
+
+    def _heartbeat(self) -> AppendRequest:
+        return self._request(max(self.match_index, self._context.journal.base_index))
+
+    def _request(
+        self,
+        prev: int,
+        entries: tuple[Entry, ...] = (),
+        campaign: bool = False,
+    ) -> AppendRequest:
+        context = self._context
+        return AppendRequest(
+            group=context.config.group,
+            group_id=context.membership.group_id,
+            target=self.member.replica_id,
+            sender=context.replica_id,
+            address=context.config.address,
+            term=self._term,
+            prev_index=prev,
+            prev_term=context.journal.term_at(prev) or 0,
+            commit=context.applier.commit_index,
+            entries=entries,
+            campaign=campaign,
+        )
+
+    async def _send_next(self) -> None:
+        journal = self._context.journal
+        config = self._context.config
+        if self._next_index <= journal.base_index:
+            await self._install()
+            return
+        entries = journal.read(self._next_index, config.append_entries, config.append_bytes)
+        reply = await self._append(self._request(self._next_index - 1, entries))
+        if reply.success:
+            self._next_index = self.match_index + 1
+        elif reply.term <= self._term and not reply.refused:
+            self._next_index = max(1, min(self._next_index - 1, reply.hint_index + 1))
+        else:
+            raise ConnectionRefusedError(reply.refused)
+
+    async def _append(self, request: AppendRequest) -> AppendReply:
+        sent_at = self._context.clock.now()
+        number = self._on_send()
+        reply = await self._call(self._context.transport.append(self.member.address, request))
+        if reply.success:
+            self.match_index = max(self.match_index, reply.match_index)
+            if reply.match_index >= request.commit:
+                self.caught_up_at = max(self.caught_up_at, sent_at)
+        if reply.match_index >= request.commit:
+            self._told_commit = request.commit
+        self._note_contact(reply, sent_at, number)
+        return reply
+
+    async def _install(self) -> None:
+        """Sends the snapshot in parts."""
+        context = self._context
+        snapshot = context.journal.snapshot
+        size = context.config.install_bytes
+        offset = 0
+        while True:
+            part = snapshot.payload[offset : offset + size]
+            request = InstallRequest(
+                group=context.config.group,
+                group_id=context.membership.group_id,
+                target=self.member.replica_id,
+                sender=context.replica_id,
+                address=context.config.address,
+                term=self._term,
+                index=snapshot.index,
+                index_term=snapshot.term,
+                membership=snapshot.membership,
+                offset=offset,
+                part=part,
+                last=offset + len(part) == len(snapshot.payload),
+            )
+            sent_at = context.clock.now()
+            number = self._on_send()
+            call = context.transport.install(self.member.address, request)
+            reply = await self._call(call)
+            if reply.done:
+                self.match_index = max(self.match_index, snapshot.index)
+                self._next_index = snapshot.index + 1
+            self._note_contact(reply, sent_at, number)
+            if reply.refused or reply.term > self._term:
+                raise ConnectionRefusedError(reply.refused)
+            if reply.done:
+                return
+            offset = reply.offset
+
+    async def _call(self, call: Coroutine[Any, Any, Reply]) -> Reply:
+        reply = await within(self._context.clock, self._context.config.call_timeout_s, call)
+        if reply.replica_id != self.member.replica_id and not reply.refused:
+            raise ConnectionRefusedError(reply.replica_id)
+        return reply
+
+    def _note_contact(self, reply: AppendReply | InstallReply, sent_at: float, number: int) -> None:
+        if not reply.refused and reply.term <= self._term:
+            self.contact_at = max(self.contact_at, sent_at)
+            self.contact_number = max(self.contact_number, number)
+        self._on_reply(reply.term)
--- /dev/null
+++ b/geraniumrail/consensus/peers.py
@@ -0,0 +1,91 @@
+"""The other members of a leader's group."""
+
+import asyncio
+import itertools
+from collections.abc import Callable
+
+from geraniumrail.consensus.context import Context
+from geraniumrail.consensus.membership import Member
+from geraniumrail.consensus.peer import Peer
+
+_Tasks = tuple[asyncio.Task[None], ...]
+
+
+class Peers:
+    """The peers of one leadership and their tasks."""
+
+    def __init__(self, context: Context, on_reply: Callable[[int], None]) -> None:
+        """Creates the collection; `reconcile` starts the peers.
+
+        :param context: the leader.
+        :param on_reply: called after each reply with the term of the member.
+        """
+        self.by_id: dict[str, Peer] = {}
+        self._context = context
+        self._on_reply = on_reply
+        self._numbers = itertools.count()
+        self._tasks_by_id: dict[str, _Tasks] = {}
+
+    def reconcile(self) -> None:
+        """Starts and stops peers after the membership has changed."""
+        context = self._context
+        others = context.membership.without(context.replica_id).members
+        kept = {member.replica_id for member in others}
+        left_ids = [replica_id for replica_id in self.by_id if replica_id not in kept]
+        for left in left_ids:
+            self.by_id.pop(left)
+            for task in self._tasks_by_id.pop(left):
+                task.cancel()
+        for member in others:
+            peer = self.by_id.get(member.replica_id)
+            if peer is None:
+                self._start(member)
+            else:
+                peer.member = member
+
+    def stop(self) -> None:
+        """Stops all peers."""
+        for task in itertools.chain.from_iterable(self._tasks_by_id.values()):
+            task.cancel()
+
+    def raise_errors(self) -> None:
+        """Raises what ended a task, if any has ended."""
+        for task in itertools.chain.from_iterable(self._tasks_by_id.values()):
+            if task.done():
+                task.result()
+
+    def next_number(self) -> int:
+        """Numbers the requests to all peers in the order of sending."""
+        return next(self._numbers)
+
+    def wake(self) -> None:
+        """Lets the peers look for entries to send."""
+        for peer in self.by_id.values():
+            peer.wake.set()
+
+    def beat(self) -> None:
+        """Sends heartbeats at once."""
+        for peer in self.by_id.values():
+            peer.beat.set()
+
+    def majority(self, own: float, measure: Callable[[Peer], float]) -> float:
+        """Returns the largest value that a majority of the voters has reached.
+
+        :param own: value of this replica.
+        :param measure: gives the value of a peer.
+        """
+        values_by_id = {replica_id: measure(peer) for replica_id, peer in self.by_id.items()}
+        values_by_id[self._context.replica_id] = own
+        return self._context.membership.majority_value(values_by_id)
+
+    def confirmed_number(self) -> float:
+        """Returns the largest request number that a majority of the voters has answered."""
+        return self.majority(float('inf'), lambda peer: peer.contact_number)
+
+    def _start(self, member: Member) -> None:
+        peer = Peer(self._context, member, self.next_number, self._on_reply)
+        self.by_id[member.replica_id] = peer
+        self._tasks_by_id[member.replica_id] = (
+            asyncio.ensure_future(peer.replicate()),
+            asyncio.ensure_future(peer.send_heartbeats()),
+        )
--- /dev/null
+++ b/geraniumrail/consensus/replica.py
@@ -0,0 +1,209 @@
+"""One member of a replicated log."""
+
+import asyncio
+import random
+import secrets
+
+from geraniumrail.consensus import changes, events
+from geraniumrail.consensus.applier import Applier
+from geraniumrail.consensus.config import ReplicaConfig
+from geraniumrail.consensus.context import Context, Standing
+from geraniumrail.consensus.entry import Entry, HardState
+from geraniumrail.consensus.follower import Follower
+from geraniumrail.consensus.handover import hand_over
+from geraniumrail.consensus.interfaces import LogStorage, StateMachine, Transport
+from geraniumrail.consensus.journal import Journal
+from geraniumrail.consensus.membership import Member, Membership
+from geraniumrail.consensus.messages import Reply, Request
+from geraniumrail.consensus.runner import Runner
+from geraniumrail.consensus.status import ReplicaStatus, Result
+from geraniumrail.core import codec
+from geraniumrail.core.clock import Clock
+from geraniumrail.core.events import log
+from geraniumrail.errors.consensus import MembershipError
+
+_GROUP_ID_BYTES = 8
+
+
+class Replica:
+    """One member of one group."""
+
+    def __init__(self, context: Context, storage: LogStorage) -> None:
+        """Creates the replica; use `from_config`.
+
+        :param context: shared by the parts of the replica.
+        :param storage: closed by `stop`.
+        """
+        self._context = context
+        self._storage = storage
+        self._follower = Follower(context)
+        self._runner = Runner(context)
+
+    @classmethod
+    def from_config(
+        cls,
+        config: ReplicaConfig,
+        storage: LogStorage,
+        transport: Transport,
+        machine: StateMachine,
+        clock: Clock,
+        rng: random.Random,
+    ) -> 'Replica':
+        """Creates a replica from what is stored.
+
+        :param config: settings.
+        :param storage: where the log is kept.
+        :param transport: sends requests to other replicas.
+        :param machine: what the commands are applied to; its state is replaced.
+        :param clock: measures leases and timeouts.
+        :param rng: spreads election timeouts.
+        :raises LogDamagedError: if the storage is damaged.
+        """
+        stored = storage.load()
+        journal = Journal(storage, stored)
+        applier = Applier(journal, machine, (config.snapshot_after, config.keep_entries))
+        # A replica may have confirmed a leader's lease just before it restarted.
+        standing = Standing(heard_at=clock.now(), deadline=0)
+        context = Context(
+            config=config,
+            replica_id=stored.replica_id,
+            journal=journal,
+            applier=applier,
+            transport=transport,
+            clock=clock,
+            rng=rng,
+            standing=standing,
+            changed=asyncio.Event(),
+        )
+        context.set_deadline()
+        log(
+            events.LOADED,
+            replica=stored.replica_id,
+            term=stored.hard.term,
+            snapshot=stored.snapshot.index,
+            last=journal.last_index,
+        )
+        return cls(context, storage)
+
+    @property
+    def replica_id(self) -> str:
+        """Name and random part, generated with the storage."""
+        return self._context.replica_id
+
+    async def start(self) -> None:
+        """Starts the tasks of the replica."""
+        self._runner.start()
+
+    async def stop(self) -> None:
+        """Stops the tasks and closes the storage; hand over leadership first."""
+        await self._runner.stop()
+        await self._storage.close()
+
+    async def propose(self, command: bytes) -> Result:
+        """Commits and applies a command.
+
+        :param command: for the state machine.
+        :raises NotLeaderError: if another replica leads; nothing was appended.
+        :raises NoQuorumError: if a majority can't be reached; nothing was appended.
+        :raises ProposalLostError: if the outcome is unknown.
+        """
+        return await self._runner.leading().propose(command)
+
+    async def read_barrier(self) -> int:
+        """Waits until reads of the local state machine are linearizable.
+
+        :return: position that the state includes.
+        :raises NotLeaderError: if another replica leads.
+        :raises NoQuorumError: if a majority can't be reached.
+        """
+        return await self._runner.leading().confirm()
+
+    async def transfer_leadership(self, target: str | None = None) -> None:
+        """Hands over to a voter that has the whole log, before a planned stop.
+
+        :param target: replica id; by default the voter with the longest log.
+        :raises TransferFailedError: if no voter has taken over in time.
+        """
+        await hand_over(self._context, self._runner.leading(), target)
+
+    async def create_group(self) -> None:
+        """Creates a group whose only member is this replica.
+
+        :raises MembershipError: if this replica has ever belonged to a group.
+        """
+        context = self._context
+        if context.term or context.journal.last_index:
+            raise MembershipError(replica_id=self.replica_id, reason='the data folder is not empty')
+        member = Member(replica_id=self.replica_id, address=context.config.address, voter=True)
+        group_id = secrets.token_hex(_GROUP_ID_BYTES)
+        payload = codec.encode(Membership(group_id=group_id, members=(member,)))
+        context.journal.remember(HardState(term=1))
+        context.journal.append((Entry(index=1, term=1, kind='membership', payload=payload),))
+        await context.journal.sync()
+        context.standing.heard_at = float('-inf')
+        context.standing.deadline = context.clock.now()
+        context.changed.set()
+
+    async def add_learner(self, member: Member) -> None:
+        """Adds a member that receives the log, or changes the address of a member.
+
+        :param member: its replica id and address.
+        :raises MembershipError: if the change is refused.
+        """
+        await changes.add_learner(self._context, self._runner.leading(), member)
+
+    async def promote(self, replica_id: str) -> None:
+        """Makes a learner a voter.
+
+        :param replica_id: the learner.
+        :raises MembershipError: if it has not caught up or is not a member.
+        """
+        await changes.promote(self._context, self._runner.leading(), replica_id)
+
+    async def remove(self, replica_id: str) -> None:
+        """Removes another member.
+
+        :param replica_id: the member.
+        :raises MembershipError: if it is the leader, or the rest would have no live majority.
+        """
+        await changes.remove(self._context, self._runner.leading(), replica_id)
+
+    def status(self) -> ReplicaStatus:
+        """Returns the present state."""
+        context = self._context
+        standing = context.standing
+        journal = context.journal
+        leadership = self._runner.leadership
+        peers_by_id = {} if leadership is None else leadership.peers.by_id
+        heard_at = standing.heard_at if leadership is None else leadership.quorum_contact_at()
+        return ReplicaStatus(
+            replica_id=self.replica_id,
+            group=context.config.group,
+            group_id=context.membership.group_id,
+            role=standing.role,
+            term=context.term,
+            leader=standing.leader_address,
+            commit=context.applier.commit_index,
+            applied=context.applier.applied_index,
+            last_index=journal.last_index,
+            snapshot_index=journal.snapshot.index,
+            members=context.membership.members,
+            lease=self.is_leader_with_lease(),
+            quorum_contact_age_s=context.clock.now() - heard_at,
+            lag_by_id={
+                name: journal.last_index - peer.match_index for name, peer in peers_by_id.items()
+            },
+        )
+
+    def is_leader_with_lease(self) -> bool:
+        """Tells whether this replica may act as the leader now."""
+        leadership = self._runner.leadership
+        return leadership is not None and leadership.has_lease()
+
+    async def answer(self, request: Request) -> Reply:
+        """Answers a request from another process; a replica without a group answers too.
+
+        :param request: hello, vote, append or install request.
+        :raises ReplicaFailedError: if this replica has stopped taking part.
+        """
+        return await self._runner.guard(self._follower.answer(request))
--- /dev/null
+++ b/geraniumrail/consensus/runner.py
@@ -0,0 +1,107 @@
+"""The tasks of a replica."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any, TypeVar
+
+from geraniumrail.consensus import events
+from geraniumrail.consensus.ballot import campaign
+from geraniumrail.consensus.context import Context
+from geraniumrail.consensus.leadership import Leadership
+from geraniumrail.core.events import log
+from geraniumrail.errors.consensus import NoGroupError, NotLeaderError, ReplicaFailedError
+
+Reply = TypeVar('Reply')
+
+
+class Runner:
+    """Campaigns when no leader is heard, and leads after an election is won."""
+
+    def __init__(self, context: Context) -> None:
+        """Creates the runner.
+
+        :param context: the replica.
+        """
+        self.leadership: Leadership | None = None
+        self._context = context
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def start(self) -> None:
+        """Starts the tasks."""
+        self._tasks = [
+            asyncio.ensure_future(self.guard(self._context.journal.run())),
+            asyncio.ensure_future(self.guard(self._run())),
+        ]
+
+    async def stop(self) -> None:
+        """Stops the tasks and ends all waits."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._fail('stopped')
+
+    def leading(self) -> Leadership:
+        """Returns the leadership if this replica may act as the leader.
+
+        :raises NoGroupError: if it belongs to no group.
+        :raises NotLeaderError: if another replica leads.
+        :raises NoQuorumError: if a majority can't be reached.
+        """
+        context = self._context
+        if context.standing.role == 'failed':
+            raise ReplicaFailedError(replica_id=context.replica_id, reason='see the log')
+        if not context.membership.group_id:
+            raise NoGroupError
+        if self.leadership is None:
+            raise NotLeaderError(leader=context.standing.leader_address or None)
+        self.leadership.check()
+        return self.leadership
+
+    async def guard(self, work: Coroutine[Any, Any, Reply]) -> Reply:
+        """Stops taking part after an unexpected error: going on could break a promise.
+
+        :param work: what to await.
+        :raises ReplicaFailedError: after any error.
+        """
+        try:
+            return await work
+        except ReplicaFailedError:
+            raise
+        except Exception as error:
+            log(events.FAILED, replica=self._context.replica_id, error=repr(error))
+            self._fail(repr(error))
+            raise ReplicaFailedError(
+                replica_id=self._context.replica_id,
+                reason=repr(error),
+            ) from error
+
+    async def _run(self) -> None:
+        context = self._context
+        standing = context.standing
+        while standing.role != 'failed':
+            due = standing.campaign_now or context.clock.now() >= standing.deadline
+            voter = context.replica_id in context.membership.voter_ids()
+            if due and voter and await campaign(context):
+                await self._lead()
+            elif due:
+                context.set_deadline(shortest=0.2)
+            await context.pause()
+
+    async def _lead(self) -> None:
+        standing = self._context.standing
+        standing.role = 'leader'
+        standing.leader_id = self._context.replica_id
+        standing.leader_address = self._context.config.address
+        self.leadership = Leadership(self._context)
+        try:
+            await self.leadership.run()
+        finally:
+            self.leadership.end()
+            self.leadership = None
+
+    def _fail(self, reason: str) -> None:
+        context = self._context
+        context.standing.role = 'failed'
+        context.journal.fail(ReplicaFailedError(replica_id=context.replica_id, reason=reason))
+        context.applier.lose(float('inf'))
+        context.changed.set()
--- /dev/null
+++ b/geraniumrail/consensus/status.py
@@ -0,0 +1,37 @@
+"""What a replica tells operators."""
+
+from typing import Literal
+
+from geraniumrail.consensus.membership import Member
+from geraniumrail.core.codec import record
+
+Role = Literal['follower', 'candidate', 'leader', 'failed']
+
+
+@record
+class ReplicaStatus:
+    """State of a replica at one moment."""
+
+    replica_id: str
+    group: str
+    group_id: str  # empty if the replica belongs to no group
+    role: Role
+    term: int
+    leader: str  # address of the leader, empty if it is not known
+    commit: int
+    applied: int
+    last_index: int
+    snapshot_index: int
+    members: tuple[Member, ...]
+    lease: bool  # leader that may act
+    # Leader: since a majority was last heard; others: since the leader was last heard.
+    quorum_contact_age_s: float
+    lag_by_id: dict[str, int]  # leader only: entries that each member has yet to store
+
+
+@record
+class Result:
+    """A command that has been committed and applied."""
+
+    index: int
+    payload: bytes  # what the state machine returned
--- a/geraniumrail/errors/consensus.py
+++ b/geraniumrail/errors/consensus.py
@@ -50,3 +50,38 @@
 
     type_name = 'no_group'
     template = 'this replica belongs to no group; run `geraniumrail members init` or `add`'
+
+
+class PeerUnreachableError(ConsensusError):
+    """A request to another replica got no reply."""
+
+    type_name = 'peer_unreachable'
+    template = 'no reply from {address}: {reason}'
+
+
+class TransferFailedError(ConsensusError):
+    """Leadership could not be moved; this replica may still be the leader."""
+
+    type_name = 'transfer_failed'
+    template = 'leadership was not moved to {target}: {reason}'
+
+
+class ReplicaFailedError(ConsensusError):
+    """The replica has stopped taking part; its process has to be restarted."""
+
+    type_name = 'replica_failed'
+    template = 'replica {replica_id} has failed: {reason}'
+
+
+class LogConflictError(ConsensusError):
+    """A leader's entries contradict committed ones, which the protocol excludes."""
+
+    type_name = 'log_conflict'
+    template = 'an entry at index {index} contradicts committed entries up to {commit}'
+
+
+class FolderInUseError(ConsensusError):
+    """Another process or replica has the data folder open."""
+
+    type_name = 'folder_in_use'
+    template = 'data folder {folder} is in use'
