--- a/geraniumrail/control/control.py
+++ b/geraniumrail/control/control.py
@@ -93,9 +93,9 @@
         """
         folder = config.control.data_folder
         if folder is None:
-            storage: LogStorage = MemoryStorage(config.instance)
+            storage: LogStorage = MemoryStorage.create(config.instance)
         else:
-            storage = FileStorage.from_folder(folder, config.instance, config.control.durable)
+            storage = FileStorage.open(folder, config.instance)
         return cls(config, storage, links, clock, rng)
 
     def register(self, server: LinkServer) -> None:
--- a/geraniumrail/control/peer_transport.py
+++ b/geraniumrail/control/peer_transport.py
@@ -78,7 +78,7 @@
     :param server: the links of this process.
     :param replica: the replica.
     """
-    server.register(VoteRequest, replica.vote)
-    server.register(AppendRequest, replica.append)
-    server.register(InstallRequest, replica.install)
-    server.register(HelloRequest, replica.hello)
+    server.register(VoteRequest, replica.answer)
+    server.register(AppendRequest, replica.answer)
+    server.register(InstallRequest, replica.answer)
+    server.register(HelloRequest, replica.answer)
--- a/geraniumrail/state/machine.py
+++ b/geraniumrail/state/machine.py
@@ -53,8 +53,8 @@
     def restore(self, snapshot: bytes) -> None:
         """Replaces the tables.
 
-        :param snapshot: bytes made by `snapshot`.
+        :param snapshot: bytes made by `snapshot`, or none for the empty state.
         """
-        self.tables = codec.decode(snapshot).to_tables()
+        self.tables = codec.decode(snapshot).to_tables() if snapshot else Tables()
         for listener in self._listeners:
             listener(None, None)
