Check seeded failure schedules of the replicated log

run_schedule(seed) drives four members through crashes, lost disks, cuts, drops, delays, stalled disks and transfers on a manual clock with skewed replica clocks.

--- a/geraniumrail/consensus/applier.py
+++ b/geraniumrail/consensus/applier.py
@@ -32,6 +32,7 @@
         self._machine = machine
         self._snapshot_limits = snapshot_limits
         self._waiting_by_index: dict[int, _Waiting] = {}
+        self._applied_bytes = 0  # since the last snapshot
         machine.restore(journal.snapshot.payload)
 
     def advance(self, commit: int) -> None:
@@ -45,11 +46,7 @@
                 if entry.index > self.commit_index:
                     break
                 self._apply(entry)
-        after, keep = self._snapshot_limits
-        if self.applied_index - self._journal.snapshot.index >= after:
-            payload = self._machine.snapshot()
-            self._journal.compact(self.applied_index, payload, keep)
-            log(events.SNAPSHOT, index=self.applied_index, bytes=len(payload))
+        self._limit_log()
 
     def restore(self, snapshot: Snapshot) -> None:
         """Replaces the state by a snapshot from the leader.
@@ -86,6 +83,17 @@
         """
         self._lose([waiting for waiting in self._waiting_by_index if waiting <= index])
 
+    def _limit_log(self) -> None:
+        """Takes a snapshot when the log has grown by as much as the last snapshot holds."""
+        after, keep = self._snapshot_limits
+        last = self._journal.snapshot
+        grown = self._applied_bytes >= len(last.payload)
+        if grown and self.applied_index - last.index >= after:
+            payload = self._machine.snapshot()
+            self._journal.compact(self.applied_index, payload, keep)
+            self._applied_bytes = 0
+            log(events.SNAPSHOT, index=self.applied_index, bytes=len(payload))
+
     def _lose(self, indexes: list[int]) -> None:
         for index in indexes:
             future = self._waiting_by_index.pop(index)[1]
@@ -99,6 +107,7 @@
         elif entry.kind == 'membership':
             log(events.MEMBERS, index=entry.index, term=entry.term)
         self.applied_index = entry.index
+        self._applied_bytes += len(entry.payload)
         _, future = self._waiting_by_index.pop(entry.index, (0, None))
         if future is not None and not future.done():
             future.set_result(Result(index=entry.index, payload=payload))
--- a/geraniumrail/consensus/ballot.py
+++ b/geraniumrail/consensus/ballot.py
@@ -19,8 +19,8 @@
     :param context: the replica.
     """
     standing = context.standing
-    transfer = standing.campaign_now
-    standing.campaign_now = False
+    transfer = context.may_take_over()
+    standing.handed_over_term = 0
     started_term = context.term
     log(events.CAMPAIGN, replica=context.replica_id, term=started_term + 1, transfer=transfer)
     if not transfer and not await _ask(context, pre=True):
--- a/geraniumrail/consensus/changes.py
+++ b/geraniumrail/consensus/changes.py
@@ -1,26 +1,24 @@
-"""Membership changes, one member at a time."""
+"""Membership changes, one member at a time; each function returns the new membership."""
 
 from geraniumrail.consensus.context import Context
 from geraniumrail.consensus.leadership import Leadership
-from geraniumrail.consensus.membership import Member
+from geraniumrail.consensus.membership import Member, Membership
 from geraniumrail.errors.consensus import MembershipError
 
 
-async def add_learner(context: Context, leadership: Leadership, member: Member) -> None:
+def with_learner(context: Context, member: Member) -> Membership:
     """Adds a learner, or changes the address of a member.
 
     :param context: the leader.
-    :param leadership: of the leader.
     :param member: its replica id and address.
     """
     known = context.membership.find(member.replica_id)
     voter = known is not None and known.voter
     added = Member(replica_id=member.replica_id, address=member.address, voter=voter)
-    if added != known:
-        await leadership.change(context.membership.with_member(added), member.replica_id)
+    return context.membership if added == known else context.membership.with_member(added)
 
 
-async def promote(context: Context, leadership: Leadership, replica_id: str) -> None:
+def with_voter(context: Context, leadership: Leadership, replica_id: str) -> Membership:
     """Makes a learner a voter.
 
     :param context: the leader.
@@ -32,14 +30,14 @@
     if peer is None:
         raise MembershipError(replica_id=replica_id, reason='it is not another member')
     if peer.member.voter:
-        return
+        return context.membership
     if context.clock.now() - peer.caught_up_at >= context.config.lease_s:
         raise MembershipError(replica_id=replica_id, reason='it has not caught up')
     voter = Member(replica_id=replica_id, address=peer.member.address, voter=True)
-    await leadership.change(context.membership.with_member(voter), replica_id)
+    return context.membership.with_member(voter)
 
 
-async def remove(context: Context, leadership: Leadership, replica_id: str) -> None:
+def without(context: Context, leadership: Leadership, replica_id: str) -> Membership:
     """Removes another member.
 
     :param context: the leader.
@@ -49,11 +47,9 @@
     """
     if replica_id == context.replica_id:
         raise MembershipError(replica_id=replica_id, reason='hand over leadership first')
-    if context.membership.find(replica_id) is None:
-        return
     remaining = context.membership.without(replica_id)
     live_after = context.clock.now() - context.config.lease_s
     live = (name for name, peer in leadership.peers.by_id.items() if peer.contact_at >= live_after)
     if not remaining.is_majority(frozenset((context.replica_id, *live))):
         raise MembershipError(replica_id=replica_id, reason='the rest has no live majority')
-    await leadership.change(remaining, replica_id)
+    return remaining
--- a/geraniumrail/consensus/context.py
+++ b/geraniumrail/consensus/context.py
@@ -24,7 +24,7 @@
     role: Role = 'follower'
     leader_id: str = ''
     leader_address: str = ''
-    campaign_now: bool = False  # the leader has handed over
+    handed_over_term: int = 0  # the leader of this term has asked this replica to campaign
 
 
 @dataclasses.dataclass(frozen=True)
@@ -87,6 +87,13 @@
         silence = self.clock.now() - self.standing.heard_at
         return silence < self.config.election_timeout_s
 
+    def may_take_over(self) -> bool:
+        """Tells whether the leader of the current term has handed over to this replica.
+
+        In a later term another leader may hold a lease, which votes for a handover ignore.
+        """
+        return self.term > 0 and self.standing.handed_over_term == self.term
+
     async def pause(self) -> None:
         """Waits for a change of role, for at most a tick."""
         try:
--- a/geraniumrail/consensus/follower.py
+++ b/geraniumrail/consensus/follower.py
@@ -30,6 +30,7 @@
         self._context = context
         self._receiving = (0, 0)  # index and term of the snapshot that is being received
         self._received = bytearray()
+        self._refused = ('', '', '')  # reason, sender and target that were logged last
 
     async def answer(self, request: Request) -> Reply:
         """Answers a request.
@@ -104,7 +105,7 @@
         agreed = request.prev_index + len(request.entries)
         context.applier.advance(min(request.commit, agreed))
         if request.campaign and context.replica_id in context.membership.voter_ids():
-            context.standing.campaign_now = True
+            context.standing.handed_over_term = request.term
             context.changed.set()
         return AppendReply(
             replica_id=context.replica_id,
@@ -133,7 +134,9 @@
             self._received += request.part
             done = request.last
             if done:
-                await self._load(request)
+                self._load(request)
+        if done:
+            await context.journal.sync()
         return InstallReply(
             replica_id=context.replica_id,
             term=context.term,
@@ -152,7 +155,10 @@
             return ''
         else:
             reason = 'another group' if addressed else 'another replica'
-        log(events.REFUSED, reason=reason, sender=request.sender, target=request.target)
+        refused = (reason, request.sender, request.target)
+        if refused != self._refused:  # a leader repeats its requests
+            self._refused = refused
+            log(events.REFUSED, reason=reason, sender=request.sender, target=request.target)
         return reason
 
     def _vote_refusal(self, request: VoteRequest) -> str:
@@ -198,7 +204,7 @@
             journal.append(entries)
         return bool(request.entries)
 
-    async def _load(self, request: InstallRequest) -> None:
+    def _load(self, request: InstallRequest) -> None:
         context = self._context
         snapshot = Snapshot(
             index=request.index,
@@ -210,4 +216,3 @@
         context.journal.install(snapshot)
         context.applier.restore(snapshot)
         log(events.INSTALLED, index=snapshot.index, bytes=len(snapshot.payload))
-        await context.journal.sync()
--- a/geraniumrail/consensus/leadership.py
+++ b/geraniumrail/consensus/leadership.py
@@ -100,11 +100,11 @@
         await self.until(lambda: self.peers.confirmed_number() > number)
         return index
 
-    async def change(self, membership: Membership, replica_id: str) -> None:
+    async def change(self, replica_id: str, change: Callable[[], Membership]) -> None:
         """Commits a new membership that differs by one member.
 
-        :param membership: the new one.
         :param replica_id: the member that changes.
+        :param change: returns the new membership, from the newest one; may refuse.
         :raises MembershipError: while another change is in progress.
         """
         applier = self._context.applier
@@ -112,7 +112,9 @@
         await self.until(lambda: applier.commit_index >= self._barrier_index)
         if self._context.journal.memberships.newest_index > applier.commit_index:
             raise MembershipError(replica_id=replica_id, reason='another change is in progress')
-        await self.propose(codec.encode(membership), 'membership')
+        membership = change()
+        if membership != self._context.membership:
+            await self.propose(codec.encode(membership), 'membership')
 
     async def until(self, ready: Callable[[], bool]) -> None:
         """Waits for progress.
--- a/geraniumrail/consensus/peer.py
+++ b/geraniumrail/consensus/peer.py
@@ -19,8 +19,6 @@
 
 Reply = TypeVar('Reply', AppendReply, InstallReply)
 
-_UNREACHABLE = (GeraniumrailError, OSError)
-
 
 class Peer:
     """What the leader of a term knows about one member, and the tasks that send to it.
@@ -66,7 +64,7 @@
             self.wake.clear()
             try:
                 await self._send_all()
-            except _UNREACHABLE:
+            except OSError:
                 self.wake.set()
                 await context.clock.sleep(context.config.heartbeat_s / 2)
 
@@ -76,7 +74,7 @@
         while True:
             self.beat.clear()
             started = context.clock.now()
-            with contextlib.suppress(*_UNREACHABLE):
+            with contextlib.suppress(OSError):
                 await self._append(self._heartbeat())
             left = started + context.config.heartbeat_s - context.clock.now()
             if left > 0:
@@ -187,7 +185,10 @@
             offset = reply.offset
 
     async def _call(self, call: Coroutine[Any, Any, Reply]) -> Reply:
-        reply = await within(self._context.clock, self._context.config.call_timeout_s, call)
+        try:
+            reply = await within(self._context.clock, self._context.config.call_timeout_s, call)
+        except GeraniumrailError as error:
+            raise ConnectionError(repr(error)) from error
         if reply.replica_id != self.member.replica_id and not reply.refused:
             raise ConnectionRefusedError(reply.replica_id)
         return reply
--- a/geraniumrail/consensus/replica.py
+++ b/geraniumrail/consensus/replica.py
@@ -150,7 +150,11 @@
         :param member: its replica id and address.
         :raises MembershipError: if the change is refused.
         """
-        await changes.add_learner(self._context, self._runner.leading(), member)
+        leadership = self._runner.leading()
+        await leadership.change(
+            member.replica_id,
+            lambda: changes.with_learner(self._context, member),
+        )
 
     async def promote(self, replica_id: str) -> None:
         """Makes a learner a voter.
@@ -158,7 +162,11 @@
         :param replica_id: the learner.
         :raises MembershipError: if it has not caught up or is not a member.
         """
-        await changes.promote(self._context, self._runner.leading(), replica_id)
+        leadership = self._runner.leading()
+        await leadership.change(
+            replica_id,
+            lambda: changes.with_voter(self._context, leadership, replica_id),
+        )
 
     async def remove(self, replica_id: str) -> None:
         """Removes another member.
@@ -166,7 +174,11 @@
         :param replica_id: the member.
         :raises MembershipError: if it is the leader, or the rest would have no live majority.
         """
-        await changes.remove(self._context, self._runner.leading(), replica_id)
+        leadership = self._runner.leading()
+        await leadership.change(
+            replica_id,
+            lambda: changes.without(self._context, leadership, replica_id),
+        )
 
     def status(self) -> ReplicaStatus:
         """Returns the present state."""
--- a/geraniumrail/consensus/runner.py
+++ b/geraniumrail/consensus/runner.py
@@ -79,7 +79,7 @@
         context = self._context
         standing = context.standing
         while standing.role != 'failed':
-            due = standing.campaign_now or context.clock.now() >= standing.deadline
+            due = context.may_take_over() or context.clock.now() >= standing.deadline
             voter = context.replica_id in context.membership.voter_ids()
             if due and voter and await campaign(context):
                 await self._lead()
--- a/geraniumrail/consensus/testing.py
+++ b/geraniumrail/consensus/testing.py
@@ -1,16 +1,60 @@
 """An in-process network of replicas on a manual clock, for tests and seeded schedules."""
 
 import asyncio
+import contextlib
 import dataclasses
+import hashlib
+import heapq
+import itertools
 import random
 from collections.abc import Sequence
 
 from geraniumrail.consensus.config import ReplicaConfig
 from geraniumrail.consensus.entry import Entry, HardState, Stored
 from geraniumrail.consensus.membership import Member
+from geraniumrail.consensus.messages import AppendRequest, InstallRequest, VoteRequest
 from geraniumrail.consensus.replica import Replica
-from geraniumrail.core.manual_clock import ManualClock, settle
-from geraniumrail.errors.consensus import ConsensusError, PeerUnreachableError
+from geraniumrail.core.manual_clock import ManualClock
+from geraniumrail.errors.consensus import ConsensusError, PeerUnreachableError, ProposalLostError
+
+
+class IdleClock(ManualClock):
+    """Moves on only when no task is ready, however long a chain of tasks is."""
+
+    async def advance(self, seconds: float) -> None:
+        end = self._now + seconds
+        await idle()
+        while (wake := self.next_wake()) is not None and wake <= end:
+            self._now = max(self._now, wake)
+            heapq.heappop(self._sleepers)[2].set_result(None)
+            await idle()
+        self._now = end
+
+
+async def idle() -> None:
+    """Lets all ready tasks of the event loop run."""
+    ready = asyncio.get_running_loop()._ready
+    await asyncio.sleep(0)
+    while ready:  # noqa: ASYNC110
+        await asyncio.sleep(0)
+
+
+class SkewedClock:
+    """A clock that runs faster or slower than the one of the test."""
+
+    def __init__(self, clock: ManualClock, rate: float, offset: float):
+        self._clock = clock
+        self._rate = rate
+        self._offset = offset
+
+    def now(self) -> float:
+        return self._clock.now() * self._rate + self._offset
+
+    def wall(self) -> float:
+        return self.now()
+
+    async def sleep(self, seconds: float) -> None:
+        await self._clock.sleep(seconds / self._rate)
 
 
 class ListMachine:
@@ -82,37 +126,83 @@
 
 
 class Network:
-    """Delivers requests with delays, drops and cuts."""
+    """Delivers requests with delays, drops and cuts, and checks what it carries.
+
+    A request is delivered even if the sender no longer waits for the reply.
+    """
 
     def __init__(self, clock: ManualClock, rng: random.Random):
         self.replicas_by_address: dict[str, Replica] = {}
         self.cuts: set[tuple[str, str]] = set()  # (from, to)
         self.drop = 0.0
         self.delay_s = (0.0005, 0.002)
+        self.leaders_by_term: dict[int, str] = {}
+        self.violations: list[str] = []
+        self.granted: list[str] = []  # replica ids that have given a vote
+        self.installs = 0
         self._clock = clock
         self._rng = rng
+        self._tasks: set[asyncio.Task] = set()
 
     def cut(self, *addresses: str) -> None:
         """Separates the addresses from all others, in both directions."""
-        others = [name for name in self.replicas_by_address if name not in addresses]
-        self.cuts |= {(inner, outer) for inner in addresses for outer in others}
-        self.cuts |= {(outer, inner) for inner in addresses for outer in others}
+        self.cut_one_way(addresses, self.others(addresses))
+        self.cut_one_way(self.others(addresses), addresses)
+
+    def cut_one_way(self, sources: Sequence[str], targets: Sequence[str]) -> None:
+        self.cuts |= {(source, target) for source in sources for target in targets}
+
+    def others(self, addresses: Sequence[str]) -> list[str]:
+        return [name for name in 'abcdefgh' if name not in addresses]
 
     def heal(self) -> None:
         self.cuts.clear()
         self.drop = 0
+        self.delay_s = (0.0005, 0.002)
 
     async def carry(self, source: str, target: str, request):
+        task = asyncio.ensure_future(self._deliver(source, target, request))
+        self._tasks.add(task)
+        task.add_done_callback(self._forget)
+        return await asyncio.shield(task)
+
+    def stop(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+
+    def _forget(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled():
+            task.exception()
+
+    async def _deliver(self, source: str, target: str, request):
+        self._check_request(request)
         await self._hop(source, target)
         replica = self.replicas_by_address.get(target)
         if replica is None:
             raise PeerUnreachableError(address=target, reason='refused')
         reply = await replica.answer(request)
+        self._check_reply(request, reply, replica)
         if self.replicas_by_address.get(target) is not replica:
             raise PeerUnreachableError(address=target, reason='reset')
         await self._hop(target, source)
         return reply
 
+    def _check_request(self, request) -> None:
+        if isinstance(request, AppendRequest):
+            leader = self.leaders_by_term.setdefault(request.term, request.sender)
+            if leader != request.sender:
+                self.violations.append(f'term {request.term}: {leader} and {request.sender} lead')
+        self.installs += isinstance(request, InstallRequest) and request.last
+
+    def _check_reply(self, request, reply, replica: Replica) -> None:
+        if isinstance(request, VoteRequest) and reply.granted and not request.pre:
+            self.granted.append(reply.replica_id)
+            if not replica.status().group_id:
+                self.violations.append(f'{reply.replica_id} votes without a group')
+        if isinstance(request, AppendRequest) and reply.success and reply.term > request.term:
+            self.violations.append(f'append of old term {request.term} succeeded')
+
     async def _hop(self, source: str, target: str) -> None:
         await self._clock.sleep(self._rng.uniform(*self.delay_s))
         if (source, target) in self.cuts or self._rng.random() < self.drop:
@@ -142,9 +232,10 @@
 
     def __init__(self, seed: int = 1, **settings):
         self.rng = random.Random(seed)
-        self.clock = ManualClock(100)
+        self.clock = IdleClock(100)
         self.network = Network(self.clock, self.rng)
         self.settings = settings
+        self.skew = 0.0  # share by which the clocks of replicas started from now on may be off
         self.disks_by_name: dict[str, Disk] = {}
         self.machines_by_name: dict[str, ListMachine] = {}
         self.replicas_by_name: dict[str, Replica] = {}
@@ -152,6 +243,7 @@
     @classmethod
     async def create(cls, size: int, seed: int = 1, **settings) -> 'Cluster':
         """Creates a group with voters a, b, c ... ."""
+        asyncio.get_running_loop().set_debug(False)
         cluster = cls(seed, **settings)
         names = 'abcdefgh'[:size]
         for name in names:
@@ -169,12 +261,13 @@
             stored = Stored(replica_id=f'{name}.{self.rng.getrandbits(32):08x}')
             self.disks_by_name[name] = Disk(stored, self.clock, self.rng)
         machine = ListMachine()
+        clock = SkewedClock(self.clock, 1 + self.rng.uniform(-self.skew, self.skew), len(name))
         replica = Replica.from_config(
             ReplicaConfig(name=name, address=name, **self.settings),
             self.disks_by_name[name],
             Link(self.network, name),
             machine,
-            self.clock,
+            clock,
             random.Random(self.rng.random()),
         )
         self.machines_by_name[name] = machine
@@ -193,6 +286,7 @@
     async def stop(self) -> None:
         for name in list(self.replicas_by_name):
             await self.crash(name)
+        self.network.stop()
 
     def leader(self) -> str | None:
         """Returns the name of the leader with a lease."""
@@ -206,7 +300,7 @@
     async def until(self, ready, limit_s: float = 60) -> None:
         """Moves time on until a condition holds."""
         end = self.clock.now() + limit_s
-        await settle()
+        await idle()
         while not ready():
             if self.clock.now() >= end:
                 raise AssertionError(f'not reached within {limit_s} s')
@@ -241,3 +335,279 @@
 
     async def propose(self, command: bytes):
         return await self.retry(lambda leader: leader.propose(command))
+
+
+@dataclasses.dataclass
+class ScheduleReport:
+    """What happened in one seeded schedule."""
+
+    seed: int
+    violations: list[str] = dataclasses.field(default_factory=list)
+    terms: int = 0
+    acknowledged: int = 0
+    unknown: int = 0
+    refused: int = 0
+    reads: int = 0
+    crashes: int = 0
+    lost_disks: int = 0
+    cuts: int = 0
+    installs: int = 0
+    transfers: int = 0
+    simulated_s: float = 0
+    digest: str = ''  # of the final state; equal for equal seeds
+
+
+class Schedule:
+    """Clients, an operator and failures on one cluster; `run` checks the history."""
+
+    names = 'abcd'
+
+    def __init__(self, cluster: Cluster, report: ScheduleReport):
+        self.cluster = cluster
+        self.report = report
+        self.rng = cluster.rng
+        self.clock = cluster.clock
+        self.longest: list[bytes] = []  # the longest applied sequence seen so far
+        self.acknowledged: list[bytes] = []
+        self.refused: list[bytes] = []
+        self.repairing = ''
+        self.down: dict[str, float] = {}  # name -> when to start again
+        self.numbers = itertools.count()
+
+    async def run(self, duration_s: float) -> None:
+        tasks = [asyncio.ensure_future(self.propose_often()) for _ in range(3)]
+        tasks.append(asyncio.ensure_future(self.read_often()))
+        tasks.append(asyncio.ensure_future(self.break_often()))
+        end = self.clock.now() + duration_s
+        while self.clock.now() < end:
+            await self.step()
+        tasks.pop().cancel()
+        await self.settle()
+        for task in tasks:
+            task.cancel()
+        self.check_end()
+
+    async def step(self) -> None:
+        await self.clock.advance(0.02)
+        for name, at in list(self.down.items()):
+            if self.clock.now() >= at:
+                self.down.pop(name)
+                await self.cluster.start(name)
+        self.check_now()
+
+    async def settle(self) -> None:
+        """Ends all failures and waits until the group has recovered."""
+        self.cluster.network.heal()
+        for disk in self.cluster.disks_by_name.values():
+            disk.sync_s = (0.001, 0.004)
+        self.down = dict.fromkeys(self.down, 0)
+        for _ in range(3000):
+            await self.step()
+            if not self.repairing and self.converged():
+                return
+        self.report.violations.append('not recovered 60 s after the last failure')
+
+    def converged(self) -> bool:
+        statuses = [one.status() for one in self.cluster.replicas_by_name.values()]
+        leading = [status for status in statuses if status.lease]
+        if len(leading) != 1 or leading[0].commit != leading[0].last_index:
+            return False
+        members = {member.replica_id for member in leading[0].members}
+        applied = {status.applied for status in statuses if status.replica_id in members}
+        return applied == {leading[0].applied} and self.acknowledged_is_applied()
+
+    def acknowledged_is_applied(self) -> bool:
+        return set(self.acknowledged) <= set(self.longest)
+
+    def check_now(self) -> None:
+        holders = []
+        for name, replica in self.cluster.replicas_by_name.items():
+            if replica.is_leader_with_lease():
+                holders.append(name)
+            if replica.status().role == 'failed':
+                self.report.violations.append(f'{name} has failed')
+            self.check_applied(name)
+        if len(holders) > 1:
+            self.report.violations.append(f'{holders} hold a lease at {self.clock.now()}')
+
+    def check_applied(self, name: str) -> None:
+        applied = self.cluster.machines_by_name[name].commands
+        common = min(len(applied), len(self.longest))
+        if applied[:common] != self.longest[:common]:
+            self.report.violations.append(f'{name} has applied another sequence')
+        elif len(applied) > common:
+            self.longest = list(applied)
+
+    def check_end(self) -> None:
+        report = self.report
+        applied = set(self.longest)
+        if len(applied) < len(self.longest):
+            report.violations.append('a command was applied twice')
+        report.violations += [f'{lost} was lost' for lost in set(self.acknowledged) - applied]
+        report.violations += [f'{ran} was refused but ran' for ran in applied & set(self.refused)]
+        report.violations += self.cluster.network.violations
+        report.violations = sorted(set(report.violations))
+        report.terms = len(self.cluster.network.leaders_by_term)
+        report.acknowledged = len(self.acknowledged)
+        report.refused = len(self.refused)
+        report.installs = self.cluster.network.installs
+        report.simulated_s = self.clock.now() - 100
+        report.digest = hashlib.sha256(b','.join(self.longest)).hexdigest()[:16]
+
+    def any_replica(self) -> Replica:
+        """Returns the leader, or sometimes another replica or a cut-off leader."""
+        replicas = list(self.cluster.replicas_by_name.values())
+        leaders = [one for one in replicas if one.status().role == 'leader']
+        return self.rng.choice(leaders or replicas)
+
+    async def propose_often(self) -> None:
+        while True:
+            await self.clock.sleep(self.rng.uniform(0, 0.3))
+            if not self.cluster.replicas_by_name:
+                continue
+            command = b'%d' % next(self.numbers)
+            try:
+                await self.any_replica().propose(command)
+            except ProposalLostError:
+                self.report.unknown += 1
+            except ConsensusError:
+                self.refused.append(command)
+            else:
+                self.acknowledged.append(command)
+
+    async def read_often(self) -> None:
+        while True:
+            await self.clock.sleep(self.rng.uniform(0, 0.5))
+            if not self.cluster.replicas_by_name:
+                continue
+            replica = self.any_replica()
+            machine = self.cluster.machines_by_name[replica.replica_id[0]]
+            before = set(self.acknowledged)
+            with contextlib.suppress(ConsensusError):
+                await replica.read_barrier()
+                self.report.reads += 1
+                if not before <= set(machine.commands):
+                    self.report.violations.append('a read missed acknowledged commands')
+
+    async def break_often(self) -> None:
+        actions = (
+            *[self.crash] * 4,
+            *[self.lose_disk] * 2,
+            *[self.cut_off] * 2,
+            *[self.cut_one_way] * 2,
+            *[self.heal] * 3,
+            self.drop,
+            self.delay,
+            self.stall_disk,
+            self.hand_over,
+        )
+        while True:
+            await self.clock.sleep(self.rng.uniform(0.2, 2.5))
+            await self.rng.choice(actions)()
+
+    async def crash(self) -> None:
+        up = list(self.cluster.replicas_by_name)
+        if len(self.down) < 2 and up:
+            name = self.rng.choice(up)
+            self.down[name] = self.clock.now() + self.rng.uniform(0.2, 6)
+            self.report.crashes += 1
+            await self.cluster.crash(name)
+
+    async def lose_disk(self) -> None:
+        """Loses one disk and lets the operator repair the group; one at a time."""
+        up = list(self.cluster.replicas_by_name)
+        if self.repairing or self.down or not up:
+            return
+        name = self.rng.choice(up)
+        lost = self.cluster.replicas_by_name[name].replica_id
+        self.repairing = name
+        self.report.lost_disks += 1
+        await self.cluster.crash(name)
+        await self.cluster.start(name, lose_disk=True)
+        task = asyncio.ensure_future(self.repair(name, lost))
+        task.add_done_callback(self.repaired)
+
+    async def repair(self, name: str, lost: str) -> None:
+        await self.persist(lambda leader: leader.remove(lost))
+        await self.persist(self.promote_learners)
+        added = self.cluster.disks_by_name[name].stored.replica_id
+        member = Member(replica_id=added, address=name)
+        await self.persist(lambda leader: leader.add_learner(member))
+        await self.persist(self.promote_learners)
+
+    def repaired(self, task: asyncio.Task) -> None:
+        self.repairing = ''
+        if not task.cancelled():
+            task.result()
+
+    async def promote_learners(self, leader: Replica) -> None:
+        members = leader.status().members
+        learners = [member for member in members if not member.voter]
+        if len(members) - len(learners) < 3 and learners:
+            await leader.promote(learners[0].replica_id)
+
+    async def persist(self, operation) -> None:
+        while True:
+            await self.clock.sleep(0.2)
+            leader = self.cluster.leader()
+            if leader is not None:
+                with contextlib.suppress(ConsensusError):
+                    await operation(self.cluster.replicas_by_name[leader])
+                    return
+
+    async def cut_off(self) -> None:
+        self.report.cuts += 1
+        self.cluster.network.cut(*self.rng.sample(self.names, self.rng.choice((1, 1, 2))))
+
+    async def cut_one_way(self) -> None:
+        self.report.cuts += 1
+        name = self.rng.choice(self.names)
+        others = self.rng.sample(self.cluster.network.others(name), 8 - 1)
+        if self.rng.random() < 0.5:
+            self.cluster.network.cut_one_way(name, others)
+        else:
+            self.cluster.network.cut_one_way(others, name)
+
+    async def heal(self) -> None:
+        self.cluster.network.heal()
+
+    async def drop(self) -> None:
+        self.cluster.network.drop = self.rng.uniform(0, 0.4)
+
+    async def delay(self) -> None:
+        self.cluster.network.delay_s = (0.001, self.rng.choice((0.05, 0.5, 3)))
+
+    async def stall_disk(self) -> None:
+        disk = self.cluster.disks_by_name[self.rng.choice(self.names)]
+        disk.sync_s = self.rng.choice(((0.001, 0.004), (0.01, 0.2), (0.5, 2.5)))
+
+    async def hand_over(self) -> None:
+        leader = self.cluster.leader()
+        if leader is not None:
+            with contextlib.suppress(ConsensusError):
+                await self.cluster.replicas_by_name[leader].transfer_leadership()
+                self.report.transfers += 1
+
+
+async def run_schedule_async(seed: int, duration_s: float = 30) -> ScheduleReport:
+    """Runs one schedule of failures; the report is the same for the same seed."""
+    report = ScheduleReport(seed)
+    cluster = await Cluster.create(
+        3,
+        seed,
+        snapshot_after=25,
+        keep_entries=5,
+        append_entries=8,
+        install_bytes=64,
+    )
+    await cluster.start('d')
+    await cluster.add('d')
+    cluster.skew = 0.08
+    await Schedule(cluster, report).run(duration_s)
+    await cluster.stop()
+    return report
+
+
+def run_schedule(seed: int, duration_s: float = 30) -> ScheduleReport:
+    """Runs one schedule of failures in an event loop of its own."""
+    return asyncio.run(run_schedule_async(seed, duration_s))
