Add the clients of engines and plain services

Each error says whether the request may have run: NotSentError needs a connection that was never established, which the HTTP library's trace signals tell, and RefusedError needs a typed refusal. Chunks pass a filter that lets each token of the attempt through exactly once; a [DONE] without a finish reason of this attempt is not an end, because [DONE] names no request.

Found while testing: aiohttp sends GET, PUT and DELETE again after a lost connection, so a second connection for the same request is refused; and it reads a late answer on an idle connection as the answer to the next request, so plain services and engine control calls use a new connection for each request. Checked by removing each guard on a scratch copy: the matching test fails.

--- /dev/null
+++ b/geraniumrail/backends/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of engines and plain services; each error says whether the request may have run."""
--- /dev/null
+++ b/geraniumrail/backends/connections.py
@@ -0,0 +1,119 @@
+"""HTTP connections to backend servers."""
+
+import dataclasses
+import socket
+from collections.abc import Iterable
+from typing import Any
+
+from aiohttp import (
+    ClientResponse,
+    ClientSession,
+    ClientTimeout,
+    DummyCookieJar,
+    TCPConnector,
+)
+from yarl import URL
+
+from geraniumrail.backends.exchange import Exchange, trace_exchanges
+from geraniumrail.core.backend import Backend
+
+_IPPROTO_TCP = socket.IPPROTO_TCP
+# The client closes a fresh connection itself: after `Connection: close` the parser would refuse
+# the whole answer if another answer follows it in the same packet.
+_FRESH_HEADERS = (('Connection', 'keep-alive'),)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ConnectionsConfig:
+    """Limits of connections."""
+
+    connect_timeout_s: float = 1
+    # Unacknowledged data for this long closes a connection whose other side was cut off.
+    user_timeout_ms: int = 4000
+    keep_alive_s: float = 15
+
+
+class Connections:
+    """Keeps idle connections for reuse; the owner closes it.
+
+    A connection whose response was not read to its end, or that brought more than its response, is
+    closed and never reused.
+    """
+
+    def __init__(self, reused: ClientSession, fresh: ClientSession) -> None:
+        """Use `from_config`."""
+        self._reused = reused
+        self._fresh = fresh
+
+    @classmethod
+    def from_config(cls, config: ConnectionsConfig) -> 'Connections':
+        """Creates the sessions; an event loop must be running.
+
+        :param config: limits.
+        """
+        return cls(_session(config, force_close=False), _session(config, force_close=True))
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self._reused.close()
+        await self._fresh.close()
+
+    async def request(
+        self,
+        backend: Backend,
+        method: str,
+        path: str,
+        *,
+        payload: bytes | None,
+        headers: Iterable[tuple[str, str]],
+        exchange: Exchange,
+        fresh: bool = False,
+    ) -> ClientResponse:
+        """Sends one request and returns when the head of the response has arrived.
+
+        The caller limits the time and calls `close` on the response, which closes the connection
+        unless the response was read to its end.
+
+        :param backend: where to send it.
+        :param method: HTTP method.
+        :param path: path with query, already percent-encoded.
+        :param payload: body.
+        :param headers: HTTP headers.
+        :param exchange: shows how far the request has come, also after an error.
+        :param fresh: open a new connection, and close it afterwards.
+        :raises aiohttp.ClientError: if there is no response.
+        """
+        # Without the slash, `@host` in a path would name another host.
+        target = path if path.startswith('/') else f'/{path}'
+        session = self._fresh if fresh else self._reused
+        return await session.request(
+            method,
+            URL(f'http://{backend.address}{target}', encoded=True),
+            data=payload,
+            headers=(*headers, *_FRESH_HEADERS) if fresh else tuple(headers),
+            allow_redirects=False,
+            trace_request_ctx=exchange,
+        )
+
+
+def _session(config: ConnectionsConfig, *, force_close: bool) -> ClientSession:
+    keep_alive: dict[str, Any] = {'force_close': True}
+    if not force_close:
+        keep_alive = {'keepalive_timeout': config.keep_alive_s}
+
+    def make_socket(address: tuple[Any, ...]) -> socket.socket:  # noqa: WPS430 - binds the limit
+        made = socket.socket(*address[:3])
+        if hasattr(socket, 'TCP_USER_TIMEOUT'):
+            made.setsockopt(_IPPROTO_TCP, socket.TCP_USER_TIMEOUT, config.user_timeout_ms)
+        return made
+
+    return ClientSession(
+        connector=TCPConnector(limit=0, socket_factory=make_socket, **keep_alive),
+        timeout=ClientTimeout(total=None, sock_connect=config.connect_timeout_s),
+        # Cookies of one caller must not reach the requests of another.
+        cookie_jar=DummyCookieJar(),
+        # Bodies pass through as they are; decompression could exceed the size limit.
+        auto_decompress=False,
+        skip_auto_headers=('Accept-Encoding', 'User-Agent', 'Content-Type'),
+        trace_configs=[trace_exchanges()],
+    )
--- /dev/null
+++ b/geraniumrail/backends/engine_order.py
@@ -0,0 +1,13 @@
+"""An order to an engine."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class EngineOrder:
+    """Fenced by (term, number): engines that enforce fencing refuse an older one."""
+
+    term: int
+    number: int
+    kind: str  # load_version | load_model | load_adapter | unload | set_role
+    name: str
--- /dev/null
+++ b/geraniumrail/backends/events.py
@@ -0,0 +1,18 @@
+"""Log events of the clients of backend servers."""
+
+from absl import logging
+
+from geraniumrail.core.events import Event
+
+CHUNK_DROPPED = Event.define(
+    1100,
+    'backends.chunk_dropped',
+    'a chunk of another request, attempt or offset was dropped',
+    logging.WARNING,
+)
+RESEND_STOPPED = Event.define(
+    1101,
+    'backends.resend_stopped',
+    'the HTTP library was kept from sending a request a second time',
+    logging.WARNING,
+)
--- a/geraniumrail/errors/backend.py
+++ b/geraniumrail/errors/backend.py
@@ -53,3 +53,24 @@
     type_name = 'stale_order'
     status = 409
     template = 'backend server {backend} refused order ({term}, {number}) as stale'
+
+
+class ResponseTooLongError(ConnectionLostError):
+    """The answer was abandoned at the size limit; the request may have run."""
+
+    type_name = 'backend_response_too_long'
+    template = 'backend server {backend} answered with more than {limit_bytes} bytes'
+
+
+class InvalidStreamError(ConnectionLostError):
+    """The stream was abandoned because its events can't be the answer; the request may have run."""
+
+    type_name = 'backend_invalid_stream'
+    template = 'backend server {backend} sent an invalid stream: {reason}'
+
+
+class CrossedAnswerError(ConnectionLostError):
+    """The answer names another request; the request may have run."""
+
+    type_name = 'backend_crossed_answer'
+    template = 'backend server {backend} answered request {found} instead of {expected}'
--- a/geraniumrail/standins/faults.py
+++ b/geraniumrail/standins/faults.py
@@ -77,6 +77,10 @@
         self._hits_by_mode[mode] += 1
         return fault
 
+    def hits(self, mode: str) -> int:
+        """Returns how many requests were hit by a fault."""
+        return self._hits_by_mode.get(mode, 0)
+
     def silence(self, connections: Iterable[object]) -> None:
         """Lets open connections go silent until the faults are cleared.
 
--- a/geraniumrail/standins/service_answers.py
+++ b/geraniumrail/standins/service_answers.py
@@ -40,8 +40,9 @@
         if self._faults.hit('crossed', (request.path,)):
             other = {**body, 'id': 'of-another', 'key': 'of-another'}
             return json_reply(other, status, {_REQUEST_ID: 'request-of-another'})
-        if self._faults.hit('late', (request.path,)):
-            return await _send_twice(request, body, headers)
+        late = self._faults.hit('late', (request.path,))
+        if late is not None:
+            return await _send_twice(request, body, headers, late)
         if self._faults.hit('long', (request.path,)):
             return await _send_long(request)
         if self._faults.hit('truncate', (request.path,)):
@@ -58,7 +59,7 @@
 
 
 async def _send_twice(
-    request: web.Request, body: Mapping[str, object], headers: Mapping[str, str]
+    request: web.Request, body: Mapping[str, object], headers: Mapping[str, str], fault: Fault
 ) -> web.StreamResponse:
     """Sends a second answer nobody asked for, as if it were late on this connection."""
     payload = msgspec.json.encode(body)
@@ -66,6 +67,7 @@
     response = web.StreamResponse(headers={**headers, 'Content-Length': str(len(payload))})
     await response.prepare(request)
     await response.write(payload)
+    await asyncio.sleep(fault.delay_s)
     if request.transport is not None:
         head = f'HTTP/1.1 200 OK\r\nContent-Length: {len(late)}\r\n\r\n'
         request.transport.write(head.encode() + late)
