Add clients of the cloud API and the weight store

A refused start, a rate limit and a transfer that ends early each have a type, so that placement can back off and a loader never takes cut weights for whole ones. Faults of the stand-ins that close a connection no longer print a traceback from the HTTP library.

--- /dev/null
+++ b/geraniumrail/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform: cloud API and weight store."""
--- /dev/null
+++ b/geraniumrail/platform/platform_test.py
@@ -0,0 +1,97 @@
+"""Guards the platform clients: refused starts and cut transfers must not look like successes."""
+
+import contextlib
+import unittest
+
+import aiohttp
+
+from geraniumrail.errors.platform import (
+    PlatformUnreachableError,
+    RateLimitedError,
+    StartRefusedError,
+    WeightsIncompleteError,
+)
+from geraniumrail.platform.cloud_client import CloudClient
+from geraniumrail.platform.price import Price
+from geraniumrail.platform.weight_client import WeightClient
+from geraniumrail.standins import cloud, weights
+
+
+class CloudClientTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        args = cloud.parser().parse_args(['--price', 'small,cheras,0.5,2'])
+        self.serving = await cloud.Cloud(args).start()
+        self.addAsyncCleanup(self.serving.close)
+        self.client = CloudClient.from_url(f'http://{self.serving.address}', limit_s=20)
+        self.addAsyncCleanup(self.client.close)
+
+    async def fault(self, **fields):
+        url = f'http://{self.serving.address}/faults'
+        async with aiohttp.ClientSession() as session, session.post(url, json=fields) as answer:
+            answer.raise_for_status()
+
+    async def test_prices_are_typed(self):
+        price = {'machine_class': 'small', 'data_centre': 'cheras'}
+        expected = Price(**price, reclaimable_per_h=0.5, on_demand_per_h=2)
+        self.assertEqual(await self.client.prices(), (expected,))
+
+    async def test_refused_start_leaves_no_instance(self):
+        await self.fault(refuse_data_centres=['cheras'])
+        with self.assertRaises(StartRefusedError):
+            await self.client.start('small', 'cheras', reclaimable=True)
+        started = await self.client.start('small', 'petaling', reclaimable=True)
+        self.assertEqual(await self.client.instances(), (started,))
+
+    async def test_reclaim_wave_is_announced_once_and_spares_on_demand(self):
+        cheap = await self.client.start('small', 'cheras', reclaimable=True)
+        await self.client.start('small', 'cheras', reclaimable=False)
+        for _ in range(2):
+            await self.fault(reclaim_data_centre='cheras', notice_s=3)
+        notices = await self.client.notices()
+        self.assertEqual([notice.instance for notice in notices], [cheap.instance])
+        self.assertEqual(await self.client.notices(after=notices[0].sequence), ())
+
+    async def test_end_is_idempotent(self):
+        started = await self.client.start('small', 'cheras', reclaimable=True)
+        for _ in range(2):
+            await self.client.end(started.instance)
+        await self.client.end('unknown')
+        self.assertEqual((await self.client.instances())[0].state, 'ended')
+
+    async def test_unreachable_cloud_has_its_type(self):
+        await self.serving.close()
+        with self.assertRaises(PlatformUnreachableError):
+            await self.client.prices()
+
+
+class WeightClientTest(unittest.IsolatedAsyncioTestCase):
+    async def start(self, *options):
+        serving = await weights.WeightStore(weights.parser().parse_args(options)).start()
+        self.addAsyncCleanup(serving.close)
+        client = WeightClient.from_url(f'http://{serving.address}', silence_limit_s=20)
+        self.addAsyncCleanup(client.close)
+        return serving, client
+
+    async def test_weights_are_whole(self):
+        _, client = await self.start('--size-bytes', '200000')
+        pieces = [len(piece) async for piece in client.read('bench-v1')]
+        self.assertEqual(sum(pieces), 200000)
+
+    async def test_reader_over_the_limit_is_told_when_to_come_back(self):
+        _, client = await self.start('--readers', '0', '--retry-after-s', '7')
+        with self.assertRaises(RateLimitedError) as limited:
+            await anext(client.read('bench-v1'))
+        self.assertEqual(limited.exception.fields['retry_after_s'], 7)
+
+    async def test_cut_transfer_is_not_taken_for_whole_weights(self):
+        serving, client = await self.start('--bytes-per-s', '100000')
+        async with contextlib.aclosing(client.read('bench-v1')) as pieces:
+            await anext(pieces)
+            await serving.close()
+            with self.assertRaises(WeightsIncompleteError):
+                async for _ in pieces:
+                    continue
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/geraniumrail/standins/completion_routes.py
+++ b/geraniumrail/standins/completion_routes.py
@@ -61,7 +61,7 @@
         if body.get('stream'):
             usage = bool((body.get('stream_options') or {}).get('include_usage'))
             stream = TokenStream(request, shape, self._faults, routes)
-            with contextlib.suppress(ConnectionResetError):
+            with contextlib.suppress(ConnectionError):
                 return await stream.run(self._batch, factor, usage=usage)
             return web.Response(status=500)
         tokens = [token async for _, token in self._batch.tokens(work, factor)]
--- a/geraniumrail/standins/service_server.py
+++ b/geraniumrail/standins/service_server.py
@@ -122,6 +122,8 @@
         self._busy += 1
         try:
             return await handler(request)
+        except ConnectionError:
+            return web.Response(status=500)  # a fault has closed the connection
         finally:
             self._busy -= 1
 
