--- a/geraniumrail/standins/batch.py
+++ b/geraniumrail/standins/batch.py
@@ -38,7 +38,6 @@
         :param cache: prompt prefixes.
         :param kv_store: KV of resumed requests.
         """
-        self.factor = float(1)  # set by the fault `slow`
         self.works: collections.deque[Work] = collections.deque(maxlen=_JOURNAL_LIMIT)
         self._speed = speed
         self._slots = slots
@@ -94,14 +93,13 @@
             return
         work.state = 'running'
         await asyncio.sleep(self._prefill_s(work) * slow)
-        digest = answer.digest(work.prompt)
         for index in range(work.offset, work.end):
             if work.done:
                 return
             if index > work.offset:
                 await asyncio.sleep(self._token_s() * slow)
             work.computed += 1
-            yield index, answer.token(digest, index)
+            yield index, answer.token(work.prompt_digest, index)
 
     def _end(self, work: Work) -> None:
         work.finish('disconnected')
@@ -113,9 +111,9 @@
         work.recomputed = max(0, work.offset - self._kv_store.imported(work))
         work.cached_share = self._cache.use(work.prompt)
         prompt_ms = speed.first_token_ms * (1 - speed.cached_share * work.cached_share)
-        return (prompt_ms + speed.recompute_ms * work.recomputed) * _MS * self.factor
+        return (prompt_ms + speed.recompute_ms * work.recomputed) * _MS
 
     def _token_s(self) -> float:
         others = max(0, self._slots.running - 1) / self._slots.total
         slowed = 1 + self._speed.batch_slowdown * others
-        return self._speed.token_ms * slowed * _MS * self.factor
+        return self._speed.token_ms * slowed * _MS
--- a/geraniumrail/standins/completion_format.py
+++ b/geraniumrail/standins/completion_format.py
@@ -5,7 +5,6 @@
 
 import msgspec
 
-from geraniumrail.standins import answer
 from geraniumrail.standins.work import Work
 
 DONE = b'data: [DONE]\n\n'
@@ -86,7 +85,7 @@
         }
 
     def _usage(self) -> dict[str, int]:
-        prompt = answer.prompt_tokens(self.work.prompt)
+        prompt = self.work.prompt_tokens
         total = self.work.offset + self.work.computed
         return {
             'prompt_tokens': prompt,
--- a/geraniumrail/standins/departure.py
+++ b/geraniumrail/standins/departure.py
@@ -19,12 +19,17 @@
         :param notice_s: notice if none is given, in seconds.
         :param idle_exit_s: stop early after so long without work, in seconds.
         """
-        self.leaving = False
+        self.leaving_at: float | None = None  # wall clock, in seconds
         self.stopped = asyncio.Event()
         self._notice_s = notice_s
         self._idle_exit_s = idle_exit_s
         self._task: asyncio.Task[None] | None = None
 
+    @property
+    def leaving(self) -> bool:
+        """Returns whether the departure has been announced."""
+        return self.leaving_at is not None
+
     def begin(
         self, hurry: Callable[[], None], busy: Callable[[], int], notice_s: float | None = None
     ) -> None:
@@ -34,9 +39,9 @@
         :param busy: requests in progress.
         :param notice_s: time until the instance is taken away, in seconds.
         """
-        if self.leaving:
+        if self.leaving_at is not None:
             return
-        self.leaving = True
+        self.leaving_at = time.time()
         hurry()
         notice = self._notice_s if notice_s is None else notice_s
         events.log(LEAVING, notice_s=notice)
--- a/geraniumrail/standins/engine_server.py
+++ b/geraniumrail/standins/engine_server.py
@@ -141,7 +141,8 @@
     async def _journal(self, request: web.Request) -> web.Response:
         requests = [dataclasses.asdict(work) for work in tuple(self._batch.works)]
         orders = [dataclasses.asdict(entry) for entry in tuple(self.orders.entries)]
-        return json_reply({'requests': requests, 'orders': orders})
+        leaving_at = self.departure.leaving_at
+        return json_reply({'requests': requests, 'orders': orders, 'leaving_at': leaving_at})
 
 
 def _speed(args: argparse.Namespace) -> Speed:
--- a/geraniumrail/standins/kv_store.py
+++ b/geraniumrail/standins/kv_store.py
@@ -3,7 +3,6 @@
 import collections
 import dataclasses
 
-from geraniumrail.standins import answer
 from geraniumrail.standins.work import Work
 
 _KEEP = 256
@@ -50,7 +49,7 @@
         if work is None:
             return None
         handle = f'{self._instance}/{request_id}/{attempt}/{work.computed}'
-        block = KvBlock(handle, request_id, answer.digest(work.prompt), work.offset + work.computed)
+        block = KvBlock(handle, request_id, work.prompt_digest, work.offset + work.computed)
         self._exported_by_handle[handle] = block
         _trim(self._exported_by_handle)
         return block
@@ -67,7 +66,7 @@
     def imported(self, work: Work) -> int:
         """Returns how many answer tokens of a resumed request are covered."""
         block = self._imported_by_request.get(work.request_id)
-        if block is None or block.prompt_digest != answer.digest(work.prompt):
+        if block is None or block.prompt_digest != work.prompt_digest:
             return 0
         return block.tokens
 
--- a/geraniumrail/standins/service_server.py
+++ b/geraniumrail/standins/service_server.py
@@ -196,7 +196,8 @@
         return web.Response(body=answer, content_type='application/json')
 
     async def _journal(self, request: web.Request) -> web.Response:
-        return json_reply({'runs': [dataclasses.asdict(run) for run in tuple(self.bookings.runs)]})
+        runs = [dataclasses.asdict(run) for run in tuple(self.bookings.runs)]
+        return json_reply({'runs': runs, 'leaving_at': self.departure.leaving_at})
 
 
 def stock_of(item: str) -> int:
--- a/geraniumrail/standins/work.py
+++ b/geraniumrail/standins/work.py
@@ -7,6 +7,9 @@
 
 from geraniumrail.standins import answer
 
+# A journal of long prompts would not fit into memory.
+_KEPT_CHARACTERS = 64
+
 
 @dataclasses.dataclass(kw_only=True)
 class Work:
@@ -15,7 +18,9 @@
     request_id: str
     attempt: int
     priority: int
-    prompt: str
+    prompt: str  # shortened when the request has ended
+    prompt_digest: int
+    prompt_tokens: int
     offset: int  # first token asked for
     end: int  # number of tokens of the whole answer
     version: str
@@ -56,6 +61,8 @@
             attempt=int(body.get('attempt', 1)),
             priority=int(body.get('priority', 0)),
             prompt=prompt,
+            prompt_digest=answer.digest(prompt),
+            prompt_tokens=answer.prompt_tokens(prompt),
             offset=offset,
             end=answer.max_tokens_of(body),
             version=version,
@@ -84,3 +91,4 @@
         if not self.done:
             self.state = state
             self.ended_at = time.time()
+            self.prompt = self.prompt[:_KEPT_CHARACTERS]
