--- a/geraniumrail/standins/service_server.py
+++ b/geraniumrail/standins/service_server.py
@@ -122,6 +122,8 @@
         self._busy += 1
         try:
             return await handler(request)
+        except ConnectionError:
+            return web.Response(status=500)  # a fault has closed the connection
         finally:
             self._busy -= 1
 
@@ -194,7 +196,8 @@
         return web.Response(body=answer, content_type='application/json')
 
     async def _journal(self, request: web.Request) -> web.Response:
-        return json_reply({'runs': [dataclasses.asdict(run) for run in tuple(self.bookings.runs)]})
+        runs = [dataclasses.asdict(run) for run in tuple(self.bookings.runs)]
+        return json_reply({'runs': runs, 'leaving_at': self.departure.leaving_at})
 
 
 def stock_of(item: str) -> int:
