--- a/geraniumrail/errors/config.py
+++ b/geraniumrail/errors/config.py
@@ -9,3 +9,10 @@
     type_name = 'config_refused'
     status = 400
     template = '{file}:{line}: {key}: {reason}'
+
+
+class MissingPackageError(ConfigError):
+    """A chosen feature needs an optional package."""
+
+    type_name = 'package_missing'
+    template = '{key}: {chosen} needs the package {package}, which is not installed'
--- /dev/null
+++ b/geraniumrail/metrics/catalogue.py
@@ -0,0 +1,143 @@
+"""The instruments of a daemon; docs/metrics.md is made from this table."""
+
+from geraniumrail.metrics.spec import Spec
+
+# The bounds are dense around the latency targets, 0.51 s and 0.059 s, so that the share of answers
+# within the target is read from a bound and not interpolated.
+FIRST_TOKEN_BUCKETS = (0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.45, 0.51, 0.6, 0.75, 1, 2, 5, 10)
+BETWEEN_TOKENS_BUCKETS = (0.005, 0.01, 0.02, 0.03, 0.04, 0.05, 0.059, 0.07, 0.1, 0.2, 0.5, 1, 2)
+COMMIT_BUCKETS = (0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5)
+
+_ANSWERS = (
+    Spec(
+        name='geraniumrail.requests',
+        kind='counter',
+        unit='{request}',
+        labels=('route', 'organisation', 'outcome'),
+        about='requests that ended; `outcome` is `ok` or the `type` of the failure',
+    ),
+    Spec(
+        name='geraniumrail.tokens',
+        kind='counter',
+        unit='{token}',
+        labels=('service', 'organisation', 'direction'),
+        about='tokens of language model requests; `direction` is `prompt` or `answer`',
+    ),
+    Spec(
+        name='geraniumrail.first_token',
+        kind='histogram',
+        unit='s',
+        labels=('service', 'traffic_class'),
+        buckets=FIRST_TOKEN_BUCKETS,
+        about='time from the arrival of a request to the first token of its answer',
+    ),
+    Spec(
+        name='geraniumrail.between_tokens',
+        kind='histogram',
+        unit='s',
+        labels=('service', 'traffic_class'),
+        buckets=BETWEEN_TOKENS_BUCKETS,
+        about='mean time between the tokens of one attempt',
+    ),
+    Spec(
+        name='geraniumrail.queue_depth',
+        kind='gauge',
+        unit='{request}',
+        labels=('service',),
+        about='requests that wait in the fair queues of this entry',
+    ),
+    Spec(
+        name='geraniumrail.shed',
+        kind='counter',
+        unit='{request}',
+        labels=('service', 'reason'),
+        about='requests that were refused before they ran because of a limit or overload',
+    ),
+)
+_ATTEMPTS = (
+    Spec(
+        name='geraniumrail.retries',
+        kind='counter',
+        unit='{attempt}',
+        labels=('service', 'reason'),
+        about='further attempts of a request; `reason` is the `type` of the failure before',
+    ),
+    Spec(
+        name='geraniumrail.resumed_streams',
+        kind='counter',
+        unit='{stream}',
+        labels=('service', 'reason'),
+        about='streams that went on at another engine after their first token',
+    ),
+    Spec(
+        name='geraniumrail.late_chunks',
+        kind='counter',
+        unit='{chunk}',
+        labels=('service',),
+        about='chunks of a replaced attempt that arrived late and were dropped',
+    ),
+    Spec(
+        name='geraniumrail.bookings',
+        kind='counter',
+        unit='{booking}',
+        labels=('service', 'outcome'),
+        about='bookings that became final; `done`, `not_run` or `outcome_unknown`',
+    ),
+    Spec(
+        name='geraniumrail.backends',
+        kind='gauge',
+        unit='{server}',
+        labels=('service', 'state'),
+        about='backend servers known to this daemon',
+    ),
+)
+_CONTROL = (
+    Spec(
+        name='geraniumrail.settings_revision',
+        kind='gauge',
+        unit='{revision}',
+        about='settings revision that this entry serves',
+    ),
+    Spec(
+        name='geraniumrail.lease_left',
+        kind='gauge',
+        unit='s',
+        about='time until the settings lease of this entry runs out',
+    ),
+    Spec(
+        name='geraniumrail.control_bytes',
+        kind='counter',
+        unit='By',
+        labels=('direction',),
+        about='bytes of messages between daemons; `direction` is `sent` or `received`',
+    ),
+    Spec(
+        name='geraniumrail.log_term',
+        kind='gauge',
+        unit='{term}',
+        about='term of the local replica',
+    ),
+    Spec(
+        name='geraniumrail.log_commit',
+        kind='gauge',
+        unit='{record}',
+        about='index of the last committed record that the local replica knows',
+    ),
+    Spec(
+        name='geraniumrail.log_lag',
+        kind='gauge',
+        unit='{record}',
+        labels=('replica',),
+        about='records that a member lacks, as seen by the leader',
+    ),
+    Spec(
+        name='geraniumrail.commit',
+        kind='histogram',
+        unit='s',
+        buckets=COMMIT_BUCKETS,
+        about='time from the proposal of a command to its result',
+    ),
+)
+
+CATALOGUE = _ANSWERS + _ATTEMPTS + _CONTROL
+SPECS_BY_NAME = {spec.name: spec for spec in CATALOGUE}
