--- a/geraniumrail/entry/entry.py
+++ b/geraniumrail/entry/entry.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import random
 from collections.abc import AsyncIterator
 
@@ -36,6 +37,7 @@
 
 RENEW_IN_S = 2.0
 TICK_S = 0.1
+MS_PER_S = 1000
 
 
 class Entry:
@@ -212,6 +214,9 @@
 
         :param backend: the announcement.
         """
+        if not backend.sequence:
+            sequence = int(self._clock.wall() * MS_PER_S)
+            backend = dataclasses.replace(backend, sequence=sequence)
         known = self.view.backends_by_instance.get(backend.instance)
         self._announces.add(backend)
         self.view.observe((backend,))
--- a/geraniumrail/standins/announcer.py
+++ b/geraniumrail/standins/announcer.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import itertools
+import time
 from collections.abc import Callable
 
 import aiohttp
@@ -40,7 +41,8 @@
         self._headers = {'Authorization': f'Bearer {key}', 'Content-Type': 'application/json'}
         self._describe = describe
         self._to_all = to_all
-        self._sequences = itertools.count(1)
+        # Grows across restarts, so that entries take a restarted server's announcements at once.
+        self._sequences = itertools.count(int(time.time() * 1000))
         self._hurry = asyncio.Event()
 
     def hurry(self) -> None:
--- /dev/null
+++ b/geraniumrail/testing/process.py
@@ -0,0 +1,80 @@
+"""One process of a deployment."""
+
+import asyncio
+import dataclasses
+import os
+import pathlib
+import signal
+import sys
+
+READY_LIMIT_S = 30.0
+STOP_LIMIT_S = 60.0
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+
+
+@dataclasses.dataclass(frozen=True)
+class Process:
+    """Started by `start`; its output goes to a file."""
+
+    name: str
+    process: asyncio.subprocess.Process
+    log: pathlib.Path
+
+    @classmethod
+    async def start(cls, name: str, folder: pathlib.Path, *args: str) -> 'Process':
+        """Starts `python -m` with arguments.
+
+        :param name: name of the log file.
+        :param folder: folder of the log file.
+        :param args: module and its arguments.
+        """
+        log = folder / f'{name}.log'
+        with log.open('ab') as output:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                *args,
+                stdout=output,
+                stderr=output,
+                cwd=ROOT,
+                env={**os.environ, 'PYTHONPATH': str(ROOT)},
+            )
+        return cls(name, process, log)
+
+    async def address(self) -> str:
+        """Returns the address that a stand-in printed.
+
+        :raises TimeoutError: if it printed none.
+        """
+        async with asyncio.timeout(READY_LIMIT_S):
+            while True:
+                for line in self.log.read_text().splitlines():
+                    if line.startswith('listening '):
+                        return line.split()[1]
+                await asyncio.sleep(0.05)
+
+    @property
+    def alive(self) -> bool:
+        """Tells whether the process has not ended."""
+        return self.process.returncode is None
+
+    async def kill(self) -> None:
+        """Ends the process without notice."""
+        if self.alive:
+            self.process.kill()
+        await self.process.wait()
+
+    async def terminate(self) -> int:
+        """Asks the process to stop and returns its exit code."""
+        if self.alive:
+            self.process.terminate()
+        async with asyncio.timeout(STOP_LIMIT_S):
+            return await self.process.wait()
+
+    def freeze(self) -> None:
+        """Stops the process from running, until `thaw`."""
+        self.process.send_signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Lets a frozen process run again."""
+        self.process.send_signal(signal.SIGCONT)
