Test the limits of streams without real time

Two tests compared real pauses with limits of 0.2 s and could fail on a busy machine, where a pause between tokens may be longer. Progress now takes the loop as a parameter, and its tests, which are as strict, move the time by hand. The end of a whole answer can no longer be taken for a stall. The socket option and the splitting of events have tests of their own.

--- a/geraniumrail/backends/chunk_stream.py
+++ b/geraniumrail/backends/chunk_stream.py
@@ -47,7 +47,13 @@
         self._failure: InvalidStreamError | None = None
         first = Phase(FIRST_TOKEN, call.first_token_timeout_s)
         following = Phase(BETWEEN_TOKENS, call.between_tokens_timeout_s)
-        self.progress = Progress(first, following, spent_s, self._stall)
+        self.progress = Progress(
+            first,
+            following,
+            spent_s=spent_s,
+            stall=self._stall,
+            loop=asyncio.get_running_loop(),
+        )
 
     @property
     def done(self) -> bool:
--- a/geraniumrail/backends/connections.py
+++ b/geraniumrail/backends/connections.py
@@ -1,6 +1,7 @@
 """HTTP connections to backend servers."""
 
 import dataclasses
+import functools
 import socket
 from collections.abc import Iterable
 from typing import Any
@@ -17,7 +18,6 @@
 from geraniumrail.backends.exchange import Exchange, trace_exchanges
 from geraniumrail.core.backend import Backend
 
-_IPPROTO_TCP = socket.IPPROTO_TCP
 # The client closes a fresh connection itself: after `Connection: close` the parser would refuse
 # the whole answer if another answer follows it in the same packet.
 _FRESH_HEADERS = (('Connection', 'keep-alive'),)
@@ -96,19 +96,25 @@
         )
 
 
+def make_socket(user_timeout_ms: int, address: tuple[Any, ...]) -> socket.socket:
+    """Creates the socket of a connection.
+
+    :param user_timeout_ms: limit of unacknowledged data, where the system has one.
+    :param address: as `socket.getaddrinfo` returns it.
+    """
+    made = socket.socket(*address[:3])
+    if hasattr(socket, 'TCP_USER_TIMEOUT'):
+        made.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms)
+    return made
+
+
 def _session(config: ConnectionsConfig, *, force_close: bool) -> ClientSession:
     keep_alive: dict[str, Any] = {'force_close': True}
     if not force_close:
         keep_alive = {'keepalive_timeout': config.keep_alive_s}
-
-    def make_socket(address: tuple[Any, ...]) -> socket.socket:  # noqa: WPS430 - binds the limit
-        made = socket.socket(*address[:3])
-        if hasattr(socket, 'TCP_USER_TIMEOUT'):
-            made.setsockopt(_IPPROTO_TCP, socket.TCP_USER_TIMEOUT, config.user_timeout_ms)
-        return made
-
+    socket_factory = functools.partial(make_socket, config.user_timeout_ms)
     return ClientSession(
-        connector=TCPConnector(limit=0, socket_factory=make_socket, **keep_alive),
+        connector=TCPConnector(limit=0, socket_factory=socket_factory, **keep_alive),
         timeout=ClientTimeout(total=None, sock_connect=config.connect_timeout_s),
         # Cookies of one caller must not reach the requests of another.
         cookie_jar=DummyCookieJar(),
--- a/geraniumrail/backends/engine_client.py
+++ b/geraniumrail/backends/engine_client.py
@@ -64,6 +64,7 @@
                     progress.pause()
                     yield chunk
                     progress.resume(progressed=chunk.tokens > 0)
+            progress.stop()
             await reader.finish()
         finally:
             progress.stop()
--- a/geraniumrail/backends/progress.py
+++ b/geraniumrail/backends/progress.py
@@ -20,7 +20,13 @@
     """
 
     def __init__(
-        self, first: Phase, following: Phase, spent_s: float, stall: Callable[[Phase], None]
+        self,
+        first: Phase,
+        following: Phase,
+        *,
+        spent_s: float,
+        stall: Callable[[Phase], None],
+        loop: asyncio.AbstractEventLoop,
     ) -> None:
         """Starts the first phase.
 
@@ -28,8 +34,9 @@
         :param following: from token to token.
         :param spent_s: how much of the first phase has passed, in seconds.
         :param stall: called once, when the limit of a phase has passed.
+        :param loop: gives the time and the timer.
         """
-        self._loop = asyncio.get_running_loop()
+        self._loop = loop
         self._phase = first
         self._following: Phase | None = following
         self._stall = stall
