Refuse moves without a version to move from and judge latency by load band

A good move in the demo was taken back for between-token latency. Cause: outcomes were reported without the load band of the chosen engine, so the fuller new engines were compared with the emptier old ones. The entry now reports the band at sending time. The demo spreads its bookings and counts outcome_unknown apart from lost.

--- a/geraniumrail/callers/completion_request.py
+++ b/geraniumrail/callers/completion_request.py
@@ -5,9 +5,10 @@
 from aiohttp import web
 
 from geraniumrail.core.ids import new_id
+from geraniumrail.core.prefix import prefix_digests
 from geraniumrail.entry.completion_call import CompletionCall
 from geraniumrail.errors.request import InvalidRequestError
-from geraniumrail.routing.prefixes import CHARS_PER_TOKEN, digest_prefixes
+from geraniumrail.routing.prefixes import CHARS_PER_TOKEN
 from geraniumrail.settings.path import is_name
 
 CHAT_PATH = '/v1/chat/completions'
@@ -30,6 +31,8 @@
     :raises InvalidRequestError: if a parameter is malformed.
     """
     prompt = prompt_of(request.path, body)
+    if body.get('n', 1) != 1:
+        raise InvalidRequestError(reason='n must be 1')
     return CompletionCall(
         request_id=new_id('req'),
         organisation=organisation,
@@ -40,7 +43,7 @@
         body=body,
         stream=_flag(body, 'stream'),
         adapter=str(body.get('adapter') or ''),
-        prefixes=digest_prefixes(prompt),
+        prefixes=prefix_digests(prompt),
         prompt_tokens=math.ceil(len(prompt) / CHARS_PER_TOKEN),
         answer_tokens=_answer_tokens(body),
     )
--- a/geraniumrail/commands/daemon_commands.py
+++ b/geraniumrail/commands/daemon_commands.py
@@ -3,7 +3,7 @@
 import argparse
 from typing import Any
 
-from absl import logging
+from absl import flags, logging
 
 from geraniumrail.commands.context import output_of
 from geraniumrail.commands.exit_codes import ExitCode
@@ -51,6 +51,7 @@
     from geraniumrail.daemon.daemon import Daemon
 
     config = DaemonConfig.from_file(args.config)
+    flags.FLAGS.mark_as_parsed()  # absl warns before each line that its flags are not parsed
     logging.use_absl_handler()
     logging.set_verbosity(config.log_level)
     await Daemon.from_config(config).run()
--- a/geraniumrail/commands/exit_codes.py
+++ b/geraniumrail/commands/exit_codes.py
@@ -7,7 +7,9 @@
 from geraniumrail.errors.operator import (
     AnswerConflictError,
     AnswerRefusedError,
+    BadAssignmentError,
     ControlUnreachableError,
+    MissingOptionError,
     OperatorOutcomeUnknownError,
 )
 from geraniumrail.errors.settings import SettingsError, VersionConflictError
@@ -49,7 +51,9 @@
 
 
 @exit_code_of.register(ConfigError)
-def _config(failure: ConfigError) -> ExitCode:
+@exit_code_of.register(MissingOptionError)
+@exit_code_of.register(BadAssignmentError)
+def _usage(failure: Exception) -> ExitCode:
     return ExitCode.USAGE
 
 
--- a/geraniumrail/config/daemon.py
+++ b/geraniumrail/config/daemon.py
@@ -25,7 +25,7 @@
 _NAMES = ('instance', 'region', 'data_centre')
 _KEYS = (*_NAMES, 'roles', *_SERVERS, 'metrics', 'control', 'keys', 'limits', 'log')
 # (role, server) pairs: the role can't work without the server.
-_NEEDED = ((ENTRY, 'callers'), (CONTROL, 'operators'), (CONTROL, 'peers'))
+_NEEDED = ((ENTRY, 'callers'), (ENTRY, 'peers'), (CONTROL, 'operators'), (CONTROL, 'peers'))
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/geraniumrail/consensus/changes.py
+++ b/geraniumrail/consensus/changes.py
@@ -3,7 +3,7 @@
 from geraniumrail.consensus.context import Context
 from geraniumrail.consensus.leadership import Leadership
 from geraniumrail.consensus.membership import Member, Membership
-from geraniumrail.errors.consensus import MembershipError
+from geraniumrail.errors.consensus import MembershipError, NotCaughtUpError
 
 
 def with_learner(context: Context, member: Member) -> Membership:
@@ -32,7 +32,7 @@
     if peer.member.voter:
         return context.membership
     if context.clock.now() - peer.caught_up_at >= context.config.lease_s:
-        raise MembershipError(replica_id=replica_id, reason='it has not caught up')
+        raise NotCaughtUpError(replica_id=replica_id, reason='it has not caught up')
     voter = Member(replica_id=replica_id, address=peer.member.address, voter=True)
     return context.membership.with_member(voter)
 
--- a/geraniumrail/control/members.py
+++ b/geraniumrail/control/members.py
@@ -5,9 +5,9 @@
 from geraniumrail.consensus.membership import Member
 from geraniumrail.consensus.replica import Replica
 from geraniumrail.control.peer_transport import PeerTransport
-from geraniumrail.errors.consensus import ConsensusError, MembershipError
+from geraniumrail.errors.consensus import ConsensusError, MembershipError, NotCaughtUpError
 
-CATCH_UP_LIMIT_S = 20.0
+CATCH_UP_LIMIT_S = 8.0  # shorter than one attempt of the command line
 CATCH_UP_POLL_S = 0.2
 
 
@@ -66,14 +66,14 @@
         :param replica_id: the learner.
         :raises MembershipError: if it has not caught up in time.
         """
-        async with asyncio.timeout(CATCH_UP_LIMIT_S):
-            while True:
-                try:
-                    return await self._replica.promote(replica_id)
-                except MembershipError as error:
-                    if 'caught up' not in str(error):
-                        raise
-                await asyncio.sleep(CATCH_UP_POLL_S)
+        end = asyncio.get_running_loop().time() + CATCH_UP_LIMIT_S
+        while True:
+            try:
+                return await self._replica.promote(replica_id)
+            except NotCaughtUpError:
+                if asyncio.get_running_loop().time() > end:
+                    raise
+            await asyncio.sleep(CATCH_UP_POLL_S)
 
     async def remove(self, replica_id: str) -> None:
         """Removes a member.
--- a/geraniumrail/entry/completion_run.py
+++ b/geraniumrail/entry/completion_run.py
@@ -41,6 +41,7 @@
         self.settings = shared.view.effective(call.organisation, call.service, call.route)
         self._excluded: frozenset[str] = frozenset()
         self._draw = shared.rng.random()
+        self._band = 0
         self._end = shared.clock.now() + self.settings.deadline_ms / 1000
 
     async def chunks(self) -> AsyncIterator[Chunk]:
@@ -89,6 +90,7 @@
         shared, call = self.shared, self.call
         attempt = f'{call.request_id}.{self.attempts}'
         sent_at = shared.clock.now()
+        self._band = shared.outcomes.band(backend)
         shared.view.knowledge.sent(backend.instance, call.tokens, call.prefixes, sent_at)
         shared.outcomes.breaker.waiting(
             attempt,
@@ -163,6 +165,7 @@
             failed,
             first_token_s,
             between_tokens_s,
+            self._band,
         )
 
     async def _lost(self, backend: Backend, error: BackendError) -> None:
--- a/geraniumrail/entry/outcomes.py
+++ b/geraniumrail/entry/outcomes.py
@@ -1,9 +1,10 @@
 """Feeds outcomes to the breaker at once and to the control leader with the next report."""
 
+from geraniumrail.core.backend import Backend
 from geraniumrail.core.clock import Clock
 from geraniumrail.entry.cluster_view import ClusterView
 from geraniumrail.rollout.breaker import Breaker
-from geraniumrail.rollout.outcome_log import OutcomeLog
+from geraniumrail.rollout.outcome_log import OutcomeLog, load_band
 
 
 class Outcomes:
@@ -50,6 +51,14 @@
         blocked = self.breaker.blocked(service, move.to_version, route, now)
         return move.from_version if blocked else move.to_version
 
+    def band(self, backend: Backend) -> int:
+        """Returns the load band of a backend server now, before a request is sent.
+
+        :param backend: the backend server.
+        """
+        estimate = self._view.knowledge.estimate(backend, self._clock.now())
+        return load_band(int(estimate.requests), 0, estimate.slots)
+
     def _has_backend(self, service: str, version: str) -> bool:
         return any(backend.version == version for backend in self._view.candidates(service))
 
@@ -62,6 +71,7 @@
         failed: bool | None,
         first_token_s: float | None = None,
         between_tokens_s: float | None = None,
+        band: int = 0,
     ) -> None:
         """Counts an outcome, in parts as soon as each part is known.
 
@@ -72,6 +82,7 @@
         :param failed: whether the attempt failed; None while it has not ended.
         :param first_token_s: seconds to the first token, if known.
         :param between_tokens_s: mean seconds between tokens, if known.
+        :param band: `load_band` of the backend server when the request was sent.
         """
         now = self._clock.now()
         self.log.observe(
@@ -83,6 +94,7 @@
             first_token_s,
             between_tokens_s,
             self._clock.wall(),
+            band,
         )
         self.breaker.observe(
             service,
--- a/geraniumrail/errors/consensus.py
+++ b/geraniumrail/errors/consensus.py
@@ -45,6 +45,12 @@
     template = 'membership change of {replica_id} refused: {reason}'
 
 
+class NotCaughtUpError(MembershipError):
+    """A learner may not become a voter yet."""
+
+    type_name = 'not_caught_up'
+
+
 class NoGroupError(ConsensusError):
     """This replica belongs to no group yet."""
 
--- a/geraniumrail/state/apply_moves.py
+++ b/geraniumrail/state/apply_moves.py
@@ -42,6 +42,11 @@
         )
     SETTINGS_BY_KEY[MOVED_KEY].check(f'/*/{command.service}', command.to_version)
     from_version = resolve(tables.tree, '*', command.service, '').version
+    if not from_version:
+        raise MoveConflictError(
+            move_id=command.move_id,
+            reason=f'node /*/{command.service} sets no version to move from',
+        )
     if from_version == command.to_version:
         raise MoveConflictError(
             move_id=command.move_id,
--- a/geraniumrail/testing/caller.py
+++ b/geraniumrail/testing/caller.py
@@ -97,14 +97,20 @@
             return None
         return None
 
-    async def chat_until_done(self, prompt: str, tokens: int) -> str | None:
+    async def chat_until_done(
+        self,
+        prompt: str,
+        tokens: int,
+        route: str = 'chat',
+    ) -> str | None:
         """Asks again at another entry while the stream is not completed.
 
         :param prompt: content of the one message.
         :param tokens: length of the answer.
+        :param route: route of the request.
         """
-        for _ in range(20):
-            text = await self.chat(prompt, tokens)
+        for _ in range(60):
+            text = await self.chat(prompt, tokens, route=route)
             if text is not None:
                 return text
             await asyncio.sleep(RETRY_DELAY_S)
--- a/scripts/run_demo.py
+++ b/scripts/run_demo.py
@@ -24,7 +24,8 @@
 STREAMS = 24
 STREAM_TOKENS = 60
 BOOKINGS = 40
-MOVE_DEADLINE_S = 24
+BOOKING_INTERVAL_S = 0.04
+MOVE_DEADLINE_S = 28
 MOVE_CALLERS = 24
 
 
@@ -37,6 +38,9 @@
         self.asked: collections.Counter[str] = collections.Counter()
         self.answered: collections.Counter[str] = collections.Counter()
         self.twice: collections.Counter[str] = collections.Counter()
+        # The killed entry may have sent these, and the service knows nothing of them: callers
+        # are told so, and the system does not send them again.
+        self.unknown: collections.Counter[str] = collections.Counter()
         self.notes: list[str] = []
 
     def caller(self, number: int) -> Caller:
@@ -59,23 +63,26 @@
         self.asked[kind] += 1
         prompt = f'{kind} {number} of the demo'
         caller = self.caller(number)
-        text = None
-        for _ in range(5):
-            text = await caller.chat(prompt, tokens, route=route)
-            if text is not None:
-                break
-        self.answered[kind] += text == expected_text(f'user: {prompt}', tokens)
+        text = await caller.chat_until_done(prompt, tokens, route)
+        if text == expected_text(f'user: {prompt}', tokens):
+            self.answered[kind] += 1
+        else:
+            self.notes.append(f'{kind} {number}: got {text!r}')
 
     async def book(self, number: int) -> None:
         """Books a technician, and once more through another entry."""
         self.asked['booking'] += 1
         caller = self.caller(number)
+        await asyncio.sleep(number * BOOKING_INTERVAL_S)
         key, body = f'demo-{number}', {'chair': number}
         first = await caller.book_until_answered(key, body)
         again = await caller.book_until_answered(key, body)
-        ok = first.status == 201 and first.body == again.body
-        self.answered['booking'] += ok
-        if not ok:
+        # A run whose answer was lost is answered from the service's record, with status 200.
+        if first.error_type() == again.error_type() == 'outcome_unknown':
+            self.unknown['booking'] += 1
+        elif first.status in {200, 201} and first.body == again.body:
+            self.answered['booking'] += 1
+        else:
             self.notes.append(f'booking {number}: {first.status} {first.body[:120]!r}')
 
     async def look_up(self, number: int) -> None:
@@ -93,7 +100,7 @@
 
     async def kill_entry(self) -> None:
         """Kills an entry that does not lead, while bookings are in progress."""
-        await asyncio.sleep(0.15)
+        await asyncio.sleep(0.8)
         leader = await self.deployment.leader()
         victim = next(place for place in reversed(self.deployment.places) if place != leader)
         await self.deployment.processes_by_name[victim.name].kill()
@@ -150,13 +157,15 @@
 
     def report(self) -> bool:
         """Prints the table and tells whether nothing was lost or run twice."""
-        print(f'{"":<18}{"asked":>8}{"answered":>10}{"run twice":>11}{"lost":>6}')
-        for kind, asked in self.asked.items():
-            lost = asked - self.answered[kind]
-            print(f'{kind:<18}{asked:>8}{self.answered[kind]:>10}{self.twice[kind]:>11}{lost:>6}')
+        columns = ('asked', 'answered', 'unknown', 'run twice', 'lost')
+        print(' ' * 16, *(f'{column:>10}' for column in columns))
+        lost = self.asked - self.answered - self.unknown
+        for kind in self.asked:
+            counts = (self.asked, self.answered, self.unknown, self.twice, lost)
+            print(f'{kind:<16}', *(f'{count[kind]:>10}' for count in counts))
         for note in self.notes:
             print(note)
-        return self.asked == self.answered and not sum(self.twice.values())
+        return not sum(lost.values()) and not sum(self.twice.values())
 
 
 async def drive(demo: Demo) -> bool:
