--- a/geraniumrail/daemon/daemon.py
+++ b/geraniumrail/daemon/daemon.py
@@ -10,9 +10,11 @@
 from geraniumrail.core.clock import SystemClock
 from geraniumrail.core.events import log
 from geraniumrail.daemon import events
+from geraniumrail.daemon.gauges import Gauges
 from geraniumrail.links.pool import LinkPool
 from geraniumrail.links.server import LinkServer
 from geraniumrail.links.tls import LinkTls
+from geraniumrail.metrics.metrics import Metrics
 
 
 class Daemon:
@@ -30,9 +32,11 @@
         self._links = LinkPool(tls)
         self._link_server = LinkServer(config.peers.listen, tls)
         self._key_ring = KeyRing.from_config(config)
+        self._metrics = Metrics.from_config(config)
         self._servers: list[HttpServer] = []
         self._control = self._build_control() if CONTROL in config.roles else None
         self._entry = self._build_entry() if ENTRY in config.roles else None
+        self._gauges_task: asyncio.Task[None] | None = None
 
     @classmethod
     def from_config(cls, config: DaemonConfig) -> 'Daemon':
@@ -63,6 +67,9 @@
             await self._entry.start()
         for server in self._servers:
             await server.start()
+        await self._metrics.start()
+        gauges = Gauges(self._metrics.instruments, self._entry, self._control)
+        self._gauges_task = asyncio.create_task(gauges.run(), name='gauges')
         log(
             events.STARTED,
             instance=self._config.instance,
@@ -79,6 +86,9 @@
             await self._control.stop()
         for server in self._servers:
             await server.stop()
+        if self._gauges_task is not None:
+            self._gauges_task.cancel()
+        await self._metrics.stop()
         await self._link_server.stop()
         await self._links.close()
 
@@ -93,11 +103,13 @@
 
     def _build_entry(self) -> object:
         from geraniumrail.callers.routes import caller_routes
+        from geraniumrail.daemon.metered_serving import MeteredServing
         from geraniumrail.entry.entry import Entry
 
         entry = Entry.from_config(self._config, self._links, self._clock, random.Random())
         entry.register(self._link_server)
-        self._serve(self._config.callers, caller_routes(entry))
+        metered = MeteredServing(entry, self._metrics.instruments)
+        self._serve(self._config.callers, caller_routes(metered))
         return entry
 
     def _serve(self, listen: object, routes: list) -> None:
--- /dev/null
+++ b/geraniumrail/daemon/gauges.py
@@ -0,0 +1,76 @@
+"""Refreshes the gauges of a daemon once a second."""
+
+import asyncio
+import collections
+from typing import TYPE_CHECKING
+
+from geraniumrail.links.wire import TRAFFIC
+from geraniumrail.metrics.instruments import Instruments
+
+if TYPE_CHECKING:  # a role that is not configured is not loaded
+    from geraniumrail.control.control import Control
+    from geraniumrail.entry.entry import Entry
+
+INTERVAL_S = 1.0
+
+
+class Gauges:
+    """Reads the state of the roles; changes nothing."""
+
+    def __init__(
+        self,
+        instruments: Instruments,
+        entry: 'Entry | None',
+        control: 'Control | None',
+    ) -> None:
+        """Connects the roles.
+
+        :param instruments: where to record.
+        :param entry: the entry role, if it is configured.
+        :param control: the control role, if it is configured.
+        """
+        self._instruments = instruments
+        self._entry = entry
+        self._control = control
+        self._sent = 0
+        self._received = 0
+
+    async def run(self) -> None:
+        """Refreshes until cancelled."""
+        while True:
+            self.refresh()
+            await asyncio.sleep(INTERVAL_S)
+
+    def refresh(self) -> None:
+        """Sets all gauges."""
+        self._count_traffic()
+        if self._entry is not None:
+            self._show_entry(self._entry)
+        if self._control is not None:
+            self._show_control(self._control)
+
+    def _count_traffic(self) -> None:
+        counter = self._instruments.control_bytes
+        counter.add(TRAFFIC.sent - self._sent, 'sent')
+        counter.add(TRAFFIC.received - self._received, 'received')
+        self._sent = TRAFFIC.sent
+        self._received = TRAFFIC.received
+
+    def _show_entry(self, entry: 'Entry') -> None:
+        view = entry.view
+        backends = view.backends_by_instance.values()
+        states = collections.Counter((each.service, each.state) for each in backends)
+        self._instruments.backends.replace(states)
+        self._instruments.settings_revision.set(view.tree.revision)
+        self._instruments.lease_left.set(view.lease_left_s())
+        self._instruments.queue_depth.replace(
+            {(service,): depth for service, depth in entry.queue_depths().items()},
+        )
+
+    def _show_control(self, control: 'Control') -> None:
+        status = control.replica.status()
+        self._instruments.log_term.set(status.term)
+        self._instruments.log_commit.set(status.commit)
+        self._instruments.log_lag.replace(
+            {(replica,): lag for replica, lag in status.lag_by_id.items()},
+        )
--- a/geraniumrail/entry/cluster_view.py
+++ b/geraniumrail/entry/cluster_view.py
@@ -44,6 +44,10 @@
         """Tells whether the entry may serve with the settings that it has."""
         return self._clock.now() < self._lease_until
 
+    def lease_left_s(self) -> float:
+        """Returns the seconds until the settings lease runs out."""
+        return max(0, self._lease_until - self._clock.now())
+
     def take(self, update: ControlUpdate, sent_at: float) -> bool:
         """Applies an update of the control leader.
 
--- a/geraniumrail/entry/completions.py
+++ b/geraniumrail/entry/completions.py
@@ -1,5 +1,6 @@
 """Completions: limits, fair queue and the parts that all runs of this entry share."""
 
+import collections
 import dataclasses
 import random
 
@@ -75,6 +76,13 @@
         for admission in self._admissions.values():
             admission.pump()
 
+    def queue_depths(self) -> dict[str, int]:
+        """Returns the number of requests that wait, by service."""
+        depths: collections.Counter[str] = collections.Counter()
+        for (service, _), admission in self._admissions.items():
+            depths[service] += admission.queue.depth()
+        return dict(depths)
+
     def service_of(self, model: str) -> str:
         """Returns the service that serves a model.
 
--- a/geraniumrail/entry/entry.py
+++ b/geraniumrail/entry/entry.py
@@ -180,6 +180,10 @@
         keep_for_s = self.view.effective('*', '', '').keep_for_s
         return [info.address for info in self.view.entries], keep_for_s
 
+    def queue_depths(self) -> dict[str, int]:
+        """Returns the number of requests that wait, by service."""
+        return self._completions.queue_depths()
+
     def models(self) -> list[str]:
         """Returns the announced models."""
         return self._completions.models()
--- a/geraniumrail/links/client.py
+++ b/geraniumrail/links/client.py
@@ -6,9 +6,9 @@
 
 import grpc
 
-from geraniumrail.core import codec
 from geraniumrail.core.refused import Refused
 from geraniumrail.errors.link import LinkError
+from geraniumrail.links import wire
 from geraniumrail.links.method import CALL, FOLLOW, OPTIONS
 from geraniumrail.links.tls import LinkTls
 
@@ -77,8 +77,8 @@
         else:
             credentials = self._tls.channel_credentials()
             self._channel = grpc.aio.secure_channel(self.address, credentials, options=OPTIONS)
-        self._unary = self._channel.unary_unary(CALL, codec.encode, codec.decode)
-        self._stream = self._channel.stream_stream(FOLLOW, codec.encode, codec.decode)
+        self._unary = self._channel.unary_unary(CALL, wire.encode, wire.decode)
+        self._stream = self._channel.stream_stream(FOLLOW, wire.encode, wire.decode)
 
     async def _discard(self, channel: grpc.aio.Channel | None) -> None:
         if channel is None:
--- a/geraniumrail/links/server.py
+++ b/geraniumrail/links/server.py
@@ -5,10 +5,10 @@
 
 import grpc
 
-from geraniumrail.core import codec
 from geraniumrail.core.refused import Refused
 from geraniumrail.errors.base import GeraniumrailError
 from geraniumrail.errors.link import UnknownCallError
+from geraniumrail.links import wire
 from geraniumrail.links.method import OPTIONS, SERVICE
 from geraniumrail.links.tls import LinkTls
 
@@ -51,11 +51,11 @@
         """Listens."""
         self._server = grpc.aio.server(options=OPTIONS)
         methods = {
-            'Call': grpc.unary_unary_rpc_method_handler(self._call, codec.decode, codec.encode),
+            'Call': grpc.unary_unary_rpc_method_handler(self._call, wire.decode, wire.encode),
             'Follow': grpc.stream_stream_rpc_method_handler(
                 self._stream,
-                codec.decode,
-                codec.encode,
+                wire.decode,
+                wire.encode,
             ),
         }
         generic = grpc.method_handlers_generic_handler(SERVICE, methods)
--- a/geraniumrail/testing/deployment.py
+++ b/geraniumrail/testing/deployment.py
@@ -13,6 +13,7 @@
     DATA_CENTRES,
     OPERATOR_KEY,
     REGION,
+    ROLES,
     EntryPlace,
     lay_out,
 )
@@ -49,15 +50,22 @@
 class Deployment:
     """Starts, breaks and stops the processes of one folder."""
 
-    def __init__(self, folder: pathlib.Path, entries: int = 4, diskless: int = 1) -> None:
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        entries: int = 4,
+        diskless: int = 1,
+        roles: tuple[str, ...] = ROLES,
+    ) -> None:
         """Writes the settings files.
 
         :param folder: an empty folder.
         :param entries: number of entries.
         :param diskless: how many of the last entries have no disk.
+        :param roles: roles of each process.
         """
         self.folder = folder
-        self.places = lay_out(folder, entries, diskless)
+        self.places = lay_out(folder, entries, diskless, roles)
         self.places_by_name = {place.name: place for place in self.places}
         self.processes_by_name: dict[str, Process] = {}
         self.addresses_by_name: dict[str, str] = {}  # of engines and plain services
--- a/geraniumrail/testing/layout.py
+++ b/geraniumrail/testing/layout.py
@@ -13,6 +13,7 @@
 OPERATOR_KEY = 'test-operator-key'
 BACKEND_KEY = 'test-backend-key'
 ORGANISATIONS = ('head-office', 'workshops', 'salon-a', 'salon-b', 'salon-c')
+ROLES = ('entry', 'control')
 SERVERS = ('callers', 'operators', 'peers')
 
 
@@ -37,12 +38,18 @@
     return f'test-{organisation}-key'
 
 
-def lay_out(folder: pathlib.Path, entries: int = 4, diskless: int = 1) -> list[EntryPlace]:
+def lay_out(
+    folder: pathlib.Path,
+    entries: int = 4,
+    diskless: int = 1,
+    roles: tuple[str, ...] = ROLES,
+) -> list[EntryPlace]:
     """Chooses addresses and writes the settings files.
 
     :param folder: folder of the deployment.
     :param entries: number of entries.
     :param diskless: how many of the last entries have no disk.
+    :param roles: roles of each process.
     """
     addresses = free_addresses(entries * len(SERVERS))
     places = [
@@ -59,11 +66,11 @@
     ]
     seeds = [place.peers for place in places]
     for place in places:
-        place.config.write_text(yaml.safe_dump(_config(place, seeds)))
+        place.config.write_text(yaml.safe_dump(_config(place, seeds, roles)))
     return places
 
 
-def _config(place: EntryPlace, seeds: list[str]) -> dict[str, object]:
+def _config(place: EntryPlace, seeds: list[str], roles: tuple[str, ...]) -> dict[str, object]:
     control: dict[str, object] = {'seeds': seeds}
     if place.data is not None:
         control |= {'data_folder': str(place.data), 'durable': True}
@@ -76,11 +83,11 @@
         }
         for organisation in ORGANISATIONS
     ]
-    return {
+    config = {
         'instance': place.name,
         'region': REGION,
         'data_centre': place.data_centre,
-        'roles': ['entry', 'control'],
+        'roles': list(roles),
         'callers': {'listen': place.callers},
         'operators': {'listen': place.operators},
         'peers': {'listen': place.peers},
@@ -91,3 +98,10 @@
             *callers,
         ],
     }
+    if 'entry' not in roles:
+        config.pop('callers')
+    if 'control' not in roles:
+        config.pop('operators')
+        control.pop('data_folder', None)
+        control.pop('durable', None)
+    return config
