Build the list of entries and the usage totals once, not for each update

At 160 entries the leader spent 34% of a core on a shared machine and a change took 0.63 s to be in force, against 0.21 s at 64 entries: each update to each entry rebuilt the list of entries and summed the demand of all entries. Engine windows now start from the slots that engines report: with 64 slots an entry admitted 4 requests to each engine and shed the rest.

--- a/geraniumrail/control/entry_leases.py
+++ b/geraniumrail/control/entry_leases.py
@@ -30,6 +30,9 @@
         """Starts empty."""
         self.leases_by_entry: dict[str, EntryLease] = {}
         self._leader_since: float | None = None
+        self._public: tuple[EntryInfo, ...] = ()
+        self._public_key: tuple[object, ...] = ()
+        self._changes = 0
 
     def restart(self, now: float) -> None:
         """Forgets all leases: this process has just become the leader.
@@ -38,6 +41,7 @@
         """
         self.leases_by_entry = {}
         self._leader_since = now
+        self._changes += 1
 
     def renew(self, info: EntryInfo, now: float) -> None:
         """Records a report.
@@ -45,8 +49,11 @@
         :param info: the entry.
         :param now: monotonic seconds.
         """
-        if info.entry not in self.leases_by_entry:
+        known = self.leases_by_entry.get(info.entry)
+        if known is None:
             log(events.ENTRY_JOINED, entry=info.entry, address=info.address)
+        if known is None or known.info.state != info.state:
+            self._changes += 1
         expires_at = now + LEASE_S + LEASE_MARGIN_S
         self.leases_by_entry[info.entry] = EntryLease(info, expires_at)
 
@@ -60,6 +67,7 @@
         )
         for entry in expired:
             self.leases_by_entry.pop(entry)
+            self._changes += 1
             log(events.ENTRY_EXPIRED, entry=entry)
         return expired
 
@@ -87,6 +95,23 @@
         """Returns the entries with a lease."""
         return tuple(lease.info for lease in self.leases_by_entry.values())
 
+    def public(self, drained: Iterable[str] = ()) -> tuple[EntryInfo, ...]:
+        """Returns the serving entries without what changes with each report.
+
+        The same tuple is returned until an entry joins, leaves or changes its state: building it
+        for each update to each entry took a third of the leader's time at 160 entries.
+
+        :param drained: instances that operators are draining.
+        """
+        key = (self._changes, *drained)
+        if key != self._public_key:
+            self._public_key = key
+            self._public = tuple(
+                dataclasses.replace(info, state='serving', applied_revision=0)
+                for info in self.serving(drained)
+            )
+        return self._public
+
     def serving(self, drained: Iterable[str] = ()) -> tuple[EntryInfo, ...]:
         """Returns the entries that take new work.
 
--- a/geraniumrail/control/follower_session.py
+++ b/geraniumrail/control/follower_session.py
@@ -92,19 +92,8 @@
         return recent
 
     def _entries(self, leases: EntryLeases, tables: Tables) -> tuple[EntryInfo, ...]:
-        drained = tables.drains_by_target
-        entries = tuple(
-            EntryInfo(
-                entry=info.entry,
-                instance=info.instance,
-                address=info.address,
-                peer_address=info.peer_address,
-                data_centre=info.data_centre,
-                region=info.region,
-            )
-            for info in leases.serving(drained)
-        )
-        if entries == self._sent_entries:
+        entries = leases.public(tables.drains_by_target)
+        if entries is self._sent_entries:
             return ()
         self._sent_entries = entries
         return entries
--- a/geraniumrail/control/usage_shares.py
+++ b/geraniumrail/control/usage_shares.py
@@ -1,6 +1,8 @@
 """Divides each organisation's limits over the entries by recent demand."""
 
-from geraniumrail.fairness.entry_share import EntryShare, divide
+import collections
+
+from geraniumrail.fairness.entry_share import EntryShare
 from geraniumrail.links.messages import Usage
 
 DECAY = 0.7  # weight of the past at each report, about three seconds of memory
@@ -8,11 +10,12 @@
 
 
 class UsageShares:
-    """Decayed demand of each organisation at each entry."""
+    """Decayed demand of each organisation at each entry, with running totals."""
 
     def __init__(self) -> None:
         """Starts empty."""
         self._demand_by_entry: dict[str, dict[str, float]] = {}
+        self._totals: collections.Counter[str] = collections.Counter()
 
     def observe(self, entry: str, usage: tuple[Usage, ...]) -> None:
         """Adds the demand of one report interval.
@@ -24,22 +27,29 @@
         decayed = {organisation: tokens * DECAY for organisation, tokens in past.items()}
         for used in usage:
             decayed[used.organisation] = decayed.get(used.organisation, 0) + used.tokens
-        self._demand_by_entry[entry] = {
-            organisation: tokens
-            for organisation, tokens in decayed.items()
-            if tokens > NEGLIGIBLE_TOKENS
-        }
+        kept = {name: tokens for name, tokens in decayed.items() if tokens > NEGLIGIBLE_TOKENS}
+        self._totals.subtract(past)
+        self._totals.update(kept)
+        self._demand_by_entry[entry] = kept
 
     def forget(self, entry: str) -> None:
         """Drops an entry.
 
         :param entry: id of the entry.
         """
-        self._demand_by_entry.pop(entry, None)
+        self._totals.subtract(self._demand_by_entry.pop(entry, {}))
 
     def share(self, entry: str) -> EntryShare:
         """Returns the part of each organisation's limits that an entry may hand out.
 
         :param entry: id of the entry.
         """
-        return divide(self._demand_by_entry)[entry]
+        mine = self._demand_by_entry[entry]
+        return EntryShare(
+            entries=len(self._demand_by_entry),
+            share_by_organisation={
+                name: min(1.0, tokens / self._totals[name])
+                for name, tokens in mine.items()
+                if self._totals[name] > 0
+            },
+        )
--- a/geraniumrail/entry/completions.py
+++ b/geraniumrail/entry/completions.py
@@ -5,6 +5,7 @@
 import random
 
 from geraniumrail.backends.engine_client import EngineClient
+from geraniumrail.core.backend import Backend
 from geraniumrail.core.clock import Clock
 from geraniumrail.entry.admission import Admission
 from geraniumrail.entry.cluster_view import ClusterView
@@ -71,6 +72,16 @@
             self._admissions[key] = Admission(service, self.window, self.clock)
         return self._admissions[key]
 
+    def introduce(self, backend: Backend) -> None:
+        """Opens the window of an engine by the slots that it reports.
+
+        Twice an equal part, because callers do not spread evenly over the entries.
+
+        :param backend: announcement.
+        """
+        entries = max(1, len(self.view.entries))
+        self.window.introduce(backend.instance, 2 * backend.load.slots / entries)
+
     def pump(self) -> None:
         """Grants turns, after engines or settings have changed."""
         for admission in self._admissions.values():
--- a/geraniumrail/entry/entry.py
+++ b/geraniumrail/entry/entry.py
@@ -269,6 +269,8 @@
     def _updated(self, update: ControlUpdate) -> None:
         self._outcomes.follow_moves()
         self._completions.limits.update(update.share)
+        for backend in update.backends:
+            self._completions.introduce(backend)
         if update.assigned:
             self._bookings.take_over(update.assigned)
         self._completions.pump()
--- a/geraniumrail/fairness/engine_window.py
+++ b/geraniumrail/fairness/engine_window.py
@@ -43,6 +43,15 @@
         size = max(MIN_WINDOW, window.size * rule_of(traffic_class).window_share)
         return window.in_flight + 1 <= size
 
+    def introduce(self, engine: str, size: float) -> None:
+        """Sets the first size for an engine that is not known yet.
+
+        :param engine: instance.
+        :param size: about its slots divided by the entries using it.
+        """
+        if engine not in self._windows_by_engine:
+            self._windows_by_engine[engine] = _Window(min(MAX_WINDOW, max(self._initial, size)))
+
     def started(self, engine: str) -> None:
         """Notes a request that was sent.
 
