--- a/geraniumrail/consensus/testing.py
+++ b/geraniumrail/consensus/testing.py
@@ -102,7 +102,7 @@
 
     def crash(self) -> None:
         """Decides about the write in progress."""
-        if self._writing is not None and self._rng.random() < 0.5:
+        if self._writing is not None and self._rng.random() < 0.25:
             self._store(self._writing)
         self._writing = None
 
@@ -492,33 +492,50 @@
     async def break_often(self) -> None:
         actions = (
             *[self.crash] * 4,
+            *[self.lose_power] * 2,
             *[self.lose_disk] * 2,
-            *[self.cut_off] * 2,
-            *[self.cut_one_way] * 2,
-            *[self.heal] * 3,
+            *[self.cut_off] * 3,
+            *[self.cut_some] * 2,
+            *[self.cut_pair] * 2,
+            self.heal,
             self.drop,
             self.delay,
             self.stall_disk,
             self.hand_over,
         )
+        for disk in self.cluster.disks_by_name.values():
+            disk.sync_s = self.rng.choice(((0.001, 0.004), (0.005, 0.05)))
         while True:
             await self.clock.sleep(self.rng.uniform(0.2, 2.5))
             await self.rng.choice(actions)()
 
     async def crash(self) -> None:
-        up = list(self.cluster.replicas_by_name)
-        if len(self.down) < 2 and up:
-            name = self.rng.choice(up)
-            self.down[name] = self.clock.now() + self.rng.uniform(0.2, 6)
-            self.report.crashes += 1
-            await self.cluster.crash(name)
+        name = self.victim()
+        if len(self.down) < 2 and name not in self.down:
+            await self.crash_one(name)
+
+    async def lose_power(self) -> None:
+        """Ends all replicas at once."""
+        for name in list(self.cluster.replicas_by_name):
+            await self.crash_one(name)
+
+    async def crash_one(self, name: str) -> None:
+        self.down[name] = self.clock.now() + self.rng.uniform(0.2, 6)
+        self.report.crashes += 1
+        await self.cluster.crash(name)
+
+    def victim(self) -> str:
+        """Returns the leader half of the time, else any running replica."""
+        leader = self.cluster.leader()
+        if leader is not None and self.rng.random() < 0.5:
+            return leader
+        return self.rng.choice(list(self.cluster.replicas_by_name) or self.names)
 
     async def lose_disk(self) -> None:
         """Loses one disk and lets the operator repair the group; one at a time."""
-        up = list(self.cluster.replicas_by_name)
-        if self.repairing or self.down or not up:
+        if self.repairing or self.down:
             return
-        name = self.rng.choice(up)
+        name = self.victim()
         lost = self.cluster.replicas_by_name[name].replica_id
         self.repairing = name
         self.report.lost_disks += 1
@@ -557,16 +574,36 @@
 
     async def cut_off(self) -> None:
         self.report.cuts += 1
-        self.cluster.network.cut(*self.rng.sample(self.names, self.rng.choice((1, 1, 2))))
+        others = self.rng.sample(self.names, self.rng.choice((0, 0, 1)))
+        self.cluster.network.cut(self.victim(), *others)
+        await self.hold()
 
-    async def cut_one_way(self) -> None:
+    async def cut_some(self) -> None:
+        """Cuts one replica off from some others, mostly in one direction."""
         self.report.cuts += 1
-        name = self.rng.choice(self.names)
-        others = self.rng.sample(self.cluster.network.others(name), 8 - 1)
-        if self.rng.random() < 0.5:
+        name = self.victim()
+        others = self.rng.sample(self.names, self.rng.randint(1, 4))
+        direction = self.rng.choice(('out', 'in', 'both'))
+        if direction != 'in':
             self.cluster.network.cut_one_way(name, others)
-        else:
+        if direction != 'out':
             self.cluster.network.cut_one_way(others, name)
+        await self.hold()
+
+    async def cut_pair(self) -> None:
+        """Cuts two replicas off from each other while both reach a third."""
+        self.report.cuts += 1
+        name = self.victim()
+        other = self.rng.choice([one for one in self.names if one != name])
+        self.cluster.network.cut_one_way(name, other)
+        self.cluster.network.cut_one_way(other, name)
+        await self.hold()
+
+    async def hold(self) -> None:
+        """Keeps a cut for up to a few election timeouts; half of the time it ends after that."""
+        await self.clock.sleep(self.rng.uniform(0, 8))
+        if self.rng.random() < 0.7:
+            self.cluster.network.cuts.clear()
 
     async def heal(self) -> None:
         self.cluster.network.heal()
@@ -579,7 +616,7 @@
 
     async def stall_disk(self) -> None:
         disk = self.cluster.disks_by_name[self.rng.choice(self.names)]
-        disk.sync_s = self.rng.choice(((0.001, 0.004), (0.01, 0.2), (0.5, 2.5)))
+        disk.sync_s = self.rng.choice(((0.001, 0.03), (0.01, 0.2), (0.5, 2.5)))
 
     async def hand_over(self) -> None:
         leader = self.cluster.leader()
--- a/geraniumrail/consensus/timeout.py
+++ b/geraniumrail/consensus/timeout.py
@@ -18,6 +18,7 @@
     :raises TimeoutError: when the time is up.
     """
     task = asyncio.ensure_future(call)
+    task.add_done_callback(_retrieve)
     timer = asyncio.ensure_future(clock.sleep(seconds))
     try:
         await asyncio.wait((task, timer), return_when=asyncio.FIRST_COMPLETED)
@@ -28,3 +29,9 @@
     if not task.done():
         raise TimeoutError
     return task.result()
+
+
+def _retrieve(task: 'asyncio.Future[Any]') -> None:
+    """Marks the error of a task that nobody awaits any more as seen."""
+    if not task.cancelled():
+        task.exception()
