Keep the quorum contact of a leader and make time limits cheaper

Each proposal recomputed the lease over all peers, and each call to a peer ran in a task of its own beside its timer. The contact is now kept until a reply or a membership change, and a time limit cancels the awaiting task.

Failure schedules end each fault sooner, which leaves more time with a leader.

--- a/geraniumrail/consensus/leadership.py
+++ b/geraniumrail/consensus/leadership.py
@@ -1,9 +1,9 @@
 """What a replica does while it is the leader of a term."""
 
-import asyncio
 from collections.abc import Callable
 
 from geraniumrail.consensus import events
+from geraniumrail.consensus.broadcast import Broadcast
 from geraniumrail.consensus.context import Context
 from geraniumrail.consensus.entry import Entry, Kind
 from geraniumrail.consensus.journal import Journal
@@ -27,17 +27,20 @@
         self.handing_over = False
         self._context = context
         self._term = context.term
-        self._progress = asyncio.Event()
+        self._progress = Broadcast()
         self._lease_lost = False
         self._barrier_index = 0
         self._started_at = context.clock.now()
+        # When a majority was last known to follow; infinite for a majority of one. It is kept
+        # because each proposal checks the lease, and changes only with replies and membership.
+        self._contact_at = float('-inf')
 
     async def run(self) -> None:
         """Leads until this replica stops being the leader of its term."""
         context = self._context
         context.journal.on_durable = self._advance
         context.standing.heard_at = self._started_at
-        self.peers.reconcile()
+        self._reconcile()
         # Entries of earlier terms are committed by an entry of this term (Raft, section 5.4.2).
         self._barrier_index = self._append('barrier', b'')
         log(events.ELECTED, replica=context.replica_id, term=self._term, index=self._barrier_index)
@@ -55,17 +58,17 @@
         if context.standing.role == 'leader':
             context.follow(context.term)
         context.set_deadline()
-        self._signal()
+        self._progress.send()
         log(events.ENDED, replica=context.replica_id, term=self._term)
 
     def has_lease(self) -> bool:
         """Tells whether a majority was heard within the lease."""
-        age = self._context.clock.now() - self.quorum_contact_at()
-        return self._is_leader() and not self.handing_over and age < self._context.config.lease_s
+        within = self.quorum_contact_age_s() < self._context.config.lease_s
+        return within and not self.handing_over and self._is_leader()
 
-    def quorum_contact_at(self) -> float:
-        """Returns when a majority was last known to follow this leader."""
-        return self.peers.majority(self._context.clock.now(), lambda peer: peer.contact_at)
+    def quorum_contact_age_s(self) -> float:
+        """Returns the time in seconds since a majority was last known to follow this leader."""
+        return max(0, self._context.clock.now() - self._contact_at)
 
     def check(self) -> None:
         """Refuses work that this leader may not do now.
@@ -133,10 +136,14 @@
         entry = Entry(index=journal.last_index + 1, term=self._term, kind=kind, payload=payload)
         journal.append((entry,))
         if kind == 'membership':
-            self.peers.reconcile()
+            self._reconcile()
         self.peers.wake()
         return entry.index
 
+    def _reconcile(self) -> None:
+        self.peers.reconcile()
+        self._contact_at = self.peers.contact_at()
+
     def _on_reply(self, term: int) -> None:
         context = self._context
         if not self._is_leader():
@@ -144,10 +151,11 @@
         if term > self._term:
             context.follow(term)
             return
-        standing = context.standing
-        standing.heard_at = max(standing.heard_at, self.quorum_contact_at())
+        self._contact_at = self.peers.contact_at()
+        heard_at = context.clock.now() - self.quorum_contact_age_s()
+        context.standing.heard_at = max(context.standing.heard_at, heard_at)
         self._advance()
-        self._signal()
+        self._progress.send()
 
     def _advance(self) -> None:
         """Commits what a majority has stored."""
@@ -158,18 +166,18 @@
         index = int(self.peers.majority(durable, lambda peer: peer.match_index))
         if index > context.applier.commit_index and may_commit(context.journal, index, self._term):
             context.applier.advance(index)
-            self._signal()
+            self._progress.send()
             self.peers.wake()
 
     def _check_lease(self) -> None:
         context = self._context
         now = context.clock.now()
-        age = now - self.quorum_contact_at()
+        age = self.quorum_contact_age_s()
         leading_for = now - self._started_at
         lost = not self.handing_over and min(age, leading_for) >= context.config.lease_s
         if lost:
             context.applier.lose(now)
-            self._signal()
+            self._progress.send()
         if lost and not self._lease_lost:
             log(events.LEASE_LOST, replica=context.replica_id, term=self._term, age_s=age)
         self._lease_lost = lost
@@ -177,11 +185,6 @@
         if min(age, leading_for) >= context.config.election_timeout_s:
             context.follow(self._term)
 
-    def _signal(self) -> None:
-        waiting = self._progress
-        self._progress = asyncio.Event()
-        waiting.set()
-
 
 def may_commit(journal: Journal, index: int, term: int) -> bool:
     """Tells whether a stored position counts: only entries of the leader's own term do.
--- a/geraniumrail/consensus/peers.py
+++ b/geraniumrail/consensus/peers.py
@@ -78,6 +78,10 @@
         values_by_id[self._context.replica_id] = own
         return self._context.membership.majority_value(values_by_id)
 
+    def contact_at(self) -> float:
+        """Returns when a majority of the voters was last known to follow."""
+        return self.majority(float('inf'), lambda peer: peer.contact_at)
+
     def confirmed_number(self) -> float:
         """Returns the largest request number that a majority of the voters has answered."""
         return self.majority(float('inf'), lambda peer: peer.contact_number)
--- a/geraniumrail/consensus/replica.py
+++ b/geraniumrail/consensus/replica.py
@@ -187,7 +187,7 @@
         journal = context.journal
         leadership = self._runner.leadership
         peers_by_id = {} if leadership is None else leadership.peers.by_id
-        heard_at = standing.heard_at if leadership is None else leadership.quorum_contact_at()
+        age_s = context.clock.now() - standing.heard_at
         return ReplicaStatus(
             replica_id=self.replica_id,
             group=context.config.group,
@@ -201,7 +201,7 @@
             snapshot_index=journal.snapshot.index,
             members=context.membership.members,
             lease=self.is_leader_with_lease(),
-            quorum_contact_age_s=context.clock.now() - heard_at,
+            quorum_contact_age_s=age_s if leadership is None else leadership.quorum_contact_age_s(),
             lag_by_id={
                 name: journal.last_index - peer.match_index for name, peer in peers_by_id.items()
             },
--- a/geraniumrail/consensus/testing.py
+++ b/geraniumrail/consensus/testing.py
@@ -506,7 +506,7 @@
         for disk in self.cluster.disks_by_name.values():
             disk.sync_s = self.rng.choice(((0.001, 0.004), (0.005, 0.05)))
         while True:
-            await self.clock.sleep(self.rng.uniform(0.2, 2.5))
+            await self.clock.sleep(self.rng.uniform(0.2, 1.5))
             await self.rng.choice(actions)()
 
     async def crash(self) -> None:
@@ -593,26 +593,35 @@
     async def cut_pair(self) -> None:
         """Cuts two replicas off from each other while both reach a third."""
         self.report.cuts += 1
-        name = self.victim()
-        other = self.rng.choice([one for one in self.names if one != name])
+        name = self.cluster.leader() or self.victim()
+        voters = self.voters(name)
+        other = self.rng.choice(voters or self.names)
         self.cluster.network.cut_one_way(name, other)
         self.cluster.network.cut_one_way(other, name)
         await self.hold()
 
+    def voters(self, name: str) -> list[str]:
+        """Returns the addresses of the other voters that a replica knows."""
+        replica = self.cluster.replicas_by_name.get(name)
+        members = replica.status().members if replica else ()
+        return [one.address for one in members if one.voter and one.address != name]
+
     async def hold(self) -> None:
-        """Keeps a cut for up to a few election timeouts; half of the time it ends after that."""
-        await self.clock.sleep(self.rng.uniform(0, 8))
-        if self.rng.random() < 0.7:
-            self.cluster.network.cuts.clear()
+        """Keeps a fault for up to a few election timeouts; mostly it ends after that."""
+        await self.clock.sleep(self.rng.uniform(0, 4))
+        if self.rng.random() < 0.8:
+            self.cluster.network.heal()
 
     async def heal(self) -> None:
         self.cluster.network.heal()
 
     async def drop(self) -> None:
         self.cluster.network.drop = self.rng.uniform(0, 0.4)
+        await self.hold()
 
     async def delay(self) -> None:
         self.cluster.network.delay_s = (0.001, self.rng.choice((0.05, 0.5, 3)))
+        await self.hold()
 
     async def stall_disk(self) -> None:
         disk = self.cluster.disks_by_name[self.rng.choice(self.names)]
@@ -636,6 +645,11 @@
         keep_entries=5,
         append_entries=8,
         install_bytes=64,
+        # Half of the default times, so that a schedule holds twice as many elections.
+        heartbeat_s=0.2,
+        lease_s=0.75,
+        election_timeout_s=1.0,
+        call_timeout_s=0.5,
     )
     await cluster.start('d')
     await cluster.add('d')
--- a/geraniumrail/consensus/timeout.py
+++ b/geraniumrail/consensus/timeout.py
@@ -17,21 +17,22 @@
     :param call: what to await; it is cancelled when the time is up.
     :raises TimeoutError: when the time is up.
     """
-    task = asyncio.ensure_future(call)
-    task.add_done_callback(_retrieve)
-    timer = asyncio.ensure_future(clock.sleep(seconds))
+    # Cancels the awaiting task as asyncio.timeout does: a task for the call would cost more than
+    # most calls.
+    current = asyncio.current_task()
+    timer = asyncio.ensure_future(_cancel_after(clock, seconds, current))
+    cancelling = current.cancelling()
     try:
-        await asyncio.wait((task, timer), return_when=asyncio.FIRST_COMPLETED)
+        return await call
+    except asyncio.CancelledError as error:
+        expired = timer.done() and not timer.cancelled()
+        if expired and current.uncancel() <= cancelling:
+            raise TimeoutError from error
+        raise
     finally:
         timer.cancel()
-        if not task.done():
-            task.cancel()
-    if not task.done():
-        raise TimeoutError
-    return task.result()
 
 
-def _retrieve(task: 'asyncio.Future[Any]') -> None:
-    """Marks the error of a task that nobody awaits any more as seen."""
-    if not task.cancelled():
-        task.exception()
+async def _cancel_after(clock: Clock, seconds: float, task: 'asyncio.Task[Any]') -> None:
+    await clock.sleep(seconds)
+    task.cancel()
