--- a/geraniumrail/consensus/applier.py
+++ b/geraniumrail/consensus/applier.py
@@ -56,6 +56,7 @@
         self._machine.restore(snapshot.payload)
         self.applied_index = snapshot.index
         self.commit_index = snapshot.index
+        self._applied_bytes = 0
         self.lose_until(snapshot.index)
 
     def expect(self, index: int, now: float) -> 'asyncio.Future[Result]':
--- a/geraniumrail/consensus/journal.py
+++ b/geraniumrail/consensus/journal.py
@@ -22,7 +22,7 @@
         self.durable_index = stored.base_index + len(stored.entries)
         self.on_durable: Callable[[], None] | None = None
         self._storage = storage
-        self._stored = stored
+        self._replica_id = stored.replica_id
         self._base = (stored.base_index, stored.base_term)
         self._entries = list(stored.entries)
         self._queue = WriteQueue()
@@ -165,7 +165,7 @@
     def _restart_storage(self) -> None:
         self._queue.put(
             Stored(
-                replica_id=self._stored.replica_id,
+                replica_id=self._replica_id,
                 hard=self.hard,
                 snapshot=self.snapshot,
                 base_index=self._base[0],
--- a/geraniumrail/consensus/replica_test.py
+++ b/geraniumrail/consensus/replica_test.py
@@ -114,17 +114,28 @@
         self.assertEqual(leader.status().term, term)
         self.assertTrue(leader.is_leader_with_lease())
 
-    async def test_returned_follower_deposes_the_leader_without_pre_vote(self):
-        """Shows that the check above can fail: voters that ignore a live leader end its term."""
+    async def lease_holders_while_two_are_cut_off_from_each_other(self):
+        """Returns the largest number of replicas that held a lease at one time."""
         cluster = await self.create()
-        leader = cluster.replicas_by_name[cluster.leader()]
-        deaf = next(name for name in 'abc' if name != cluster.leader())
-        cluster.network.cut_one_way('abc'.replace(deaf, ''), deaf)
-        cluster.network.cuts.discard((next(iter(set('abc') - {deaf, cluster.leader()})), deaf))
-        term = leader.status().term
+        leader = cluster.leader()
+        other = next(name for name in 'abc' if name != leader)
+        cluster.network.cut_one_way(leader, other)
+        cluster.network.cut_one_way(other, leader)
+        most = 0
+        for _ in range(1000):
+            await cluster.clock.advance(0.01)
+            replicas = cluster.replicas_by_name.values()
+            most = max(most, sum(replica.is_leader_with_lease() for replica in replicas))
+        return most
+
+    async def test_voters_respect_the_lease_of_a_live_leader(self):
+        """A follower cut off from the leader alone must not win votes of those that hear it."""
+        self.assertEqual(await self.lease_holders_while_two_are_cut_off_from_each_other(), 1)
+
+    async def test_voters_that_ignore_a_live_leader_are_noticed(self):
+        """Shows that the check above can fail."""
         with mock.patch.object(Context, 'hears_leader', lambda context: False):
-            await cluster.clock.advance(20)
-        self.assertGreater(leader.status().term, term)
+            self.assertEqual(await self.lease_holders_while_two_are_cut_off_from_each_other(), 2)
 
     async def test_one_sided_cut_of_the_leader_ends_its_lease(self):
         """A leader that can send but not hear must be replaced."""
--- /dev/null
+++ b/geraniumrail/consensus/schedule_test.py
@@ -0,0 +1,110 @@
+"""Guards the history of the replicated log under seeded failures.
+
+Each check is also shown to notice a mechanism that is switched off.
+"""
+
+import contextlib
+import itertools
+import unittest
+from unittest import mock
+
+from geraniumrail.consensus.follower import Follower
+from geraniumrail.consensus.journal import Journal
+from geraniumrail.consensus.leadership import Leadership
+from geraniumrail.consensus.testing import run_schedule
+
+SEEDS = range(1, 31)
+LONGEST_SEARCH = 60  # seeds
+DURATION_S = 20  # simulated
+
+
+async def return_at_once(journal):
+    """Replaces `Journal.sync`."""
+
+
+async def confirm_nothing(leadership):
+    """Replaces `Leadership.confirm`."""
+    return leadership._context.applier.commit_index
+
+
+def ignore_previous_entry(follower, request):
+    """Replaces `Follower._mismatch`."""
+    last = follower._context.journal.last_index
+    return last if request.prev_index > last else None
+
+
+def ignore_candidate_log(follower, request):
+    """Replaces `Follower._vote_refusal`."""
+    refused = vote_refusal(follower, request)
+    return '' if refused == 'log is behind' else refused
+
+
+vote_refusal = Follower._vote_refusal
+anything_is_durable = property(lambda journal: journal.last_index, lambda journal, index: None)
+
+
+class ScheduleTest(unittest.TestCase):
+    def test_histories_are_correct(self):
+        reports = [run_schedule(seed, DURATION_S) for seed in SEEDS]
+        violations = {one.seed: one.violations for one in reports if one.violations}
+        self.assertEqual(violations, {})
+        # The schedules must have exercised what they are meant to.
+        for figure in ('crashes', 'lost_disks', 'cuts', 'installs', 'unknown', 'refused', 'reads'):
+            self.assertGreater(sum(getattr(one, figure) for one in reports), 10, figure)
+        self.assertGreater(sum(one.acknowledged for one in reports), 1000)
+        self.assertGreater(sum(one.terms for one in reports), 2 * len(reports))
+
+    def test_same_seed_gives_the_same_report(self):
+        """A failure that can't be repeated can't be explained."""
+        self.assertEqual(run_schedule(5, DURATION_S), run_schedule(5, DURATION_S))
+
+    def test_leader_without_a_lease_is_noticed(self):
+        self.assert_noticed(
+            15,
+            'hold a lease',
+            mock.patch.object(Leadership, 'has_lease', Leadership._is_leader),
+            mock.patch.object(Leadership, '_check_lease', lambda leadership: None),
+        )
+
+    def test_acknowledging_before_the_sync_is_noticed(self):
+        self.assert_noticed(
+            10,
+            'was lost',
+            mock.patch.object(Journal, 'sync', return_at_once),
+            mock.patch.object(Journal, 'durable_index', anything_is_durable, create=True),
+        )
+
+    def test_read_without_a_majority_is_noticed(self):
+        self.assert_noticed(
+            14,
+            'a read missed',
+            mock.patch.object(Leadership, 'confirm', confirm_nothing),
+        )
+
+    def test_vote_for_a_shorter_log_is_noticed(self):
+        self.assert_noticed(
+            10,
+            'another sequence',
+            mock.patch.object(Follower, '_vote_refusal', ignore_candidate_log),
+        )
+
+    def test_append_after_another_entry_is_noticed(self):
+        self.assert_noticed(
+            29,
+            'another sequence',
+            mock.patch.object(Follower, '_mismatch', ignore_previous_entry),
+        )
+
+    def assert_noticed(self, first_seed, violation, *patches):
+        """Searches seeds, from one that is known to do, until the violation is reported."""
+        with contextlib.ExitStack() as stack:
+            for patch in patches:
+                stack.enter_context(patch)
+            for seed in itertools.islice(itertools.count(first_seed), LONGEST_SEARCH):
+                if any(violation in found for found in run_schedule(seed).violations):
+                    return
+        self.fail(f'no seed has reported: {violation}')
+
+
+if __name__ == '__main__':
+    unittest.main()
