--- /dev/null
+++ b/geraniumrail/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load tool and seeded experiments."""
--- a/geraniumrail/rollout/breaker.py
+++ b/geraniumrail/rollout/breaker.py
@@ -5,82 +5,13 @@
 
 from geraniumrail.core import events as core_events
 from geraniumrail.rollout import events
-from geraniumrail.rollout.breaker_cell import BreakerCell
+from geraniumrail.rollout.breaker_cell import BreakerCell, Wait
 from geraniumrail.rollout.breaker_report import BreakerReport
-from geraniumrail.rollout.recent import RecentErrors, RecentLatency, Slowdown
+from geraniumrail.rollout.old_figures import OldFigures, Sample
 
-_LONG_S = 60
-_SHORT_S = 2
-_LATENCY_S = 60
-_PRIOR_RATE = 0.005
-_PRIOR_SAMPLES = 20
-_SLOW_FACTOR = 1.5
 _MAX_WAITS = 256
 
 
-class _OldErrors:
-    def __init__(self) -> None:
-        self._windows = (RecentErrors(_LONG_S), RecentErrors(_SHORT_S))
-
-    def add(self, failed: bool, now: float) -> None:
-        for window in self._windows:
-            window.add(failed, now)
-
-    def rate(self, now: float) -> float:
-        return max(window.rate(_PRIOR_RATE, _PRIOR_SAMPLES, now) for window in self._windows)
-
-
-class _OldLatency:
-    def __init__(self) -> None:
-        self._routes: dict[str, RecentLatency] = defaultdict(lambda: RecentLatency(_LATENCY_S))
-        self._slowdown = Slowdown()
-
-    def add(self, route: str, seconds: float, now: float) -> None:
-        usual = self._routes[route].usual_s(now)
-        self._routes[route].add(seconds, now)
-        if usual is not None:
-            self._slowdown.add(seconds / usual, now)
-
-    def limit_s(self, route: str, now: float) -> float | None:
-        usual = self._routes[route].usual_s(now)
-        factor = self._slowdown.factor(now)
-        return None if usual is None or factor is None else _SLOW_FACTOR * usual * factor
-
-
-class _OldFigures:
-    """Recent figures of the old version at this entry."""
-
-    def __init__(self) -> None:
-        self._errors: dict[str, _OldErrors] = defaultdict(_OldErrors)
-        self._latency = {'first_token': _OldLatency(), 'between_tokens': _OldLatency()}
-
-    def add(
-        self, route: str, failed: bool | None, latencies: dict[str, float | None], now: float
-    ) -> None:
-        scopes = () if failed is None else ('', route)
-        for scope in scopes:
-            self._errors[scope].add(bool(failed), now)
-        for name, seconds in latencies.items():
-            if seconds is not None:
-                self._latency[name].add(route, seconds, now)
-
-    def error_rate(self, scope: str, now: float) -> float:
-        return max(self._errors[''].rate(now), self._errors[scope].rate(now))
-
-    def limit_s(self, name: str, route: str, now: float) -> float | None:
-        return self._latency[name].limit_s(route, now)
-
-    def slow(self, route: str, latencies: dict[str, float | None], now: float) -> bool | None:
-        """Returns whether a latency is above its limit; None if nothing can be compared."""
-        pairs = [
-            (seconds, self.limit_s(name, route, now))
-            for name, seconds in latencies.items()
-            if seconds is not None
-        ]
-        verdicts = [seconds > limit for seconds, limit in pairs if limit is not None]
-        return any(verdicts) if verdicts else None
-
-
 @dataclasses.dataclass
 class _Pair:
     """The two versions of a running move."""
@@ -91,7 +22,7 @@
     cells: dict[str, BreakerCell] = dataclasses.field(
         default_factory=lambda: defaultdict(BreakerCell),
     )
-    old: _OldFigures = dataclasses.field(default_factory=_OldFigures)
+    old: OldFigures = dataclasses.field(default_factory=OldFigures)
 
 
 class Breaker:
@@ -145,7 +76,9 @@
             return True
         return any([cell.blocks(now) for cell in cells])
 
-    def waiting(self, attempt: str, service: str, version: str, route: str, now: float) -> None:
+    def waiting(
+        self, attempt: str, service: str, version: str, route: str, now: float, band: int = 0
+    ) -> None:
         """Notes that an attempt waits for its first token, so that a stall counts early.
 
         :param attempt: attempt id.
@@ -153,12 +86,13 @@
         :param version: version.
         :param route: route name.
         :param now: seconds.
+        :param band: `load_band` of the backend server.
         """
         pair = self._pairs.get(service)
         if pair is None or version != pair.new_version:
             return
         waits = pair.cells[route].waits
-        waits.append((attempt, now))
+        waits.append((attempt, now, band))
         if len(waits) > _MAX_WAITS:
             waits.popleft()
 
@@ -185,6 +119,7 @@
         first_token_s: float | None,
         between_tokens_s: float | None,
         now: float,
+        band: int = 0,
     ) -> None:
         """Counts one outcome; may be called in parts, as soon as each part is known.
 
@@ -195,15 +130,16 @@
         :param first_token_s: seconds to the first token, if known.
         :param between_tokens_s: mean seconds between tokens, if known.
         :param now: seconds.
+        :param band: `load_band` of the backend server when the request was sent.
         """
         pair = self._pairs.get(service)
         if pair is None:
             return
-        latencies = {'first_token': first_token_s, 'between_tokens': between_tokens_s}
+        sample = Sample(route, band, first_token_s, between_tokens_s)
         if version == pair.old_version:
-            pair.old.add(route, failed, latencies, now)
+            pair.old.add(sample, failed, now)
         elif version == pair.new_version:
-            slow = pair.old.slow(route, latencies, now)
+            slow = pair.old.slow(sample, now)
             cell = pair.cells[route]
             if slow and first_token_s is not None and cell.early_slow:
                 cell.early_slow -= 1
@@ -250,7 +186,10 @@
             return
         rate = pair.old.error_rate(scope, now)
         causes = (
-            ('error_rate', failed is not None and cell.add_error(bool(failed), rate)),
+            (
+                'error_rate',
+                failed is not None and cell.add_outcomes(int(failed), int(not failed), rate),
+            ),
             ('latency', slow is not None and cell.add_latency(slow)),
         )
         for cause, opens in causes:
@@ -262,13 +201,16 @@
         cell = pair.cells[route]
         if not cell.waits:
             return
-        limit = pair.old.limit_s('first_token', route, now)
-        while limit is not None and cell.waits and now - cell.waits[0][1] > limit:
+        while cell.waits and self._is_overdue(pair, route, cell.waits[0], now):
             cell.waits.popleft()
             cell.early_slow += 1
             for scope in ('', route):
                 self._score(service, pair, scope, (None, True), now)
 
+    def _is_overdue(self, pair: _Pair, route: str, wait: Wait, now: float) -> bool:
+        _, since, band = wait
+        return bool(pair.old.slow(Sample(route, band, now - since, None), now))
+
 
 def _log(
     event: core_events.Event,
--- a/geraniumrail/rollout/breaker_cell.py
+++ b/geraniumrail/rollout/breaker_cell.py
@@ -15,6 +15,8 @@
 _TRIALS_TO_CLOSE = 3
 _HIGHEST_RATE = 0.95
 
+Wait = tuple[str, float, int]  # attempt, since, load band
+
 
 @dataclasses.dataclass
 class BreakerCell:
@@ -29,22 +31,23 @@
     good_trials: int = 0
     last_trial: float = float('-inf')
     early_slow: int = 0  # waits counted as slow before their first token came
-    waits: deque[tuple[str, float]] = dataclasses.field(default_factory=deque)
+    waits: deque[Wait] = dataclasses.field(default_factory=deque)
 
-    def add_error(self, failed: bool, old_rate: float) -> bool:
-        """Scores the end of a request; returns whether the breaker is to open.
+    def add_outcomes(self, errors: int, successes: int, old_rate: float) -> bool:
+        """Scores requests that ended; returns whether the breaker is to open.
 
-        :param failed: whether it failed.
+        :param errors: how many failed; they count before the successes.
+        :param successes: how many did not.
         :param old_rate: recent error rate of the old version, above 0.
         """
         old_rate = min(old_rate, _HIGHEST_RATE)
         faulty_rate = max(_FAILING_RATE, (1 + old_rate) / 2)
-        if failed:
-            self.error_score += math.log(faulty_rate / old_rate)
-        else:
-            self.error_score += math.log((1 - faulty_rate) / (1 - old_rate))
-        self.error_score = max(0, self.error_score)
-        return self.error_score >= _OPEN_SCORE
+        self.error_score += errors * math.log(faulty_rate / old_rate)
+        opens = self.error_score >= _OPEN_SCORE
+        if successes:
+            self.error_score += successes * math.log((1 - faulty_rate) / (1 - old_rate))
+            self.error_score = max(0, self.error_score)
+        return opens
 
     def add_latency(self, slow: bool) -> bool:
         """Scores a latency sample; returns whether the breaker is to open.
--- a/geraniumrail/rollout/move_controller.py
+++ b/geraniumrail/rollout/move_controller.py
@@ -1,11 +1,11 @@
 """Decides the steps and the end of one version move."""
 
 import math
-import types
 from collections.abc import Iterable
 
 from geraniumrail.core import events as core_events
 from geraniumrail.rollout import events
+from geraniumrail.rollout.alarm import Alarm
 from geraniumrail.rollout.breaker_panel import BreakerPanel
 from geraniumrail.rollout.breaker_report import BreakerReport
 from geraniumrail.rollout.end_reason import Ending, EndReason
@@ -13,20 +13,18 @@
 from geraniumrail.rollout.move_end import MoveEnd
 from geraniumrail.rollout.move_order import MoveOrder
 from geraniumrail.rollout.move_step import MoveStep
+from geraniumrail.rollout.next_share import next_share, retreat_share
 from geraniumrail.rollout.outcome_stat import OutcomeStat
-from geraniumrail.rollout.sequential import SIGNALS, Sequential
+from geraniumrail.rollout.sequential import Sequential
 
-_ALPHA = 0.002  # chance of taking a good move back, for each signal
+_ALPHA = 0.005  # chance of taking a good move back, for each signal
 _END_LOG_E = math.log(1 / _ALPHA)
-_HOLD_LOG_E = _END_LOG_E / 2
-_MIN_SAMPLES = 16  # of the new version before its share may exceed the canary share
-_MAX_GROWTH = 4
+_HOLD_LOG_E = _END_LOG_E * 0.7  # under a lower one, one good move in ten would be held
 _MIN_DWELL_S = 5
 _MIN_FULL_SAMPLES = 20
-_HARM_BY_SIGNAL = types.MappingProxyType(
-    {'error_rate': 1, 'first_token': 0.25, 'between_tokens': 0.25},
-)
-_UNKNOWN_EXCESS = 0.001  # for services that report no latency
+_PROVEN_EXCESS = 0.02  # share of errors on a route, above which the version is watched for longer
+_LONGEST_WATCH = 3  # times the watch period
+_LAST_DECISION = 0.05  # of the time to the deadline, left for a breaker to try again
 
 
 class MoveController:
@@ -50,6 +48,7 @@
         self._step_at = step_at
         self._begun_at = now
         self._sequential = Sequential(order.from_version, order.to_version)
+        self._alarm = Alarm(order.from_version, order.to_version)
         self._samples = 0
         self._pending: MoveStep | None = None
         self._breakers = BreakerPanel(order.service, order.to_version)
@@ -98,6 +97,7 @@
         for stat in stats:
             if stat.service == self.order.service:
                 self._sequential.observe(stat)
+                self._alarm.observe(stat, now)
                 if stat.version == self.order.to_version:
                     self._samples += stat.requests
         self._breakers.observe(entry, breakers, now)
@@ -157,47 +157,50 @@
             self._finish(Ending.taken_back, EndReason.deadline, detail)
 
     def _is_proven(self, evidence: Evidence, now: float) -> bool:
-        watched_s = self.order.watch_duration_s
-        if self.step.share < self.order.full_share or self._samples < _MIN_FULL_SAMPLES:
+        order = self.order
+        if self.step.share < order.full_share or self._samples < _MIN_FULL_SAMPLES:
             return False
+        watched_s = now - self._step_at
         # After a change of leader the evidence is fresh, so some of it must be new as well.
-        is_watched = now >= max(self._step_at + watched_s, self._begun_at + min(watched_s, 10))
-        return is_watched and not self._signs_of_fault(evidence)
+        fresh_s = now - self._begun_at
+        if watched_s < order.watch_duration_s or fresh_s < min(10, order.watch_duration_s):
+            return False
+        longest_s = _LONGEST_WATCH * order.watch_s
+        spare_s = _LAST_DECISION * (order.deadline - order.started_at)
+        is_last = watched_s >= longest_s or now >= order.deadline - spare_s
+        return not self._signs_of_fault(evidence) and (is_last or self._is_known_well())
+
+    def _is_known_well(self) -> bool:
+        """Tells whether an excess of errors has been ruled out on each route."""
+        by_route = self._sequential.excess('error_rate')
+        return all(excess.upper_share() <= _PROVEN_EXCESS for excess in by_route.values())
 
     def _next_step(self, evidence: Evidence, now: float) -> MoveStep | None:
         if not self.step.share:
             return self._make_step(self.order.unproven_share, 'canary')
         if self._breakers.trial_is_due(self.step.step, now):
             return self._make_step(self.step.share, 'try open breakers again')
+        retreat = retreat_share(self.order, self.step.share)
+        if self._alarm.take() and retreat < self.step.share:
+            return self._make_step(retreat, 'failures within few requests')
         if self._signs_of_fault(evidence):
-            if not self._held:
-                core_events.log(events.MOVE_HELD, move=self.order.move_id, evidence=str(evidence))
-            self._held = True
-            return None
+            return self._hold(evidence)
         self._held = False
-        share = self._share_by_evidence()
         if now - self._step_at < _MIN_DWELL_S or self.step.share >= self.order.full_share:
             return None
-        # Steps below a quarter of the present share cost a log entry and teach little.
-        if share < self.order.full_share and share < self.step.share * 1.25:
+        share = next_share(self._sequential, self.order, self.step.share, now)
+        return None if share is None else self._make_step(share, 'evidence')
+
+    def _hold(self, evidence: Evidence) -> MoveStep | None:
+        """Keeps the share, and lowers it once if the comparison shows signs of a fault."""
+        if self._held:
+            return None
+        self._held = True
+        core_events.log(events.MOVE_HELD, move=self.order.move_id, evidence=str(evidence))
+        share = retreat_share(self.order, self.step.share)
+        if evidence.log_e < _HOLD_LOG_E or share >= self.step.share:
             return None
-        return self._make_step(share, 'evidence')
-
-    def _share_by_evidence(self) -> float:
-        """Returns the share at which the harm not yet ruled out equals that of the canary."""
-        if self._sequential.excess('error_rate')[''].samples < _MIN_SAMPLES:
-            return self.order.unproven_share
-        harm = max(_HARM_BY_SIGNAL[signal] * self._worst_excess(signal) for signal in SIGNALS)
-        share = self.order.unproven_share / harm
-        return min(share, self.step.share * _MAX_GROWTH, self.order.full_share)
-
-    def _worst_excess(self, signal: str) -> float:
-        """Returns the excess not ruled out if the fault is on all routes or on a single one."""
-        by_route = self._sequential.excess(signal)
-        samples = by_route[''].samples
-        if not samples:
-            return _UNKNOWN_EXCESS
-        return max(excess.upper_share() * excess.samples / samples for excess in by_route.values())
+        return self._make_step(share, 'signs of a fault')
 
     def _signs_of_fault(self, evidence: Evidence) -> bool:
         return evidence.log_e >= _HOLD_LOG_E or not self._breakers.all_closed()
--- a/geraniumrail/rollout/outcome_log.py
+++ b/geraniumrail/rollout/outcome_log.py
@@ -8,7 +8,6 @@
 
 _Key = tuple[tuple[str, str, str, str], int, int]
 _MAX_STATS = 4096  # bounds memory while the control link is down; older seconds are dropped first
-_SLOTS_BANDS = (0.5, 1)
 
 
 @dataclasses.dataclass
@@ -21,17 +20,6 @@
     between_tokens: Counter[int] = dataclasses.field(default_factory=Counter)
 
 
-def load_band(running: int, queued: int, slots: int) -> int:
-    """Returns 0 for a lightly loaded backend server, 1 for a busy one, 2 if requests queue.
-
-    :param running: requests being worked on.
-    :param queued: requests waiting.
-    :param slots: requests that can run at once.
-    """
-    used = (running + queued) / max(1, slots)
-    return sum(used >= bound for bound in _SLOTS_BANDS)
-
-
 class OutcomeLog:
     """Counts outcomes by version, route, organisation, load band and second."""
 
--- a/geraniumrail/rollout/recent.py
+++ b/geraniumrail/rollout/recent.py
@@ -8,6 +8,7 @@
 _MIN_SAMPLES = 8
 _FRESH_S = 15
 _MIN_FRESH = 3
+_STALE_FACTOR = 1.2
 
 
 class RecentErrors:
@@ -23,15 +24,16 @@
         self._counts = [0, 0]
         self._previous = [0, 0]
 
-    def add(self, failed: bool, now: float) -> None:
-        """Counts one outcome.
+    def add(self, errors: int, now: float, requests: int = 1) -> None:
+        """Counts outcomes.
 
-        :param failed: whether it failed.
+        :param errors: how many failed.
         :param now: seconds.
+        :param requests: how many there were.
         """
         self._rotate(now)
-        self._counts[0] += 1
-        self._counts[1] += failed
+        self._counts[0] += requests
+        self._counts[1] += errors
 
     def rate(self, prior_rate: float, prior_samples: float, now: float) -> float:
         """Returns the error rate, smoothed towards a prior.
@@ -66,6 +68,7 @@
         self._started = float('-inf')
         self._counts: Counter[int] = Counter()
         self._previous: Counter[int] = Counter()
+        self._usual_s: float | None = None
 
     def add(self, seconds: float, now: float) -> None:
         """Counts one sample.
@@ -77,15 +80,15 @@
         self._counts[histogram.bucket(seconds)] += 1
 
     def usual_s(self, now: float) -> float | None:
-        """Returns the 90th percentile, or None without enough samples.
+        """Returns the 90th percentile, or None if there never were enough samples.
 
         :param now: seconds.
         """
         self._rotate(now)
         counts = self._counts + self._previous
-        if counts.total() < _MIN_SAMPLES:
-            return None
-        return histogram.upper_s(histogram.quantile_bucket(counts, 0.9) or 0)
+        if counts.total() >= _MIN_SAMPLES:
+            self._usual_s = histogram.upper_s(histogram.quantile_bucket(counts, 0.9) or 0)
+        return self._usual_s
 
     def _rotate(self, now: float) -> None:
         age = now - self._started
@@ -111,15 +114,15 @@
         """
         self._last.append((now, ratio))
 
-    def factor(self, now: float) -> float | None:
-        """Returns the present slowdown, at least 1, or None without fresh samples.
+    def factor(self, now: float) -> float:
+        """Returns the present slowdown, at least 1.
 
-        A surge slows both versions; without fresh samples of the old version it could not be
-        told from a fault of the new one.
+        What slows both versions cannot be told from a fault of the new one without fresh samples
+        of the old one, so more is tolerated then.
 
         :param now: seconds.
         """
         fresh = sorted(ratio for at, ratio in self._last if now - at <= _FRESH_S)
         if len(fresh) < _MIN_FRESH:
-            return None
+            return _STALE_FACTOR
         return max(1, fresh[len(fresh) * 3 // 4])
--- a/geraniumrail/rollout/reference.py
+++ b/geraniumrail/rollout/reference.py
@@ -4,8 +4,10 @@
 
 from geraniumrail.rollout import histogram
 
-_SLOW_QUANTILE = 0.8
+_SLOW_QUANTILE = 0.9
 _MIN_SAMPLES = 20
+_MAX_HISTORY = 100  # samples that stand in for the old version, so that errors in them weigh little
+_MIN_HISTORY = 80
 _MAX_SAMPLES = 400  # older samples fade once there are more
 
 
@@ -33,6 +35,19 @@
         """
         return self._thresholds.get(key)
 
+    def history(self, key: str) -> tuple[int, int]:
+        """Returns how many of how many earlier samples are slow; (0, 0) if there are too few.
+
+        :param key: signal and route.
+        """
+        samples = self._samples.get(key)
+        if samples is None or samples.total() < _MIN_HISTORY:
+            return (0, 0)
+        total = samples.total()
+        slow = sum(count for number, count in samples.items() if number > self._thresholds[key])
+        size = min(_MAX_HISTORY, int(total))
+        return (round(slow / total * size), size)
+
     def is_due(self) -> bool:
         """Tells whether a key has enough samples for its first threshold."""
         return any(
--- a/geraniumrail/rollout/sequential.py
+++ b/geraniumrail/rollout/sequential.py
@@ -1,23 +1,26 @@
 """Sequential comparison of two versions that stays valid when it is looked at often."""
 
+import functools
 import math
 from collections import defaultdict
+from collections.abc import Iterator
 
 from geraniumrail.rollout import contrast
 from geraniumrail.rollout.evidence import Evidence
 from geraniumrail.rollout.excess import Excess
+from geraniumrail.rollout.load_band import QUEUEING_BAND, between_tokens_band
 from geraniumrail.rollout.mixture import Mixture, log_sum
 from geraniumrail.rollout.outcome_stat import OutcomeStat
 from geraniumrail.rollout.reference import Reference
-from geraniumrail.rollout.strata import Strata
+from geraniumrail.rollout.strata import Cell, Strata
 
 SIGNALS = ('error_rate', 'first_token', 'between_tokens')
 
 # The first ratio of the odds of a bad outcome is tolerated, the others are tested.
 _RATIOS_BY_SIGNAL = {
-    'error_rate': (1.5, 4, 12, 60),
-    'first_token': (2, 4, 10, 40),
-    'between_tokens': (2, 4, 10, 40),
+    'error_rate': (1.5, 4, 30, 400),
+    'first_token': (3, 8, 24, 100),
+    'between_tokens': (3, 8, 24, 100),
 }
 _MIN_WINDOW_S = 2
 _MAX_WINDOW_S = 60
@@ -63,12 +66,15 @@
         self._routes.add(stat.route)
         stratum = (stat.route, stat.organisation, 0)
         self._strata['error_rate'].add(stratum, is_new, stat.requests, stat.errors)
-        stratum = (stat.route, stat.organisation, stat.load_band)
-        for signal, counts in (
-            ('first_token', stat.first_token_counts),
-            ('between_tokens', stat.between_tokens_counts),
-        ):
-            key = f'{signal} {stat.route}'
+        latencies = [
+            ('between_tokens', between_tokens_band(stat.load_band), stat.between_tokens_counts),
+        ]
+        if stat.load_band < QUEUEING_BAND:
+            # How long requests queue depends on the load of the version.
+            latencies.append(('first_token', stat.load_band, stat.first_token_counts))
+        for signal, band, counts in latencies:
+            stratum = (stat.route, stat.organisation, band)
+            key = f'{signal} {stat.route} {band}'
             threshold = self._reference.threshold(key)
             if threshold is not None:
                 total = sum(count for _, count in counts)
@@ -115,11 +121,24 @@
         :param signal: error_rate, first_token or between_tokens.
         """
         totals = {route: self._excess[signal, route] for route in (_ALL, *sorted(self._routes))}
-        for name, cell in self._strata[signal].paired():
+        for name, cell in self._paired(signal):
             for scope in (_ALL, name):
                 totals[scope] = totals[scope].plus(*cell.counts)
         return totals
 
+    def _paired(self, signal: str) -> Iterator[tuple[str, Cell]]:
+        """Yields the cells of the open window.
+
+        Under the full share the old version is less loaded than the new one, so its earlier
+        samples under the same load stand in. Errors are compared over the same minutes only.
+        """
+        if signal == 'error_rate':
+            return self._strata[signal].paired()
+        return self._strata[signal].paired(functools.partial(self._history, signal))
+
+    def _history(self, signal: str, route: str, band: int) -> tuple[int, int]:
+        return self._reference.history(f'{signal} {route} {band}')
+
     def _increments(self) -> dict[_Key, list[float]]:
         """Returns the log evidence of the open window by signal and route, for each ratio."""
         increments = {
@@ -128,7 +147,7 @@
             for route in (_ALL, *sorted(self._routes))
         }
         for signal in SIGNALS:
-            for name, cell in self._strata[signal].paired():
+            for name, cell in self._paired(signal):
                 logs = contrast.log_evidence(*cell.counts, _RATIOS_BY_SIGNAL[signal])
                 for scope in (_ALL, name):
                     before = increments[signal, scope]
--- a/geraniumrail/rollout/strata.py
+++ b/geraniumrail/rollout/strata.py
@@ -2,9 +2,12 @@
 
 import dataclasses
 from collections import defaultdict
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 _Stratum = tuple[str, str, int]
+_History = Callable[[str, int], tuple[int, int]]
+
+_FEW = 10
 
 
 @dataclasses.dataclass
@@ -49,13 +52,20 @@
         """
         self._cells[stratum].add((bad, total, 0, 0) if is_new else (0, 0, bad, total))
 
-    def paired(self) -> Iterator[tuple[str, Cell]]:
-        """Yields (route, cell); strata with one version only are pooled by route and band."""
+    def paired(self, history: _History | None = None) -> Iterator[tuple[str, Cell]]:
+        """Yields (route, cell); strata with one version only are pooled by route and band.
+
+        :param history: returns (bad, total) of earlier samples of the old version by route and
+            band; they are added where it has few in this window.
+        """
         rest: dict[tuple[str, int], Cell] = defaultdict(Cell)
+        least = 1 if history is None else _FEW
         for (route, _, band), cell in self._cells.items():
-            if cell.old_total and cell.new_total:
+            if cell.new_total and cell.old_total >= min(least, cell.new_total):
                 yield route, cell
             else:
                 rest[route, band].add(cell.counts)
-        for (route, _), pooled in rest.items():
+        for (route, band), pooled in rest.items():
+            if history is not None and pooled.old_total < _FEW:
+                pooled.add((0, 0, *history(route, band)))
             yield route, pooled
