--- a/geraniumrail/fairness/account.py
+++ b/geraniumrail/fairness/account.py
@@ -1,6 +1,7 @@
 """Queue state of one organisation."""
 
 import collections
+from collections.abc import Collection
 
 from geraniumrail.fairness.classes import rule_of
 from geraniumrail.fairness.queue_item import PROMOTE_SHARE, QueueItem
@@ -27,7 +28,10 @@
         :param item: not in the queue yet.
         :param now: monotonic seconds.
         """
-        promote_at = None if item.bound_s is None else now + PROMOTE_SHARE * item.bound_s
+        if item.bound_s is None:
+            promote_at = now + rule_of(item.traffic_class).promote_s
+        else:
+            promote_at = now + PROMOTE_SHARE * item.bound_s
         waiting = self._waiting_by_class.setdefault(item.traffic_class, collections.OrderedDict())
         waiting[item.item_id] = Waiting(item, promote_at)
         self.depth += 1
@@ -42,16 +46,22 @@
         self.depth -= 1
         self._tokens_by_class[item.traffic_class] -= item.share_tokens
 
-    def best(self, now: float) -> tuple[float, QueueItem] | None:
+    def best(
+        self, now: float, classes: Collection[str] | None = None
+    ) -> tuple[float, QueueItem] | None:
         """Returns the item to go next and its position; the lowest position goes first.
 
         :param now: monotonic seconds.
+        :param classes: classes that may go; None for all.
         """
-        heads = [next(iter(each.values())) for each in self._waiting_by_class.values() if each]
+        heads = [
+            next(iter(waiting.values()))
+            for name, waiting in self._waiting_by_class.items()
+            if waiting and (classes is None or name in classes)
+        ]
         if not heads:
             return None
-        # A promoted item goes before the organisation's own chat, at the same position.
-        head = min(heads, key=lambda each: (each.handicap(now), not each.promoted(now)))
+        head = min(heads, key=lambda each: (each.handicap(now), each.due()))
         return self.tag + head.handicap(now), head.item
 
     def backlog(self, traffic_class: str) -> float:
--- a/geraniumrail/fairness/classes.py
+++ b/geraniumrail/fairness/classes.py
@@ -10,14 +10,15 @@
     handicap_tokens: float  # tokens per weight by which the class stands behind in the queue
     depth_share: float  # share of the depth limit at which the class is shed
     window_share: float  # share of an engine window that the class may fill
-    patience_s: float  # expected wait above which the class is shed, unless it has a deadline
+    patience_s: float  # expected wait above which the class is shed, unless it has a bound
+    promote_s: float  # waiting time after which an item without a bound counts as chat
 
 
 # Chat is shed last and goes first. A review waits until its bound nears (see `QueueItem`).
 RULES_BY_CLASS = {
-    'chat': ClassRule(0, 1, 1, 2),
-    'quick': ClassRule(2000, 0.8, 1, 4),
-    'review': ClassRule(20000, 0.6, 0.75, 60),
+    'chat': ClassRule(0, 1, 1, 2, 0),
+    'quick': ClassRule(2000, 0.8, 1, 4, 2),
+    'review': ClassRule(20000, 0.6, 0.75, 60, 60),
 }
 _DEFAULT = RULES_BY_CLASS['quick']
 
--- a/geraniumrail/fairness/engine_window.py
+++ b/geraniumrail/fairness/engine_window.py
@@ -1,21 +1,35 @@
 """How many requests an entry may have in flight at each engine."""
 
+import collections
 import math
+from collections.abc import Iterable
 
+from geraniumrail.core.load_report import LoadReport
 from geraniumrail.fairness.classes import rule_of
 
 MIN_WINDOW = 1.0
 MAX_WINDOW = 64.0
-# The window grows while the first token takes less than this share of the target.
-GROW_BELOW = 0.7
+# Shares of the target. One request above the slots of an engine already waits about as long as the
+# target, so the window reacts well before the target is missed.
+GROW_BELOW = 0.25
+SHRINK_ABOVE = 0.5
 SHRINK_FACTOR = 0.8
+# All entries together leave about a tenth of the slots free, so that a request which may use the
+# reserve starts at once; waits alone would show a full engine only after the target is missed.
+FULL_SHARE = 0.9
+FULL_FACTOR = 0.9
+# Without free places a small organisation waits until some answer ends, which takes longer than
+# the first-token target.
+RESERVE_SHARE = 0.15
 
 
 class _Window:
     def __init__(self, size: float) -> None:
         self.size = size
         self.in_flight = 0
+        self.in_flight_by_class: collections.Counter[str] = collections.Counter()
         self.shrunk_at = -math.inf
+        self.full = False
 
 
 class EngineWindow:
@@ -40,15 +54,30 @@
         :param traffic_class: chat, quick or review; reviews leave a part of the window free.
         """
         window = self._window(engine)
-        size = max(MIN_WINDOW, window.size * rule_of(traffic_class).window_share)
-        return window.in_flight + 1 <= size
+        limit = max(MIN_WINDOW, window.size * rule_of(traffic_class).window_share)
+        return (
+            window.in_flight + 1 <= window.size
+            and window.in_flight_by_class[traffic_class] + 1 <= limit
+        )
 
-    def started(self, engine: str) -> None:
+    def reserve_only(self, engines: Iterable[str]) -> bool:
+        """Tells whether only the reserve for underserved organisations is left.
+
+        :param engines: instances that this entry uses.
+        """
+        windows = [self._window(engine) for engine in engines]
+        free = sum(max(0, int(window.size) - window.in_flight) for window in windows)
+        return free <= RESERVE_SHARE * sum(window.size for window in windows)
+
+    def started(self, engine: str, traffic_class: str = 'chat') -> None:
         """Notes a request that was sent.
 
         :param engine: instance.
+        :param traffic_class: chat, quick or review.
         """
-        self._window(engine).in_flight += 1
+        window = self._window(engine)
+        window.in_flight += 1
+        window.in_flight_by_class[traffic_class] += 1
 
     def first_token(self, engine: str, wait_s: float, target_s: float, now: float) -> None:
         """Adapts the window to an observed time to the first token.
@@ -59,20 +88,38 @@
         :param now: monotonic seconds.
         """
         window = self._window(engine)
-        if wait_s > target_s:
+        if wait_s > SHRINK_ABOVE * target_s:
             if now - window.shrunk_at >= target_s:
                 window.size = max(MIN_WINDOW, window.size * SHRINK_FACTOR)
                 window.shrunk_at = now
-        elif wait_s < GROW_BELOW * target_s and window.in_flight + 1 > window.size:
+        elif (
+            wait_s < GROW_BELOW * target_s
+            and window.in_flight + 1 > window.size
+            and not window.full
+        ):
             window.size = min(MAX_WINDOW, window.size + 1 / window.size)
 
-    def finished(self, engine: str) -> None:
+    def reported(self, engine: str, report: LoadReport) -> None:
+        """Adapts the window to a new load report: an engine near its slots gets less.
+
+        :param engine: instance.
+        :param report: load, of all entries together.
+        """
+        window = self._window(engine)
+        window.full = report.running + report.queued >= FULL_SHARE * report.slots
+        if window.full:
+            window.size = max(MIN_WINDOW, window.size * FULL_FACTOR)
+
+    def finished(self, engine: str, traffic_class: str = 'chat') -> None:
         """Notes the end of a request.
 
         :param engine: instance.
+        :param traffic_class: the same as given to `started`.
         """
         window = self._window(engine)
-        window.in_flight = max(0, window.in_flight - 1)
+        if window.in_flight_by_class[traffic_class]:
+            window.in_flight -= 1
+            window.in_flight_by_class[traffic_class] -= 1
 
     def forget(self, engine: str) -> None:
         """Drops an engine that is gone.
--- a/geraniumrail/fairness/fair_queue.py
+++ b/geraniumrail/fairness/fair_queue.py
@@ -1,11 +1,16 @@
 """Start-time fair queueing over organisations, in tokens."""
 
+import math
+from collections.abc import Collection
+
 from geraniumrail.errors.request import OverloadedError
 from geraniumrail.fairness.account import Account
 from geraniumrail.fairness.queue_item import QueueItem
 
 # How far an organisation that was idle may go ahead of the others, in tokens for a weight of 1.
-IDLE_CREDIT_TOKENS = 2000
+IDLE_CREDIT_TOKENS = 8000
+# An organisation that is this far behind the others may use the reserve of the engine windows.
+RESERVE_TOKENS = 500
 QUEUE_LIMIT_RETRY_S = 2
 
 
@@ -32,7 +37,7 @@
         """
         account = self._accounts_by_organisation.get(item.organisation)
         if account is None:
-            account = Account(self._virtual)
+            account = Account(self._virtual - IDLE_CREDIT_TOKENS)
             self._accounts_by_organisation[item.organisation] = account
         if account.depth >= item.queue_limit:
             raise OverloadedError(reason='queue limit', retry_after_s=QUEUE_LIMIT_RETRY_S)
@@ -41,12 +46,20 @@
         account.add(item, now)
         self._items_by_id[item.item_id] = item
 
-    def pop(self, now: float) -> QueueItem | None:
+    def pop(
+        self,
+        now: float,
+        classes: Collection[str] | None = None,
+        *,
+        reserve_only: bool = False,
+    ) -> QueueItem | None:
         """Removes and charges the item to dispatch next, or returns None if nothing waits.
 
         :param now: monotonic seconds.
+        :param classes: classes for which an engine has room; None for all.
+        :param reserve_only: only organisations that have used much less than their share may go.
         """
-        found = self._best(now)
+        found = self._best(now, classes, reserve_only)
         if found is None:
             return None
         item = self._items_by_id.pop(found.item_id)
@@ -58,13 +71,6 @@
         self._dispatched_by_id[item.item_id] = item
         return item
 
-    def peek(self, now: float) -> QueueItem | None:
-        """Returns the item that `pop` would return.
-
-        :param now: monotonic seconds.
-        """
-        return self._best(now)
-
     def settle(self, item_id: str, tokens: float, now: float) -> None:
         """Corrects the charge of a dispatched item when it ends; a second call does nothing.
 
@@ -122,9 +128,16 @@
         )
         return own_backlog * item.weight + others
 
-    def _best(self, now: float) -> QueueItem | None:
-        found = (account.best(now) for account in self._accounts_by_organisation.values())
-        heads = [head for head in found if head is not None]
+    def _best(
+        self, now: float, classes: Collection[str] | None, reserve_only: bool
+    ) -> QueueItem | None:
+        limit = self._virtual - RESERVE_TOKENS if reserve_only else math.inf
+        found = (
+            account.best(now, classes)
+            for account in self._accounts_by_organisation.values()
+            if account.depth
+        )
+        heads = [head for head in found if head is not None and head[0] <= limit]
         return min(heads, key=lambda head: head[0])[1] if heads else None
 
     def _drop_idle(self, organisation: str, account: Account) -> None:
--- a/geraniumrail/fairness/fair_queue_test.py
+++ b/geraniumrail/fairness/fair_queue_test.py
@@ -85,6 +85,17 @@
         self.assertNotIn(review, [item.item_id for item in self.pop(20, now=29)])
         self.assertEqual(self.pop(now=30)[0].item_id, review)
 
+    def test_reserve_is_for_underserved_organisations(self):
+        """A flood that fills every place makes a small organisation wait for an answer to end."""
+        self.push('large', 500)
+        self.pop(100)
+        self.push('small', 200)
+        kept = [self.queue.pop(0, reserve_only=True) for _ in range(100)]
+        chosen = [item.organisation for item in kept if item is not None]
+        self.assertEqual(set(chosen), {'small'})
+        self.assertLessEqual(len(chosen) * 100, IDLE_CREDIT_TOKENS)
+        self.assertIsNotNone(self.queue.pop(0))
+
     def test_settle_corrects_the_charge(self):
         """Estimates that are too low must not give an organisation more than its share."""
         self.push('low', 100, tokens=100)
--- a/geraniumrail/fairness/limits_test.py
+++ b/geraniumrail/fairness/limits_test.py
@@ -3,6 +3,7 @@
 import random
 import unittest
 
+from geraniumrail.core.load_report import LoadReport
 from geraniumrail.errors.request import OverloadedError
 from geraniumrail.fairness import (
     EngineWindow,
@@ -111,13 +112,30 @@
             window.finished('e')
         self.assertTrue(window.allows('e', 'review'))
 
+    def test_full_engine_shrinks_the_window_before_answers_are_late(self):
+        """Other entries fill the engine too; own answers show it only when it is too late."""
+        window = EngineWindow(4)
+        window.reported('e', LoadReport(running=16, slots=16))
+        self.assertLess(window.size('e'), 4)
+        for _ in range(4):
+            window.started('e')
+        size = window.size('e')
+        window.first_token('e', 0, 0.51, 1)
+        self.assertEqual(window.size('e'), size)
+        window.reported('e', LoadReport(running=8, slots=16))
+        window.first_token('e', 0, 0.51, 1)
+        self.assertGreater(window.size('e'), size)
+
     def test_reviews_leave_room(self):
         """Long reviews must not occupy all slots that chat needs."""
         window = EngineWindow(4)
         for _ in range(3):
-            window.started('e')
+            window.started('e', 'review')
         self.assertFalse(window.allows('e', 'review'))
         self.assertTrue(window.allows('e', 'chat'))
+        window.finished('e', 'review')
+        window.started('e', 'chat')
+        self.assertTrue(window.allows('e', 'review'))
 
 
 if __name__ == '__main__':
--- a/geraniumrail/routing/choice.py
+++ b/geraniumrail/routing/choice.py
@@ -14,8 +14,9 @@
 from geraniumrail.routing.score_part import ScorePart
 from geraniumrail.routing.scored import Scored
 
-# Backend servers drawn at random; all entries preferring the same least loaded one would herd.
-SAMPLE_SIZE = 4
+# Backend servers drawn at random. With 40 entries and reports about a second old, 8 were clearly
+# worse than 4 or 2, because all entries then prefer the same few; see docs/MEASUREMENTS.md.
+SAMPLE_SIZE = 3
 # Backend servers with a prefix hint that join the sample.
 MAX_HOLDERS = 2
 # A holder beyond this multiple of the sample's mean load (plus one request) is left out.
--- a/geraniumrail/routing/hints.py
+++ b/geraniumrail/routing/hints.py
@@ -7,7 +7,9 @@
 
 from geraniumrail.core.cache_event import CacheEvent
 
-MAX_HINTS_PER_BACKEND = 2048
+# About 300 bytes each; divided evenly over the backend servers with hints.
+MAX_HINTS = 20_000
+MIN_HINTS_PER_BACKEND = 64
 HINT_LIFE_S = 300.0
 # A sent prompt is usually cached, but the engine may have evicted it without an event so far.
 SENT_WORTH = 0.9
@@ -119,11 +121,14 @@
                     seen.add(backend_id)
                     yield backend_id
 
+    def _limit(self) -> int:
+        return max(MIN_HINTS_PER_BACKEND, MAX_HINTS // len(self._hints_by_backend))
+
     def _add(self, backend_id: str, hints: _BackendHints, prefix: str, hint: Hint) -> None:
         hints.hints_by_prefix[prefix] = hint
         hints.hints_by_prefix.move_to_end(prefix)
         self._backends_by_prefix.setdefault(prefix, {})[backend_id] = None
-        if len(hints.hints_by_prefix) > MAX_HINTS_PER_BACKEND:
+        while len(hints.hints_by_prefix) > self._limit():
             oldest, _ = hints.hints_by_prefix.popitem(last=False)
             self._unlink(oldest, backend_id)
 
--- a/geraniumrail/routing/knowledge.py
+++ b/geraniumrail/routing/knowledge.py
@@ -10,6 +10,9 @@
 from geraniumrail.routing.view import MIN_TOKENS_PER_S, REPORT_LIFE_S, BackendView
 
 PREFILL_TOKENS_PER_S = 8000.0
+# Between two reports the other entries see the same idle engine. Counting an own send three times
+# was better than once with both 4 and 40 entries.
+ECHO = 3.0
 _MEAN_STEP = 0.05
 
 
@@ -19,7 +22,7 @@
     def __init__(
         self,
         prefill_tokens_per_s: float = PREFILL_TOKENS_PER_S,
-        echo: float = 1.0,
+        echo: float = ECHO,
     ) -> None:
         """Starts without knowledge.
 
--- a/geraniumrail/routing/knowledge_test.py
+++ b/geraniumrail/routing/knowledge_test.py
@@ -5,7 +5,7 @@
 from geraniumrail.core.backend import Backend
 from geraniumrail.core.cache_event import CacheEvent
 from geraniumrail.core.load_report import LoadReport
-from geraniumrail.routing.hints import MAX_HINTS_PER_BACKEND, PrefixHints
+from geraniumrail.routing.hints import MAX_HINTS, PrefixHints
 from geraniumrail.routing.knowledge import Knowledge
 from geraniumrail.routing.prefixes import digest_prefixes
 
@@ -36,7 +36,7 @@
     def test_hints_are_bounded(self):
         """Memory must not grow with the number of prompts."""
         hints = PrefixHints()
-        for number in range(MAX_HINTS_PER_BACKEND + 10):
+        for number in range(MAX_HINTS + 10):
             hints.sent('e', [str(number)], 0)
         self.assertEqual(list(hints.holders(['9'])), [])
         self.assertEqual(list(hints.holders(['10'])), ['e'])
@@ -64,7 +64,7 @@
 
     def test_report_replaces_the_sends_that_it_covers(self):
         """Own sends must be counted once: before the report arrives, then in it."""
-        knowledge = Knowledge()
+        knowledge = Knowledge(echo=1)
         backend = self.backend(1, LoadReport())
         knowledge.observe(backend, 0)
         knowledge.sent('e', 100, (), 1)
--- a/geraniumrail/routing/score.py
+++ b/geraniumrail/routing/score.py
@@ -17,8 +17,9 @@
 # Above this share of KV memory engines start to preempt requests.
 KV_SAFE = 0.8
 KV_FULL_S = 1.0
-# A full batch delays the first token by about one decode step for each prefill chunk.
-BATCH_COST_S = 0.1
+# A full batch delays the first token by some decode steps. At 0.3 and more, small differences in
+# stale reports outweigh the draw when there are many entries.
+BATCH_COST_S = 0.2
 PLAIN_SERVICE_S = 0.05
 
 
