--- a/geraniumrail/entry/admission.py
+++ b/geraniumrail/entry/admission.py
@@ -5,6 +5,7 @@
 
 from geraniumrail.core.clock import Clock
 from geraniumrail.errors.backend import NoBackendError
+from geraniumrail.fairness.classes import RULES_BY_CLASS
 from geraniumrail.fairness.engine_window import EngineWindow
 from geraniumrail.fairness.fair_queue import FairQueue
 from geraniumrail.fairness.queue_item import QueueItem
@@ -18,18 +19,26 @@
 class Admission:
     """One queue, for one service and model; grants a turn together with the chosen engine."""
 
-    def __init__(self, service: str, window: EngineWindow, clock: Clock) -> None:
+    def __init__(
+        self,
+        service: str,
+        window: EngineWindow,
+        clock: Clock,
+        engines: Callable[[], list[str]],
+    ) -> None:
         """Connects the parts.
 
         :param service: name of the service.
         :param window: requests in flight at each engine, shared by the queues of a service.
         :param clock: time.
+        :param engines: returns the instances that may get work.
         """
         self.queue = FairQueue()
         self.window = window
         self._shedder = Shedder()
         self._service = service
         self._clock = clock
+        self._engines = engines
         self._waiting_by_id: dict[str, _Waiting] = {}
 
     async def turn(self, item: QueueItem, choose: Chooser, limit_s: float) -> Decision:
@@ -67,23 +76,34 @@
         """
         now = self._clock.now()
         self.queue.settle(item.item_id, tokens, now)
-        self.window.finished(engine)
+        self.window.finished(engine, item.traffic_class)
         self.pump()
 
     def pump(self) -> None:
         """Grants turns while engines have room."""
-        while True:
-            now = self._clock.now()
-            item = self.queue.peek(now)
-            if item is None:
-                return
-            choose, future = self._waiting_by_id[item.item_id]
-            try:
-                decision = choose(self.window)
-            except NoBackendError:
-                return
-            self.queue.pop(now)
-            self._waiting_by_id.pop(item.item_id)
-            self._shedder.rate.dispatched(item.tokens, self.queue.depth(), now)
-            self.window.started(decision.backend.instance)
-            future.set_result(decision)
+        while self.queue.depth() and self._grant():
+            continue
+
+    def _grant(self) -> bool:
+        now = self._clock.now()
+        engines = self._engines()
+        classes = [
+            name
+            for name in RULES_BY_CLASS
+            if any(self.window.allows(engine, name) for engine in engines)
+        ]
+        reserve_only = self.window.reserve_only(engines)
+        item = self.queue.peek(now, classes, reserve_only=reserve_only)
+        if item is None:
+            return False
+        choose, future = self._waiting_by_id[item.item_id]
+        try:
+            decision = choose(self.window)
+        except NoBackendError:
+            return False
+        self.queue.pop(now, classes, reserve_only=reserve_only)
+        self._waiting_by_id.pop(item.item_id)
+        self._shedder.rate.dispatched(item.tokens, self.queue.depth(), now)
+        self.window.started(decision.backend.instance, item.traffic_class)
+        future.set_result(decision)
+        return True
--- a/geraniumrail/entry/completion_run.py
+++ b/geraniumrail/entry/completion_run.py
@@ -65,7 +65,8 @@
     async def _attempts(self) -> AsyncIterator[Chunk]:
         while True:
             item = self._item()
-            admission = self.shared.admission(self.call.service, self.call.model)
+            version = self.shared.outcomes.version(self.call.service, self.call.route, self._draw)
+            admission = self.shared.admission(self.call.service, self.call.model, version)
             try:
                 decision = await admission.turn(item, self._choose, self._remaining_s())
             except NoBackendError as error:
--- a/geraniumrail/entry/completions.py
+++ b/geraniumrail/entry/completions.py
@@ -59,17 +59,28 @@
         self.retries = RetryBudget()
         self.window = EngineWindow()
         self.in_progress = 0
-        self._admissions: dict[tuple[str, str], Admission] = {}
+        self._admissions: dict[tuple[str, str, str], Admission] = {}
 
-    def admission(self, service: str, model: str) -> Admission:
-        """Returns the queue of a service and model.
+    def admission(self, service: str, model: str, version: str) -> Admission:
+        """Returns the queue of a service, model and version.
+
+        A queue for each version, so that full engines of one version don't hold up the other.
 
         :param service: name of the service.
         :param model: name of the model.
+        :param version: drawn for the request; empty if any may serve.
         """
-        key = (service, model)
+        key = (service, model, version)
         if key not in self._admissions:
-            self._admissions[key] = Admission(service, self.window, self.clock)
+
+            def engines() -> list[str]:  # noqa: WPS430 - binds the key
+                return [
+                    backend.instance
+                    for backend in self.view.candidates(service)
+                    if model in backend.models and version in {'', backend.version}
+                ]
+
+            self._admissions[key] = Admission(service, self.window, self.clock, engines)
         return self._admissions[key]
 
     def introduce(self, backend: Backend) -> None:
@@ -90,7 +101,7 @@
     def queue_depths(self) -> dict[str, int]:
         """Returns the number of requests that wait, by service."""
         depths: collections.Counter[str] = collections.Counter()
-        for (service, _), admission in self._admissions.items():
+        for (service, _, _), admission in self._admissions.items():
             depths[service] += admission.queue.depth()
         return dict(depths)
 
--- a/geraniumrail/entry/entry.py
+++ b/geraniumrail/entry/entry.py
@@ -271,6 +271,7 @@
         self._completions.limits.update(update.share)
         for backend in update.backends:
             self._completions.introduce(backend)
+            self._completions.window.reported(backend.instance, backend.load)
         if update.assigned:
             self._bookings.take_over(update.assigned)
         self._completions.pump()
