--- a/geraniumrail/control/members.py
+++ b/geraniumrail/control/members.py
@@ -49,6 +49,8 @@
         :param address: ip:port of its links.
         :raises MembershipError: if it belongs to another group.
         """
+        # A member without a group would take the leader's group for a foreign one.
+        await self._replica.read_barrier()
         status = self._replica.status()
         reply = await self._transport.hello(address, status.group)
         if reply.group_id not in {'', status.group_id}:
--- a/geraniumrail/entry/admission.py
+++ b/geraniumrail/entry/admission.py
@@ -81,8 +81,9 @@
 
     def pump(self) -> None:
         """Grants turns while engines have room."""
-        while self.queue.depth() and self._grant():
-            continue
+        granted = True
+        while granted and self.queue.depth():
+            granted = self._grant()
 
     def _grant(self) -> bool:
         now = self._clock.now()
--- a/geraniumrail/entry/completion_run.py
+++ b/geraniumrail/entry/completion_run.py
@@ -99,6 +99,7 @@
             backend.version,
             call.route,
             sent_at,
+            self._band,
         )
         timing = _Timing(sent_at)
         stream = shared.client.stream(backend, self._engine_call())
--- a/geraniumrail/entry/outcomes.py
+++ b/geraniumrail/entry/outcomes.py
@@ -4,7 +4,8 @@
 from geraniumrail.core.clock import Clock
 from geraniumrail.entry.cluster_view import ClusterView
 from geraniumrail.rollout.breaker import Breaker
-from geraniumrail.rollout.outcome_log import OutcomeLog, load_band
+from geraniumrail.rollout.load_band import load_band
+from geraniumrail.rollout.outcome_log import OutcomeLog
 
 
 class Outcomes:
@@ -104,4 +105,5 @@
             first_token_s,
             between_tokens_s,
             now,
+            band,
         )
--- a/geraniumrail/entry/testing.py
+++ b/geraniumrail/entry/testing.py
@@ -32,7 +32,7 @@
 from geraniumrail.errors.base import GeraniumrailError
 from geraniumrail.errors.consensus import NotLeaderError
 from geraniumrail.errors.link import LinkError
-from geraniumrail.links.messages import AwaitBooking, EntryInfo, EntryReport, Propose, Proposed
+from geraniumrail.links.messages import EntryInfo, EntryReport, Propose, Proposed
 from geraniumrail.routing.knowledge import Knowledge
 from geraniumrail.state import booking as phases
 from geraniumrail.state import commands
