Limit proposals and shorten the time limit of heartbeats

A heartbeat on a connection that has gone silent took as long as any other call (1 s of a lease of 1.5 s); it now ends after half the lease, so that a second one can still renew it. A command that the transport can't carry would block the log for good, and proposals could pile up while no majority stores them: both are refused before anything is appended. A candidate whose term has passed while its own vote was stored no longer asks for votes; a truncated tail is synced.

--- a/geraniumrail/consensus/applier.py
+++ b/geraniumrail/consensus/applier.py
@@ -35,6 +35,11 @@
         self._applied_bytes = 0  # since the last snapshot
         machine.restore(journal.snapshot.payload)
 
+    @property
+    def pending(self) -> int:
+        """Number of proposals that wait."""
+        return len(self._waiting_by_index)
+
     def advance(self, commit: int) -> None:
         """Applies entries up to a committed position and resolves their proposals.
 
--- a/geraniumrail/consensus/ballot.py
+++ b/geraniumrail/consensus/ballot.py
@@ -33,6 +33,8 @@
     term = started_term + 1
     context.journal.remember(HardState(term=term, voted_for=context.replica_id))
     await context.journal.sync()
+    if context.term != term:
+        return False
     won = await _ask(context, transfer=transfer)
     return won and context.term == term and standing.role == 'candidate'
 
--- a/geraniumrail/consensus/config.py
+++ b/geraniumrail/consensus/config.py
@@ -18,6 +18,9 @@
     tick_s: float = 0.05  # between looks at the lease and the election timeout
     call_timeout_s: float = 1.0
     propose_timeout_s: float = 5.0
+    pending_proposals: int = 4096  # more are refused
+    # A larger entry might exceed what the transport carries, and would block the log for good.
+    command_bytes: int = 1048576
     # An idle leader tells followers about a commit after this delay, not with the next heartbeat.
     commit_notice_s: float = 0.05
     snapshot_after: int = 500  # entries applied since the last snapshot
--- a/geraniumrail/consensus/file_storage.py
+++ b/geraniumrail/consensus/file_storage.py
@@ -15,7 +15,7 @@
 
 from geraniumrail.consensus import events, frames
 from geraniumrail.consensus.entry import Entry, HardState, Snapshot, Stored
-from geraniumrail.consensus.folder import replace_file, sync_folder, write_all
+from geraniumrail.consensus.folder import replace_file, sync_folder, truncate_file, write_all
 from geraniumrail.consensus.memory_storage import new_replica_id
 from geraniumrail.core.codec import decode, encode, record
 from geraniumrail.core.events import log
@@ -163,7 +163,7 @@
             raise LogDamagedError(file=str(path), offset=0, reason=reason)
         if end < len(content):
             log(events.TAIL_CUT, file=path, offset=end, bytes=len(content) - end)
-            os.truncate(path, end)
+            truncate_file(path, end)
         return _replay(start, batches, snapshot or Snapshot())
 
 
--- a/geraniumrail/consensus/folder.py
+++ b/geraniumrail/consensus/folder.py
@@ -27,6 +27,17 @@
         written += os.write(descriptor, content[written:])
 
 
+def truncate_file(path: pathlib.Path, size: int) -> None:
+    """Cuts off the end of a file, durably.
+
+    :param path: the file.
+    :param size: new size in bytes.
+    """
+    with path.open('r+b') as opened:
+        opened.truncate(size)
+        os.fsync(opened.fileno())
+
+
 def replace_file(path: pathlib.Path, content: bytes) -> None:
     """Replaces a file so that after a crash either the old or the new content is found.
 
--- a/geraniumrail/consensus/leadership.py
+++ b/geraniumrail/consensus/leadership.py
@@ -12,7 +12,13 @@
 from geraniumrail.consensus.status import Result
 from geraniumrail.core import codec
 from geraniumrail.core.events import log
-from geraniumrail.errors.consensus import MembershipError, NoQuorumError, NotLeaderError
+from geraniumrail.errors.consensus import (
+    CommandTooLargeError,
+    MembershipError,
+    NoQuorumError,
+    NotLeaderError,
+    ProposalQueueFullError,
+)
 
 
 class Leadership:
@@ -86,10 +92,17 @@
 
         :param command: payload of the entry.
         :param kind: what the payload is.
+        :raises CommandTooLargeError: if the command exceeds the limit; nothing was appended.
+        :raises ProposalQueueFullError: if too many wait; nothing was appended.
         :raises ProposalLostError: if the outcome is unknown.
         """
+        context = self._context
+        if len(command) > context.config.command_bytes:
+            raise CommandTooLargeError(size=len(command), limit=context.config.command_bytes)
+        if context.applier.pending >= context.config.pending_proposals:
+            raise ProposalQueueFullError(limit=context.config.pending_proposals)
         index = self._append(kind, command)
-        return await self._context.applier.expect(index, self._context.clock.now())
+        return await context.applier.expect(index, context.clock.now())
 
     async def confirm(self) -> int:
         """Waits until a majority has confirmed this leader after the call.
--- a/geraniumrail/consensus/peer.py
+++ b/geraniumrail/consensus/peer.py
@@ -54,6 +54,8 @@
         self._on_reply = on_reply
         self._next_index = context.journal.last_index + 1
         self._told_commit = 0
+        # Leaves time for a second heartbeat, on a new connection, before the lease ends.
+        self._heartbeat_timeout_s = context.config.lease_s / 2
         self.wake.set()
 
     async def replicate(self) -> None:
@@ -138,7 +140,8 @@
     async def _append(self, request: AppendRequest) -> AppendReply:
         sent_at = self._context.clock.now()
         number = self._on_send()
-        reply = await self._call(self._context.transport.append(self.member.address, request))
+        call = self._context.transport.append(self.member.address, request)
+        reply = await self._call(call, None if request.entries else self._heartbeat_timeout_s)
         if reply.success:
             self.match_index = max(self.match_index, reply.match_index)
             if reply.match_index >= request.commit:
@@ -184,9 +187,14 @@
                 return
             offset = reply.offset
 
-    async def _call(self, call: Coroutine[Any, Any, Reply]) -> Reply:
+    async def _call(
+        self,
+        call: Coroutine[Any, Any, Reply],
+        timeout_s: float | None = None,
+    ) -> Reply:
+        limit = timeout_s or self._context.config.call_timeout_s
         try:
-            reply = await within(self._context.clock, self._context.config.call_timeout_s, call)
+            reply = await within(self._context.clock, limit, call)
         except GeraniumrailError as error:
             raise ConnectionError(repr(error)) from error
         if reply.replica_id != self.member.replica_id and not reply.refused:
--- a/geraniumrail/consensus/replica.py
+++ b/geraniumrail/consensus/replica.py
@@ -105,6 +105,8 @@
         :param command: for the state machine.
         :raises NotLeaderError: if another replica leads; nothing was appended.
         :raises NoQuorumError: if a majority can't be reached; nothing was appended.
+        :raises CommandTooLargeError: if the command exceeds the limit; nothing was appended.
+        :raises ProposalQueueFullError: if too many wait; nothing was appended.
         :raises ProposalLostError: if the outcome is unknown.
         """
         return await self._runner.leading().propose(command)
--- a/geraniumrail/consensus/replica_test.py
+++ b/geraniumrail/consensus/replica_test.py
@@ -11,12 +11,14 @@
 from geraniumrail.consensus.messages import AppendRequest, HelloRequest, VoteRequest
 from geraniumrail.consensus.testing import Cluster
 from geraniumrail.errors.consensus import (
+    CommandTooLargeError,
     ConsensusError,
     MembershipError,
     NoGroupError,
     NoQuorumError,
     NotLeaderError,
     ProposalLostError,
+    ProposalQueueFullError,
 )
 
 
@@ -101,6 +103,14 @@
             await leader.read_barrier()
         self.assertEqual(leader.status().last_index, last)
 
+    async def test_proposals_beyond_the_limits_are_refused(self):
+        """A huge command or an endless queue would block the group for all callers."""
+        cluster = await self.create(1, pending_proposals=0, command_bytes=10)
+        with self.assertRaises(ProposalQueueFullError):
+            await cluster.replicas_by_name['a'].propose(b'x')
+        with self.assertRaises(CommandTooLargeError):
+            await cluster.replicas_by_name['a'].propose(bytes(11))
+
     async def test_one_sided_cut_of_a_follower_does_not_depose_the_leader(self):
         """A follower that hears nobody must not force elections (pre-vote)."""
         cluster = await self.create()
--- a/geraniumrail/consensus/testing.py
+++ b/geraniumrail/consensus/testing.py
@@ -424,7 +424,7 @@
         for name, replica in self.cluster.replicas_by_name.items():
             if replica.is_leader_with_lease():
                 holders.append(name)
-            if replica.status().role == 'failed':
+            if replica._context.standing.role == 'failed':
                 self.report.violations.append(f'{name} has failed')
             self.check_applied(name)
         if len(holders) > 1:
@@ -457,7 +457,7 @@
     def any_replica(self) -> Replica:
         """Returns the leader, or sometimes another replica or a cut-off leader."""
         replicas = list(self.cluster.replicas_by_name.values())
-        leaders = [one for one in replicas if one.status().role == 'leader']
+        leaders = [one for one in replicas if one._context.standing.role == 'leader']
         return self.rng.choice(leaders or replicas)
 
     async def propose_often(self) -> None:
--- a/geraniumrail/errors/consensus.py
+++ b/geraniumrail/errors/consensus.py
@@ -85,3 +85,18 @@
 
     type_name = 'folder_in_use'
     template = 'data folder {folder} is in use'
+
+
+class CommandTooLargeError(ConsensusError):
+    """The command exceeds the limit of one log entry; nothing was appended."""
+
+    type_name = 'command_too_large'
+    status = 413
+    template = 'the command has {size} bytes; the limit is {limit}'
+
+
+class ProposalQueueFullError(ConsensusError):
+    """Too many proposals wait for a majority; nothing was appended."""
+
+    type_name = 'proposal_queue_full'
+    template = '{limit} proposals are already waiting'
