--- a/geraniumrail/consensus/file_storage_test.py
+++ b/geraniumrail/consensus/file_storage_test.py
@@ -1,11 +1,17 @@
 """Guards the log files: what was synced is read again, a torn tail is cut, damage is refused."""
 
+import asyncio
 import pathlib
+import random
 import tempfile
 import unittest
 
+from geraniumrail.consensus.config import ReplicaConfig
 from geraniumrail.consensus.entry import Entry, HardState, Snapshot, Stored
 from geraniumrail.consensus.file_storage import FileStorage
+from geraniumrail.consensus.replica import Replica
+from geraniumrail.consensus.testing import Link, ListMachine
+from geraniumrail.core.clock import SystemClock
 from geraniumrail.errors.consensus import FolderInUseError, LogDamagedError
 
 
@@ -20,6 +26,9 @@
         self.folder = pathlib.Path(folder.name) / 'main'
         self.log = self.folder / 'log'
 
+    async def asyncSetUp(self):
+        asyncio.get_running_loop().set_debug(False)
+
     async def written(self, *batches):
         """Writes batches to a new folder and returns the size of the log after each."""
         storage = FileStorage.open(self.folder, 'a')
@@ -97,6 +106,43 @@
         stored = await self.loaded()
         self.assertEqual((stored.base_index, stored.entries), (9, ()))
 
+    async def test_replica_restarts_from_its_files(self):
+        """A restart after many commands must load the snapshot and the rest of the log."""
+        commands = [b'%d' % number for number in range(1200)]
+        replica, _ = await self.started()
+        await replica.create_group()
+        await self.proposed(replica, commands[:600])
+        await self.proposed(replica, commands[600:])
+        await replica.stop()
+        replica_id = replica.replica_id
+        replica, machine = await self.started()
+        self.assertEqual(replica.replica_id, replica_id)
+        self.assertGreaterEqual(replica.status().snapshot_index, 500)
+        self.assertEqual(machine.restored, 1)
+        await self.proposed(replica, [b'after'])
+        self.assertEqual(machine.commands, [*commands, b'after'])
+        await replica.stop()
+
+    async def started(self):
+        machine = ListMachine()
+        replica = Replica.from_config(
+            # The replica is alone, so that short times endanger nothing.
+            ReplicaConfig(name='a', address='a', election_timeout_s=0.05, tick_s=0.01),
+            FileStorage.open(self.folder, 'a'),
+            Link(None, 'a'),
+            machine,
+            SystemClock(),
+            random.Random(1),
+        )
+        await replica.start()
+        return replica, machine
+
+    async def proposed(self, replica, commands):
+        async with asyncio.timeout(60):
+            while not replica.is_leader_with_lease():  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+            await asyncio.gather(*(replica.propose(command) for command in commands))
+
     async def test_folder_is_locked(self):
         """Two processes on one folder would both vote."""
         storage = FileStorage.open(self.folder, 'a')
