--- a/geraniumrail/placement/planner.py
+++ b/geraniumrail/placement/planner.py
@@ -178,6 +178,8 @@
         if 0 < len(group) <= pool.settings.max_moves:
             present = [offers_by_key[one.offer_key] for one in group]
             others = [offer for offer in usable if offer not in present]
+            if not _may_pay(present, others, pool.settings):
+                continue
             starts = _replacements(pool.copy(), present, others)
             saving = _saving(present, [one.offer for one in starts], pool.settings)
             if len(starts) >= len(group) and saving > best[0]:
@@ -186,6 +188,13 @@
     return best[1]
 
 
+def _may_pay(present: list[Offer], others: list[Offer], settings: PlacementSettings) -> bool:
+    """Tells whether the cheapest offers, one for each instance, would save enough."""
+    before = sum(cost.per_hour(offer, settings) for offer in present)
+    least = min((cost.per_hour(offer, settings) for offer in others), default=float('inf'))
+    return before * (1 - settings.least_saving_share) > least * len(present)
+
+
 def _replacements(pool: Pool, present: list[Offer], others: list[Offer]) -> list[Action]:
     """Returns the starts that cover what is missing without some instances, or nothing."""
     before = pool.missing()
--- a/geraniumrail/placement/recovery.py
+++ b/geraniumrail/placement/recovery.py
@@ -17,7 +17,7 @@
     """What happens to one stream; `engine` holds most of its prefix ('' if none does)."""
 
     stream: str
-    action: str  # finish | export | resume
+    action: str  # export | finish (run on, export last) | resume
     engine: str
     saved_tokens: int
 
@@ -28,6 +28,8 @@
     """Returns the exports in order, then the streams that may end, then those to resume.
 
     Exports run one after the other, so they are ordered by tokens saved per second of notice.
+    Streams that may end run on and are exported after the others if they still run then, those
+    furthest from their end first: lengths are estimates.
 
     :param streams: streams of the instance.
     :param notice_s: seconds until the instance is gone.
@@ -37,6 +39,7 @@
     others = [one for one in streams if one not in ending]
     exports, rest = _choose_exports(others, notice_s * _USABLE_NOTICE, export_rate)
     steps = [_step(one, 'export', one.recomputed_tokens) for one in exports]
+    ending.sort(key=lambda one: (-one.remaining_tokens / one.tokens_per_s, one.stream))
     steps += [_step(one, 'finish', one.recomputed_tokens) for one in ending]
     steps += [_step(one, 'resume', 0) for one in rest]
     core_events.log(
