--- a/geraniumrail/rollout/contrast.py
+++ b/geraniumrail/rollout/contrast.py
@@ -1,15 +1,18 @@
 """Evidence that bad outcomes favour the new version, given how many there were in a window."""
 
+import functools
 import math
 
 from geraniumrail.rollout.mixture import log_sum
 
 _EXACT_SUPPORT = 48
+_CACHED = 4096  # most strata are unchanged from one look to the next
 
 
+@functools.lru_cache(maxsize=_CACHED)
 def log_evidence(
     new_bad: int, new_total: int, old_bad: int, old_total: int, ratios: tuple[float, ...]
-) -> list[float]:
+) -> tuple[float, ...]:
     """Returns the log likelihood ratio of each odds ratio against the tolerated one.
 
     Given the number of bad outcomes and the sizes of both groups, the number of bad ones in the
@@ -24,15 +27,15 @@
     """
     bad = new_bad + old_bad
     if not new_total or not old_total or not bad or bad == new_total + old_total:
-        return [0 for _ in ratios[1:]]
+        return tuple(0 for _ in ratios[1:])
     log_tolerated = math.log(ratios[0])
     tolerated = _log_mean_power(log_tolerated, new_total, old_total, bad, lower=True)
-    return [
+    return tuple(
         (math.log(ratio) - log_tolerated) * new_bad
         + tolerated
         - _log_mean_power(math.log(ratio), new_total, old_total, bad)
         for ratio in ratios[1:]
-    ]
+    )
 
 
 def _log_mean_power(
--- a/geraniumrail/rollout/mixture.py
+++ b/geraniumrail/rollout/mixture.py
@@ -8,27 +8,33 @@
 
     def __init__(self) -> None:
         """Starts before the first window."""
-        self._log_begun = float('-inf')
         self._windows = 0
+        self._log_begun = -math.log(2)  # with the prior of the open window
+        self._log_later = -math.log(2)  # prior of all windows after the open one
 
     def after(self, log_increment: float) -> float:
         """Returns the log of the process if the open window ended now.
 
         :param log_increment: log likelihood ratio of the open window.
         """
-        return log_sum((self._with_next() + log_increment, -math.log(self._windows + 2)))
+        return _log_add(self._log_begun + log_increment, self._log_later)
 
     def close(self, log_increment: float) -> None:
         """Ends the open window.
 
         :param log_increment: its log likelihood ratio.
         """
-        self._log_begun = self._with_next() + log_increment
         self._windows += 1
-
-    def _with_next(self) -> float:
         number = self._windows + 1
-        return log_sum((self._log_begun, -math.log(number * (number + 1))))
+        prior = -math.log(number * (number + 1))
+        self._log_begun = _log_add(self._log_begun + log_increment, prior)
+        self._log_later = -math.log(number + 1)
+
+
+def _log_add(one: float, other: float) -> float:
+    if one < other:
+        one, other = other, one
+    return one + math.log1p(math.exp(other - one))
 
 
 def log_sum(logs: tuple[float, ...] | list[float]) -> float:
--- a/geraniumrail/rollout/sequential.py
+++ b/geraniumrail/rollout/sequential.py
@@ -148,6 +148,8 @@
         }
         for signal in SIGNALS:
             for name, cell in self._paired(signal):
+                if not cell.is_informative:
+                    continue
                 logs = contrast.log_evidence(*cell.counts, _RATIOS_BY_SIGNAL[signal])
                 for scope in (_ALL, name):
                     before = increments[signal, scope]
--- a/geraniumrail/rollout/strata.py
+++ b/geraniumrail/rollout/strata.py
@@ -24,6 +24,12 @@
         """Returns new bad, new total, old bad, old total."""
         return (self.new_bad, self.new_total, self.old_bad, self.old_total)
 
+    @property
+    def is_informative(self) -> bool:
+        """Tells whether both versions have outcomes and some, but not all, are bad."""
+        bad = self.new_bad + self.old_bad
+        return 0 < bad < self.new_total + self.old_total and bool(self.new_total and self.old_total)
+
     def add(self, counts: tuple[int, int, int, int]) -> None:
         """Adds outcomes.
 
