--- a/geraniumrail/bench/fleet.py
+++ b/geraniumrail/bench/fleet.py
@@ -39,6 +39,7 @@
         lag: Lag,
         time: VirtualTime,
         rng: random.Random,
+        data_centres: int = 3,
     ) -> None:
         """Creates the engines.
 
@@ -47,6 +48,7 @@
         :param lag: of announcements.
         :param time: event queue.
         :param rng: source of all draws.
+        :param data_centres: three are in the first region; two of four are in a second one.
         """
         self._lag = lag
         self._time = time
@@ -60,8 +62,8 @@
                 instance=name,
                 service='bench',
                 address=name,
-                data_centre=f'dc{number % 3}',
-                region='region',
+                data_centre=f'dc{number % data_centres}',
+                region=f'region{number % data_centres // 2 if data_centres > 3 else 0}',
                 version='v1',
                 models=('m',),
                 load=engine.report(),
--- a/geraniumrail/bench/load_model.py
+++ b/geraniumrail/bench/load_model.py
@@ -34,6 +34,7 @@
         """
         self.knowledge = Knowledge()
         self._data_centre = f'dc{number % 3}'
+        self._region = 'region0'
         self._choose = choose
         self._fleet = fleet
         self._time = time
@@ -60,7 +61,7 @@
             service='bench',
             model='m',
             data_centre=self._data_centre,
-            region='region',
+            region=self._region,
             prefixes=job.prefixes,
             prompt_tokens=job.prompt_tokens,
             expected_answer_tokens=EXPECTED_ANSWER_TOKENS,
--- a/geraniumrail/routing/choice.py
+++ b/geraniumrail/routing/choice.py
@@ -40,7 +40,7 @@
     :raises NoBackendError: if no backend server may take the request.
     """
     usable = eligible(candidates, request, knowledge, rng, now)
-    sample = rng.sample(usable, min(SAMPLE_SIZE, len(usable)))
+    sample = _draw(usable, request.region, rng)
     estimates = [knowledge.estimate(each, now) for each in sample]
     mean_occupancy = sum(each.occupancy for each in estimates) / len(estimates)
     for holder in _holders(request, usable, knowledge):
@@ -57,6 +57,17 @@
     return _decide(request, scored)
 
 
+def _draw(usable: Sequence[Backend], region: str, rng: random.Random) -> list[Backend]:
+    """Draws from the region of the entry, plus one of another region to which load can spill."""
+    near = [backend for backend in usable if backend.region == region]
+    if not near:
+        return rng.sample(usable, min(SAMPLE_SIZE, len(usable)))
+    sample = rng.sample(near, min(SAMPLE_SIZE, len(near)))
+    if len(near) < len(usable):
+        sample.append(rng.choice([backend for backend in usable if backend.region != region]))
+    return sample
+
+
 def _decide(request: RouteRequest, scored: Sequence[Scored]) -> Decision:
     best, *others = scored
     return Decision(
