Keep FairQueue.peek and explain the decisions of routing and fairness

Admission looks at the next item before it has an engine, so peek takes the same arguments as pop. The expected wait now counts the weights of other organisations.

--- a/geraniumrail/fairness/account.py
+++ b/geraniumrail/fairness/account.py
@@ -19,6 +19,7 @@
         self.tag = virtual
         self.in_flight = 0
         self.depth = 0
+        self.weight: float = 1  # of the newest item
         self._waiting_by_class: dict[str, collections.OrderedDict[str, Waiting]] = {}
         self._tokens_by_class: collections.Counter[str] = collections.Counter()
 
@@ -35,6 +36,7 @@
         waiting = self._waiting_by_class.setdefault(item.traffic_class, collections.OrderedDict())
         waiting[item.item_id] = Waiting(item, promote_at)
         self.depth += 1
+        self.weight = item.weight
         self._tokens_by_class[item.traffic_class] += item.share_tokens
 
     def discard(self, item: QueueItem) -> None:
--- a/geraniumrail/fairness/engine_window.py
+++ b/geraniumrail/fairness/engine_window.py
@@ -60,6 +60,15 @@
             and window.in_flight_by_class[traffic_class] + 1 <= limit
         )
 
+    def introduce(self, engine: str, size: float) -> None:
+        """Sets the first size for an engine that is not known yet.
+
+        :param engine: instance.
+        :param size: about its slots divided by the entries using it.
+        """
+        if engine not in self._windows_by_engine:
+            self._windows_by_engine[engine] = _Window(min(MAX_WINDOW, max(self._initial, size)))
+
     def reserve_only(self, engines: Iterable[str]) -> bool:
         """Tells whether only the reserve for underserved organisations is left.
 
--- a/geraniumrail/fairness/events.py
+++ b/geraniumrail/fairness/events.py
@@ -1,9 +1,20 @@
 """Log events of fairness."""
 
-from geraniumrail.core.events import Event
+from geraniumrail.core.events import Event, log
+from geraniumrail.errors.request import OverloadedError
 
 SHED = Event.define(
     501,
     'fairness.shed',
     'A request was refused before it ran, by a limit, the queue depth or the expected wait.',
 )
+
+
+def log_shed(organisation: str, traffic_class: str, error: OverloadedError) -> None:
+    """Writes the line of one refused request.
+
+    :param organisation: of the caller.
+    :param traffic_class: chat, quick or review.
+    :param error: raised by a limit, the queue or the shedder.
+    """
+    log(SHED, organisation=organisation, traffic_class=traffic_class, **error.fields)
--- a/geraniumrail/fairness/fair_queue.py
+++ b/geraniumrail/fairness/fair_queue.py
@@ -59,10 +59,10 @@
         :param classes: classes for which an engine has room; None for all.
         :param reserve_only: only organisations that have used much less than their share may go.
         """
-        found = self._best(now, classes, reserve_only)
-        if found is None:
+        item = self.peek(now, classes, reserve_only=reserve_only)
+        if item is None:
             return None
-        item = self._items_by_id.pop(found.item_id)
+        del self._items_by_id[item.item_id]
         account = self._accounts_by_organisation[item.organisation]
         account.discard(item)
         self._virtual = max(self._virtual, account.tag)
@@ -71,6 +71,28 @@
         self._dispatched_by_id[item.item_id] = item
         return item
 
+    def peek(
+        self,
+        now: float,
+        classes: Collection[str] | None = None,
+        *,
+        reserve_only: bool = False,
+    ) -> QueueItem | None:
+        """Returns the item that `pop` with the same arguments would return.
+
+        :param now: monotonic seconds.
+        :param classes: classes for which an engine has room; None for all.
+        :param reserve_only: only organisations that have used much less than their share may go.
+        """
+        limit = self._virtual - RESERVE_TOKENS if reserve_only else math.inf
+        found = (
+            account.best(now, classes)
+            for account in self._accounts_by_organisation.values()
+            if account.depth
+        )
+        heads = [head for head in found if head is not None and head[0] <= limit]
+        return min(heads, key=lambda head: head[0])[1] if heads else None
+
     def settle(self, item_id: str, tokens: float, now: float) -> None:
         """Corrects the charge of a dispatched item when it ends; a second call does nothing.
 
@@ -122,24 +144,12 @@
         own_backlog = own.backlog(item.traffic_class) if own else 0
         start = tag + own_backlog
         others = sum(
-            min(account.backlog('review'), max(0, start - account.tag))
+            account.weight * min(account.backlog('review'), max(0, start - account.tag))
             for account in self._accounts_by_organisation.values()
             if account is not own
         )
         return own_backlog * item.weight + others
 
-    def _best(
-        self, now: float, classes: Collection[str] | None, reserve_only: bool
-    ) -> QueueItem | None:
-        limit = self._virtual - RESERVE_TOKENS if reserve_only else math.inf
-        found = (
-            account.best(now, classes)
-            for account in self._accounts_by_organisation.values()
-            if account.depth
-        )
-        heads = [head for head in found if head is not None and head[0] <= limit]
-        return min(heads, key=lambda head: head[0])[1] if heads else None
-
     def _drop_idle(self, organisation: str, account: Account) -> None:
         # The tag of an organisation that is ahead is kept until the others have caught up.
         idle = not account.depth and not account.in_flight
