--- a/geraniumrail/routing/choice_test.py
+++ b/geraniumrail/routing/choice_test.py
@@ -117,6 +117,16 @@
             chosen[name] += 1
         self.assertLessEqual(chosen['idle'], 8)
 
+    def test_near_region_is_always_drawn_and_far_engines_take_the_overflow(self):
+        """A draw from all regions alike would cross regions without need."""
+        far = [engine(f'far{number}', region='other') for number in range(9)]
+        near = engine('near')
+        self.observe([*far, near])
+        self.assertEqual(set(self.names([*far, near], request())), {'near'})
+        full = LoadReport(running=8, queued=9, slots=8, queued_tokens=9000, tokens_per_s=300)
+        self.observe([dataclasses.replace(near, load=full, sequence=2)], 1)
+        self.assertNotIn('near', self.names([*far, near], request(), 1))
+
     def test_failed_backend_is_avoided_for_a_short_time(self):
         """Connect failures must not be retried at once, nor shut an engine out for good."""
         backends = [engine('a', lease_s=60), engine('b', lease_s=60)]
