--- a/geraniumrail/backends/service_client.py
+++ b/geraniumrail/backends/service_client.py
@@ -10,6 +10,7 @@
 from geraniumrail.backends.service_answer import ServiceAnswer, StillRunning
 from geraniumrail.backends.service_call import ServiceCall, end_to_end
 from geraniumrail.core.backend import Backend
+from geraniumrail.core.ids import new_id
 from geraniumrail.errors.backend import BackendError, CrossedAnswerError, RefusedError
 
 _OK = 200
@@ -71,7 +72,9 @@
         :raises BackendError: if the service did not say.
         """
         path = f'{outcome_path.rstrip("/")}/{quote(key, safe="")}'
-        answer = await self.send(backend, ServiceCall(method='GET', path=path, limit_s=limit_s))
+        asked = new_id('outcome')  # a service that repeats it can't cross its answers unseen
+        call = ServiceCall(method='GET', path=path, request_id=asked, limit_s=limit_s)
+        answer = await self.send(backend, call)
         if answer.status == _NOT_FOUND:
             return None
         if answer.status == _CONFLICT:
--- a/geraniumrail/control/booking_waiters.py
+++ b/geraniumrail/control/booking_waiters.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 
 from geraniumrail.errors.state import UnknownBookingError
 from geraniumrail.links.messages import AwaitBooking, BookingNow
@@ -39,7 +40,10 @@
             waiters.discard(event)
             if not waiters:
                 self._waiters_by_label.pop(label, None)
-        return BookingNow(booking=self._machine.tables.bookings_by_label[label])
+        booking = self._machine.tables.bookings_by_label.get(label)
+        if booking is None:
+            raise UnknownBookingError(key=label)
+        return BookingNow(booking=booking)
 
     async def _until_final(self, label: str, event: asyncio.Event) -> None:
         while True:
@@ -52,6 +56,9 @@
             event.clear()
 
     def _applied(self, command: object, answer: object) -> None:
+        if command is None:  # a snapshot was restored
+            for event in itertools.chain.from_iterable(self._waiters_by_label.values()):
+                event.set()
         if isinstance(answer, results.BookingUpdated) and answer.booking.final():
             for event in self._waiters_by_label.get(answer.booking.key.label(), ()):
                 event.set()
--- a/geraniumrail/control/usage_shares.py
+++ b/geraniumrail/control/usage_shares.py
@@ -42,4 +42,6 @@
 
         :param entry: id of the entry.
         """
-        return divide(self._demand_by_entry)[entry]
+        # The stream of a forgotten entry may still be open.
+        demand = {entry: {}, **self._demand_by_entry}
+        return divide(demand)[entry]
--- a/geraniumrail/entry/booking_run.py
+++ b/geraniumrail/entry/booking_run.py
@@ -1,9 +1,8 @@
 """Carries one booking from its record in the log to its stored outcome."""
 
-import dataclasses
 import random
 
-from geraniumrail.backends.service_answer import ServiceAnswer
+from geraniumrail.backends.service_answer import ServiceAnswer, StillRunning
 from geraniumrail.backends.service_call import ServiceCall
 from geraniumrail.backends.service_client import ServiceClient
 from geraniumrail.core.backend import Backend
@@ -27,12 +26,15 @@
 from geraniumrail.state.stored_answer import StoredAnswer
 
 PROPOSE_LIMIT_S = 8.0  # longer than an election
-FINISH_LIMIT_S = 60.0
 NO_BACKEND_LIMIT_S = 20.0
+NO_BACKEND_SHARE = 0.6  # of the deadline, so that a waiting caller hears not_run
 RETRY_DELAY_S = 0.2
-OUTCOME_QUERIES = 5
+# A request that is still on its way, or a service that is starting again, is found a little later.
+NO_OUTCOME_LIMIT_S = 5.0
+ASKED_SERVERS = 4
 MAX_STORED_BODY_BYTES = 262_144
 SERVER_ERROR = 500
+MS_PER_S = 1000
 
 
 class BookingRun:
@@ -73,13 +75,17 @@
         """Finishes a booking that this entry owns.
 
         :param booking: as the log has it.
-        :raises GeraniumrailError: if the log could not be reached or has another owner.
+        :raises GeraniumrailError: if the log has another owner or phase.
         """
         if booking.phase == phases.DISPATCHED:
             # Another entry sent it and was lost: it may have run, so it is not sent again.
             return await self._resolve(booking, 'the entry that sent it was lost')
-        end = self._clock.now() + NO_BACKEND_LIMIT_S
+        limit_s = min(NO_BACKEND_LIMIT_S, NO_BACKEND_SHARE * self._deadline_s(booking))
+        end = self._clock.now() + limit_s
         while True:
+            if not self._view.holds_lease():
+                await self._pause()
+                continue
             try:
                 backend = self._choose(booking)
             except NoBackendError as error:
@@ -88,20 +94,23 @@
                     return await self._finish(booking, phases.NOT_RUN, _failure(str(error)))
                 await self._pause()
                 continue
-            finished = await self._attempt(booking, backend)
-            if finished is not None:
-                return finished
+            booking = await self._attempt(booking, backend)
+            if booking.final():
+                return booking
             await self._pause()
 
-    async def _attempt(self, booking: Booking, backend: Backend) -> Booking | None:
+    async def _attempt(self, booking: Booking, backend: Backend) -> Booking:
         sent = await self._dispatch(booking, backend)
+        # Without a lease another entry may have been told to resolve this attempt. Nothing waits
+        # between this check and the first byte.
+        if not self._view.holds_lease():
+            return await self._release(sent, 'the settings lease ran out')
         sent_at = self._clock.now()
         try:
             answer = await self._send(sent, backend)
         except (NotSentError, RefusedError) as error:
             self._failed(sent, backend)
-            await self._release(sent, str(error))
-            return None
+            return await self._release(sent, str(error))
         except BackendError as error:
             self._failed(sent, backend)
             return await self._resolve(sent, str(error))
@@ -138,22 +147,30 @@
             owner=self._entry,
             attempt=new_id('attempt'),
             backend=backend.instance,
+            epoch=booking.epoch,
         )
-        result = await self._control.propose(command, PROPOSE_LIMIT_S)
+        sent = await self._propose(command)
         log(
             events.BOOKING_DISPATCHED,
             booking=booking.key.label(),
             attempt=command.attempt,
             backend=backend.instance,
         )
-        return result.booking
+        return sent
+
+    async def _propose(self, command: object) -> Booking:
+        # The command may be in the log, and nobody else works on the booking while this entry
+        # lives, so it is resent until it is answered.
+        while True:
+            try:
+                result = await self._control.propose(command, PROPOSE_LIMIT_S)
+            except NoControlError as error:
+                log(events.TASK_FAILED, task=type(command).__name__, reason=str(error))
+                continue
+            return result.booking
 
     async def _send(self, booking: Booking, backend: Backend) -> ServiceAnswer:
-        settings = self._settings(booking)
         self._sent += 1
-        # Without a lease another entry may have been told to resolve this attempt.
-        if not self._view.holds_lease():
-            raise NotSentError(backend=backend.instance, reason='the settings lease ran out')
         call = ServiceCall(
             method=booking.call.method,
             path=booking.call.path,
@@ -162,7 +179,7 @@
             request_id=booking.attempt,
             attempt=self._sent,
             key=booking.key.key,
-            limit_s=settings.deadline_ms / 1000,
+            limit_s=self._deadline_s(booking),
         )
         self._view.knowledge.sent(backend.instance, 1, (), self._clock.now())
         try:
@@ -173,26 +190,44 @@
     async def _resolve(self, booking: Booking, reason: str) -> Booking:
         """Asks the service what became of an attempt that may have run."""
         path = self._settings(booking).outcome_path
-        for _ in range(OUTCOME_QUERIES if path else 0):
-            for backend in self._view.candidates(booking.key.service):
-                try:
-                    answer = await self._client.outcome(backend, path, booking.key.key)
-                except BackendError:
-                    continue
-                if isinstance(answer, ServiceAnswer):
-                    return await self._finish(booking, phases.DONE, stored(answer))
+        unknown_end = self._clock.now() + NO_OUTCOME_LIMIT_S
+        running_end = self._clock.now() + self._deadline_s(booking)
+        while path:
+            found = await self._ask(booking, path)
+            if isinstance(found, ServiceAnswer):
+                return await self._finish(booking, phases.DONE, stored(found))
+            if self._clock.now() >= (unknown_end if found is None else running_end):
+                break
             await self._pause()
         # An unknown key proves nothing: bytes of the attempt may still be on their way.
         return await self._finish(booking, phases.OUTCOME_UNKNOWN, _failure(reason))
 
-    async def _release(self, booking: Booking, reason: str) -> None:
+    async def _ask(self, booking: Booking, path: str) -> ServiceAnswer | StillRunning | None:
+        # The server of the attempt knows most, also when it is leaving.
+        servers = sorted(
+            self._view.servers(booking.key.service),
+            key=lambda server: (server.instance != booking.backend, self._rng.random()),
+        )
+        running: StillRunning | None = None
+        for server in servers[:ASKED_SERVERS]:
+            try:
+                found = await self._client.outcome(server, path, booking.key.key)
+            except BackendError:
+                continue
+            if isinstance(found, ServiceAnswer):
+                return found
+            running = running or found
+        return running
+
+    async def _release(self, booking: Booking, reason: str) -> Booking:
         command = commands.ReleaseBooking(
             key=booking.key,
             owner=self._entry,
             attempt=booking.attempt,
         )
-        await self._control.propose(command, FINISH_LIMIT_S)
+        released = await self._propose(command)
         log(events.BOOKING_RELEASED, booking=booking.key.label(), reason=reason)
+        return released
 
     async def _finish(self, booking: Booking, phase: str, answer: StoredAnswer) -> Booking:
         command = commands.FinishBooking(
@@ -201,21 +236,16 @@
             phase=phase,
             answer=answer,
             attempt=booking.attempt,
+            epoch=booking.epoch,
         )
-        try:
-            result = await self._control.propose(command, FINISH_LIMIT_S)
-        except NoControlError:
-            if phase == phases.NOT_RUN:
-                raise  # another entry may take the booking over and run it
-            # The answer is not in the log, but this process saw it and it can't change any more.
-            return dataclasses.replace(booking, phase=phase, answer=answer)
+        finished = await self._propose(command)
         log(
             events.BOOKING_FINISHED,
             booking=booking.key.label(),
-            phase=result.booking.phase,
+            phase=finished.phase,
             reason=answer.reason,
         )
-        return result.booking
+        return finished
 
     def _choose(self, booking: Booking) -> Backend:
         version = self._outcomes.version(booking.key.service, booking.call.route, self._draw)
@@ -241,6 +271,9 @@
         key = booking.key
         return self._view.effective(key.organisation, key.service, booking.call.route)
 
+    def _deadline_s(self, booking: Booking) -> float:
+        return self._settings(booking).deadline_ms / MS_PER_S
+
     async def _pause(self) -> None:
         await self._clock.sleep(RETRY_DELAY_S * (0.5 + self._rng.random()))
 
--- a/geraniumrail/entry/bookings.py
+++ b/geraniumrail/entry/bookings.py
@@ -1,6 +1,7 @@
 """Bookings and orders of this entry: recorded first, sent at most once, answered from the log."""
 
 import asyncio
+import dataclasses
 import random
 from collections.abc import Coroutine
 
@@ -14,8 +15,8 @@
 from geraniumrail.entry.outcomes import Outcomes
 from geraniumrail.errors.base import GeraniumrailError
 from geraniumrail.errors.link import NoControlError
-from geraniumrail.errors.request import NotRunError, OutcomeUnknownError
-from geraniumrail.errors.state import NotOwnerError, WrongPhaseError
+from geraniumrail.errors.request import IncompleteAnswerError, NotRunError, OutcomeUnknownError
+from geraniumrail.errors.state import NotOwnerError, UnknownBookingError, WrongPhaseError
 from geraniumrail.links.messages import AwaitBooking
 from geraniumrail.state import booking as phases
 from geraniumrail.state import commands, results
@@ -28,6 +29,8 @@
 CLAIM_LIMIT_S = 10.0
 STILL_RUNNING = 'still running; ask again with the same key'
 
+ClaimResult = results.Claimed | results.Attached
+
 
 class Bookings:
     """One task for each booking that this entry owns; callers attach to it."""
@@ -59,7 +62,7 @@
         self._client = client
         self._clock = clock
         self._rng = rng
-        self._runs_by_claim: dict[tuple[str, str], asyncio.Task[Booking]] = {}
+        self._runs_by_claim: dict[tuple[str, str], asyncio.Task[ClaimResult]] = {}
 
     @property
     def in_progress(self) -> int:
@@ -91,12 +94,14 @@
             at=self._clock.wall(),
         )
         end = self._clock.now() + limit_s
-        run = self._runs_by_claim.get((key.label(), digest))
-        if run is None:
-            run = self._start(key.label(), digest, self._claim_and_drive(claim))
-        booking = await self._join(run, key, limit_s)
+        result = await self._join(claim, end)
+        if isinstance(result, results.Attached) and result.booking.phase == phases.NOT_RUN:
+            # It ended before this caller asked, so this caller asks for it again.
+            again = dataclasses.replace(claim, epoch=result.booking.epoch)
+            result = await self._join(again, end)
+        booking = result.booking
         if not booking.final():
-            booking = await self._await_final(key, end - self._clock.now())
+            booking = await self._await_final(key, end)
         return answer_of(booking)
 
     def take_over(self, assigned: tuple[Booking, ...]) -> None:
@@ -108,41 +113,59 @@
             claim = (booking.key.label(), booking.body_digest)
             if booking.owner == self._entry and claim not in self._runs_by_claim:
                 log(events.BOOKING_TAKEN_OVER, booking=booking.key.label(), phase=booking.phase)
-                self._start(*claim, self._new_run().drive(booking))
+                self._start(*claim, self._carry(booking))
 
     async def drain(self) -> None:
         """Waits until no booking is in progress."""
         while self._runs_by_claim:
             await asyncio.wait(list(self._runs_by_claim.values()))
 
-    async def _join(
-        self,
-        run: asyncio.Task[Booking],
-        key: BookingKey,
-        limit_s: float,
-    ) -> Booking:
-        end = self._clock.now() + limit_s
+    async def _join(self, claim: commands.ClaimBooking, end: float) -> ClaimResult:
+        label = claim.key.label()
+        run = self._runs_by_claim.get((label, claim.body_digest))
+        if run is None:
+            run = self._start(label, claim.body_digest, self._claim_and_carry(claim))
         try:
             # The booking goes on when its caller has gone.
-            return await asyncio.wait_for(asyncio.shield(run), limit_s)
+            return await asyncio.wait_for(asyncio.shield(run), end - self._clock.now())
         except TimeoutError as error:
-            raise OutcomeUnknownError(reason=STILL_RUNNING, key=key.key) from error
-        except (NotOwnerError, WrongPhaseError):
-            # Another entry took the booking over; the log has its outcome.
-            return await self._await_final(key, end - self._clock.now())
-        except NoControlError as error:
-            raise OutcomeUnknownError(reason=str(error), key=key.key) from error
-
-    async def _claim_and_drive(self, claim: commands.ClaimBooking) -> Booking:
+            raise OutcomeUnknownError(reason=STILL_RUNNING, key=claim.key.key) from error
+
+    async def _claim_and_carry(self, claim: commands.ClaimBooking) -> ClaimResult:
         while True:
             try:
                 result = await self._control.propose(claim, CLAIM_LIMIT_S)
             except NoControlError:
                 # The claim may be in the log, so it can't be given up.
                 continue
-            if isinstance(result, results.Claimed):
-                return await self._new_run().drive(result.booking)
-            return result.booking
+            if result.booking.owner == self._entry and not result.booking.final():
+                return await self._carry(result.booking)
+            return result
+
+    async def _carry(self, booking: Booking) -> ClaimResult:
+        """Works on a booking while it is this entry's; the only task to do so in this process."""
+        while True:
+            try:
+                return results.Claimed(booking=await self._new_run().drive(booking))
+            except (NotOwnerError, WrongPhaseError) as error:
+                log(events.BOOKING_MOVED_ON, booking=booking.key.label(), reason=str(error))
+            except Exception as error:
+                log(events.TASK_FAILED, task=booking.key.label(), reason=repr(error))
+                await self._clock.sleep(AWAIT_STEP_S)
+            booking = await self._current(booking.key)
+            if booking.final() or booking.owner != self._entry:
+                return results.Attached(booking=booking)
+
+    async def _current(self, key: BookingKey) -> Booking:
+        while True:
+            try:
+                reply = await self._control.await_booking(
+                    AwaitBooking(key=key, limit_s=0),
+                    CLAIM_LIMIT_S,
+                )
+            except NoControlError:
+                continue
+            return reply.booking
 
     def _new_run(self) -> BookingRun:
         return BookingRun(
@@ -159,14 +182,14 @@
         self,
         label: str,
         digest: str,
-        work: Coroutine[None, None, Booking],
-    ) -> asyncio.Task[Booking]:
+        work: Coroutine[None, None, ClaimResult],
+    ) -> asyncio.Task[ClaimResult]:
         task = asyncio.create_task(work, name=label)
         self._runs_by_claim[(label, digest)] = task
         task.add_done_callback(lambda done: self._ended((label, digest), done))
         return task
 
-    def _ended(self, claim: tuple[str, str], task: asyncio.Task[Booking]) -> None:
+    def _ended(self, claim: tuple[str, str], task: asyncio.Task[ClaimResult]) -> None:
         self._runs_by_claim.pop(claim, None)
         if task.cancelled():
             return
@@ -174,15 +197,19 @@
         if error is not None and not isinstance(error, GeraniumrailError):
             log(events.TASK_FAILED, task=claim[0], reason=repr(error))
 
-    async def _await_final(self, key: BookingKey, limit_s: float) -> Booking:
-        end = self._clock.now() + limit_s
+    async def _await_final(self, key: BookingKey, end: float) -> Booking:
+        reason = STILL_RUNNING
         while self._clock.now() < end:
-            step_s = min(AWAIT_STEP_S, end - self._clock.now())
-            request = AwaitBooking(key=key, limit_s=step_s)
-            reply = await self._control.await_booking(request, end - self._clock.now())
+            remaining_s = end - self._clock.now()
+            request = AwaitBooking(key=key, limit_s=min(AWAIT_STEP_S, remaining_s))
+            try:
+                reply = await self._control.await_booking(request, remaining_s)
+            except (NoControlError, UnknownBookingError) as error:
+                reason = f'{STILL_RUNNING}: {error}'
+                break
             if reply.booking.final():
                 return reply.booking
-        raise OutcomeUnknownError(reason=STILL_RUNNING, key=key.key)
+        raise OutcomeUnknownError(reason=reason, key=key.key)
 
 
 def answer_of(booking: Booking) -> StoredAnswer:
@@ -191,8 +218,11 @@
     :param booking: a final booking.
     :raises NotRunError: if it certainly did not run.
     :raises OutcomeUnknownError: if it may have run.
+    :raises IncompleteAnswerError: if it ran, but its answer was too large for the log.
     """
     answer = booking.answer or StoredAnswer(status=0)
+    if booking.phase == phases.DONE and answer.reason:
+        raise IncompleteAnswerError(reason=answer.reason, key=booking.key.key)
     if booking.phase == phases.DONE:
         return answer
     if booking.phase == phases.NOT_RUN:
--- a/geraniumrail/entry/cluster_view.py
+++ b/geraniumrail/entry/cluster_view.py
@@ -100,6 +100,14 @@
             and self.knowledge.usable(backend, now)
         ]
 
+    def servers(self, service: str) -> list[Backend]:
+        """Returns the backend servers of a service, also those that get no new work.
+
+        :param service: name of the service.
+        """
+        known = self.backends_by_instance.values()
+        return [backend for backend in known if backend.service == service]
+
     def effective(self, organisation: str, service: str, route: str) -> Effective:
         """Returns the effective settings.
 
--- a/geraniumrail/entry/events.py
+++ b/geraniumrail/entry/events.py
@@ -72,3 +72,8 @@
     'A background task met a failure and goes on.',
     logging.WARNING,
 )
+BOOKING_MOVED_ON = Event.define(
+    1314,
+    'entry.booking_moved_on',
+    'The log has another owner or phase of a booking than this entry; the log is read again.',
+)
--- a/geraniumrail/entry/testing.py
+++ b/geraniumrail/entry/testing.py
@@ -1,6 +1,7 @@
 """Seeded schedules of bookings: several entries, a control leader, services and failures."""
 
 import asyncio
+import collections
 import contextlib
 import dataclasses
 import itertools
@@ -32,7 +33,7 @@
 from geraniumrail.errors.base import GeraniumrailError
 from geraniumrail.errors.consensus import NotLeaderError
 from geraniumrail.errors.link import LinkError
-from geraniumrail.links.messages import AwaitBooking, EntryInfo, EntryReport, Propose, Proposed
+from geraniumrail.links.messages import EntryInfo, EntryReport, Propose, Proposed
 from geraniumrail.routing.knowledge import Knowledge
 from geraniumrail.state import booking as phases
 from geraniumrail.state import commands
@@ -115,6 +116,7 @@
     requests: int = 0
     runs: int = 0
     phases: dict[str, int] = dataclasses.field(default_factory=dict)
+    told: dict[str, int] = dataclasses.field(default_factory=dict)
     kills: int = 0
     freezes: int = 0
     handovers: int = 0
@@ -502,7 +504,7 @@
         await asyncio.sleep(self.rng.uniform(0, BUSY_S * 0.7) if caller == 0 else 0)
         if caller:
             await asyncio.sleep(self.rng.choice((0, self.rng.uniform(0, BUSY_S))))
-        for _ in range(12):
+        for _ in range(self.rng.choice((1, 2, 12, 12))):
             serving = [
                 host
                 for host in self.hosts.values()
@@ -529,7 +531,7 @@
 
     async def break_often(self) -> None:
         announced = (self.reclaim_entry, self.leave_backend, self.change_leader)
-        hard = (self.kill, self.kill, self.freeze, self.freeze, self.cut, self.change_leader)
+        hard = (self.kill, self.kill, self.freeze, self.freeze, self.cut, self.lose_backends)
         while True:
             await asyncio.sleep(self.rng.uniform(0.2, 6))
             actions = announced if self.report.announced else (*hard, *announced)
@@ -584,7 +586,7 @@
     async def leave_backend(self) -> None:
         services = self.services
         serving = [name for name, each in services.backends.items() if each.state == 'serving']
-        if len(serving) < 2:
+        if len(serving) < 2 or services.gone:
             return
         name = self.rng.choice(serving)
         sequence = services.backends[name].sequence
@@ -593,7 +595,21 @@
         services.gone.add(name)  # takes no new work and finishes what it has
         await asyncio.sleep(self.rng.uniform(0, 8))
         services.gone.discard(name)
-        services.backends[name] = services.backend(name, sequence + 2)
+        sequence = services.backends[name].sequence
+        services.backends[name] = services.backend(name, sequence + 1)
+
+    async def lose_backends(self) -> None:
+        """Leaves no backend server for a while, so that bookings end as not_run."""
+        services = self.services
+        if services.gone:
+            return
+        services.gone = set(services.backends)
+        for name, known in services.backends.items():
+            services.backends[name] = services.backend(name, known.sequence + 1, 'leaving')
+        await asyncio.sleep(self.rng.uniform(5, 35))
+        for name, known in services.backends.items():
+            services.backends[name] = services.backend(name, known.sequence + 1)
+        services.gone = set()
 
     async def change_leader(self) -> None:
         if self.leader.up:
@@ -610,6 +626,7 @@
             report.phases[booking.phase] = report.phases.get(booking.phase, 0) + 1
             if report.announced and booking.phase != DONE:
                 report.violations.append(f'{booking.key.key} ended as {booking.phase}')
+        report.told = dict(collections.Counter(request.outcome for request in self.requests))
         report.violations += check_history(self.requests, self.services.journal)
 
 
--- a/geraniumrail/state/apply_bookings.py
+++ b/geraniumrail/state/apply_bookings.py
@@ -43,14 +43,24 @@
         raise WrongPhaseError(key=booking.key.label(), phase=booking.phase)
 
 
+def _claimable(found: Booking, epoch: int) -> bool:
+    # A caller who was told not_run may ask again with the same key. Without the epoch, the late
+    # copy of an earlier claim would run the booking although nobody asked again.
+    return found.phase == phases.NOT_RUN and found.epoch == epoch
+
+
+def _require_epoch(booking: Booking, epoch: int) -> None:
+    if booking.epoch != epoch:
+        raise WrongPhaseError(key=booking.key.label(), phase=f'{booking.phase} again')
+
+
 @apply.register
 def _claim(command: commands.ClaimBooking, tables: Tables) -> object:
     label = command.key.label()
     found = tables.bookings_by_label.get(label)
     if found is not None and found.body_digest != command.body_digest:
         raise KeyReusedError(key=command.key.key)
-    # A caller who was told not_run may ask again with the same key.
-    if found is not None and found.phase != phases.NOT_RUN:
+    if found is not None and not _claimable(found, command.epoch):
         repeated = found.owner == command.owner and found.phase == phases.ACCEPTED
         return results.Claimed(booking=found) if repeated else results.Attached(booking=found)
     booking = Booking(
@@ -59,6 +69,7 @@
         call=command.call,
         owner=command.owner,
         claimed_at=command.at,
+        epoch=1 if found is None else found.epoch + 1,
     )
     tables.bookings_by_label.pop(label, None)
     return results.Claimed(booking=_store(tables, booking))
@@ -70,6 +81,7 @@
     # A resend of the same dispatch after a lost reply is answered as the first time.
     if found.phase != phases.DISPATCHED or found.attempt != command.attempt:
         _require_phase(found, phases.ACCEPTED)
+        _require_epoch(found, command.epoch)
     sent = dataclasses.replace(
         found,
         phase=phases.DISPATCHED,
@@ -87,17 +99,27 @@
     _require_phase(found, phases.DISPATCHED)
     if found.attempt != command.attempt:
         raise WrongPhaseError(key=command.key.label(), phase=found.phase)
-    released = dataclasses.replace(found, phase=phases.ACCEPTED, attempt='', backend='')
+    released = dataclasses.replace(
+        found,
+        phase=phases.ACCEPTED,
+        attempt='',
+        backend='',
+        epoch=found.epoch + 1,
+    )
     return results.BookingUpdated(booking=_store(tables, released))
 
 
 @apply.register
 def _finish(command: commands.FinishBooking, tables: Tables) -> object:
-    found = _owned(tables, command.key, command.owner)
+    found = _find(tables, command.key)
+    # The entry that sent the attempt knows its result, also if another one was told to resolve it.
+    if command.phase != phases.DONE or not command.attempt or found.attempt != command.attempt:
+        _owned(tables, command.key, command.owner)
     if found.final():
         return results.BookingUpdated(booking=found)
     if command.phase == phases.NOT_RUN:
         _require_phase(found, phases.ACCEPTED)
+        _require_epoch(found, command.epoch)
     else:
         _require_phase(found, phases.DISPATCHED)
     if found.attempt != command.attempt or command.phase not in phases.FINAL_PHASES:
@@ -114,6 +136,7 @@
         found,
         owner=command.to_owner,
         handovers=found.handovers + 1,
+        epoch=found.epoch + 1,
     )
     return results.BookingUpdated(booking=_store(tables, moved))
 
--- a/geraniumrail/state/booking.py
+++ b/geraniumrail/state/booking.py
@@ -18,7 +18,8 @@
     """One booking or order.
 
     Invariant: `attempt` is set if and only if the first byte may have left for `backend`.
-    Only `owner` may dispatch or finish it.
+    Only `owner` may dispatch or finish it, but for the result of `attempt`, which its sender may
+    store also after a handover.
     """
 
     key: BookingKey
@@ -31,6 +32,9 @@
     answer: StoredAnswer | None = None
     claimed_at: float = 0  # wall seconds of the claiming entry
     handovers: int = 0  # how often another entry took it over
+    # Grows with each claim, release and handover. A command may arrive a second time, late; one
+    # that names an earlier epoch is refused.
+    epoch: int = 1
 
     def final(self) -> bool:
         """Tells whether the booking will not change any more, but for a new claim after not_run."""
--- a/geraniumrail/state/commands.py
+++ b/geraniumrail/state/commands.py
@@ -27,6 +27,7 @@
     call: StoredCall
     owner: str
     at: float = 0
+    epoch: int = 0  # of the booking that ended as not_run, to claim it again
 
 
 @record
@@ -37,6 +38,7 @@
     owner: str
     attempt: str
     backend: str
+    epoch: int = 1  # of the booking that is dispatched
 
 
 @record
@@ -57,6 +59,7 @@
     phase: str  # one of booking.FINAL_PHASES
     answer: StoredAnswer
     attempt: str = ''
+    epoch: int = 1  # needed for not_run, which has no attempt
 
 
 @record
