--- a/geraniumrail/control/usage_shares.py
+++ b/geraniumrail/control/usage_shares.py
@@ -44,9 +44,10 @@
 
         :param entry: id of the entry.
         """
-        mine = self._demand_by_entry[entry]
+        # The stream of a forgotten entry may still be open.
+        mine = self._demand_by_entry.get(entry, {})
         return EntryShare(
-            entries=len(self._demand_by_entry),
+            entries=max(1, len(self._demand_by_entry)),
             share_by_organisation={
                 name: min(1.0, tokens / self._totals[name])
                 for name, tokens in mine.items()
