Keep other calls alive when a link call times out

Cause: a call without an answer closed the channel that all calls to the address share. gRPC cancels the calls in progress on a closed channel and raises CancelledError in tasks that nobody cancelled, so the follower task ended for good and proposals looked as if their callers had left. Opening the follower stream closed the shared channel as well.

Ruled out: a longer time limit (any timeout has the effect); the event loop cancelling the tasks (Task.cancelling() was 0).

Before: links.client_test fails with CancelledError in both tests. After: both pass. The follower stream has a channel of its own, a replaced channel is closed after a grace period, and a call that gRPC cancels fails with LinkError.

--- a/geraniumrail/links/client.py
+++ b/geraniumrail/links/client.py
@@ -12,6 +12,9 @@
 from geraniumrail.links.method import CALL, FOLLOW, OPTIONS
 from geraniumrail.links.tls import LinkTls
 
+# Other calls on a replaced channel may still be answered.
+CLOSE_GRACE_S = 5.0
+
 
 class LinkClient:
     """One address; the channel is opened at the first call."""
@@ -26,7 +29,7 @@
         self._tls = tls
         self._channel: grpc.aio.Channel | None = None
         self._unary: Any = None
-        self._stream: Any = None
+        self._closing: set[asyncio.Task[None]] = set()
 
     async def call(self, request: object, timeout_s: float) -> Any:
         """Sends one record and returns the reply.
@@ -36,14 +39,19 @@
         :raises LinkError: without an answer; the call may have been carried out.
         :raises GeraniumrailError: the failure that the other daemon answered.
         """
-        self._open()
         channel = self._channel
+        if channel is None:
+            channel = self._new_channel()
+            self._channel = channel
+            self._unary = channel.unary_unary(CALL, codec.encode, codec.decode)
         try:
             reply = await self._unary(request, timeout=timeout_s)
         except grpc.aio.AioRpcError as error:
             # The connection may have gone silent: the next call opens a new one.
-            await self._discard(channel)
+            self._replace(channel)
             raise LinkError(address=self.address, reason=error.code().name) from error
+        except asyncio.CancelledError as error:
+            raise self._closed() from error
         if isinstance(reply, Refused):
             raise reply.to_error()
         return reply
@@ -55,34 +63,51 @@
         :raises LinkError: when the stream breaks.
         :raises GeraniumrailError: the failure that the other daemon answered.
         """
-        await self.close()
-        self._open()
+        channel = self._new_channel()
+        stream = channel.stream_stream(FOLLOW, codec.encode, codec.decode)
         try:
-            async for update in self._stream(reports):
+            async for update in stream(reports):
                 if isinstance(update, Refused):
                     raise update.to_error()
                 yield update
         except grpc.aio.AioRpcError as error:
             raise LinkError(address=self.address, reason=error.code().name) from error
+        except asyncio.CancelledError as error:
+            raise self._closed() from error
+        finally:
+            await asyncio.shield(channel.close())
 
     async def close(self) -> None:
         """Closes the connection."""
-        await self._discard(self._channel)
+        for task in self._closing:
+            task.cancel()
+        await asyncio.gather(*self._closing, return_exceptions=True)
+        channel = self._channel
+        self._channel = None
+        if channel is not None:
+            await asyncio.shield(channel.close())
 
-    def _open(self) -> None:
-        if self._channel is not None:
-            return
+    def _new_channel(self) -> grpc.aio.Channel:
         if self._tls is None:
-            self._channel = grpc.aio.insecure_channel(self.address, options=OPTIONS)
-        else:
-            credentials = self._tls.channel_credentials()
-            self._channel = grpc.aio.secure_channel(self.address, credentials, options=OPTIONS)
-        self._unary = self._channel.unary_unary(CALL, codec.encode, codec.decode)
-        self._stream = self._channel.stream_stream(FOLLOW, codec.encode, codec.decode)
-
-    async def _discard(self, channel: grpc.aio.Channel | None) -> None:
-        if channel is None:
-            return
-        if self._channel is channel:
-            self._channel = None
-        await asyncio.shield(channel.close())
+            return grpc.aio.insecure_channel(self.address, options=OPTIONS)
+        credentials = self._tls.channel_credentials()
+        return grpc.aio.secure_channel(self.address, credentials, options=OPTIONS)
+
+    def _replace(self, channel: grpc.aio.Channel) -> None:
+        if self._channel is not channel:
+            return  # another call has replaced it
+        self._channel = None
+        task = asyncio.create_task(channel.close(CLOSE_GRACE_S))
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
+
+    def _closed(self) -> BaseException:
+        """Returns the failure of a call that was cancelled by gRPC or by its own task.
+
+        gRPC cancels the calls in progress on a channel that is closed; the tasks that wait for
+        them go on.
+        """
+        task = asyncio.current_task()
+        if task is None or task.cancelling():
+            return asyncio.CancelledError()
+        return LinkError(address=self.address, reason='the connection was closed')
