Complete accepted streams when many engines are lost at once

Cause: a resumed request joined the fair queue like a new one, so the queue limit or the shedder refused it after part of its answer was sent; an exhausted retry budget held it back until its deadline; a turn granted at the moment when its caller left was never given back; and a request whose version had only engines that it had failed at waited until its deadline.

Now a resumed request is never refused and goes ahead of new requests of its class, an exhausted budget delays it once if its attempt made progress, was announced or sent nothing (an attempt that failed without progress still needs the budget), turns of callers that left are given back, and a request that finds no engine does not hold up those behind it. An engine that stalls or refuses connections is avoided until it announces itself again, at most 6 s. Abandoned attempts are cancelled at the engine.

Ruled out: losses in the engine client (texts were never wrong, only cut).

--- a/geraniumrail/entry/admission.py
+++ b/geraniumrail/entry/admission.py
@@ -11,6 +11,10 @@
 from geraniumrail.fairness.shedder import Shedder
 from geraniumrail.routing.decision import Decision
 
+# How many organisations and classes may be passed over for one grant: the first in the queue may
+# need a version or an adapter whose engines are full while other engines are free.
+MAX_HEADS = 8
+
 Chooser = Callable[[EngineWindow], Decision]
 _Waiting = tuple[Chooser, 'asyncio.Future[Decision]']
 
@@ -38,25 +42,24 @@
         :param item: the request in the queue.
         :param choose: chooses among the engines whose window has room.
         :param limit_s: longest wait, in seconds.
-        :raises OverloadedError: if the request is shed.
+        :raises OverloadedError: if the request is shed; never if it is resumed.
         :raises NoBackendError: if no engine had room in time.
         """
         now = self._clock.now()
-        if self.queue.depth():
+        if self.queue.depth() and not item.resumed:
             self._shedder.check(item, self.queue)
         self.queue.push(item, now)
         future: asyncio.Future[Decision] = asyncio.get_running_loop().create_future()
         self._waiting_by_id[item.item_id] = (choose, future)
         self.pump()
         try:
-            return await asyncio.wait_for(asyncio.shield(future), limit_s)
-        except TimeoutError as error:
-            raise NoBackendError(service=self._service) from error
-        finally:
-            self._waiting_by_id.pop(item.item_id, None)
-            if not future.done():
-                self.queue.remove(item.item_id)
-                future.cancel()
+            async with asyncio.timeout(limit_s):
+                return await future
+        except (TimeoutError, asyncio.CancelledError) as error:
+            self._abandon(item, future)
+            if isinstance(error, TimeoutError):
+                raise NoBackendError(service=self._service) from error
+            raise
 
     def release(self, item: QueueItem, engine: str, tokens: float) -> None:
         """Ends a turn and grants the next.
@@ -72,18 +75,31 @@
 
     def pump(self) -> None:
         """Grants turns while engines have room."""
-        while True:
-            now = self._clock.now()
-            item = self.queue.peek(now)
-            if item is None:
-                return
-            choose, future = self._waiting_by_id[item.item_id]
-            try:
-                decision = choose(self.window)
-            except NoBackendError:
-                return
-            self.queue.pop(now)
+        granted = True
+        while granted:
+            heads = self.queue.heads(self._clock.now())[:MAX_HEADS]
+            granted = any(self._grant(item) for item in heads)
+
+    def _grant(self, item: QueueItem) -> bool:
+        choose, future = self._waiting_by_id[item.item_id]
+        if future.done():  # cancelled; its task has not run since
             self._waiting_by_id.pop(item.item_id)
-            self._shedder.rate.dispatched(item.tokens, self.queue.depth(), now)
-            self.window.started(decision.backend.instance)
-            future.set_result(decision)
+            return self.queue.remove(item.item_id)
+        try:
+            decision = choose(self.window)
+        except NoBackendError:
+            return False
+        self.queue.take(item)
+        self._waiting_by_id.pop(item.item_id)
+        self._shedder.rate.dispatched(item.tokens, self.queue.depth(), self._clock.now())
+        self.window.started(decision.backend.instance)
+        future.set_result(decision)
+        return True
+
+    def _abandon(self, item: QueueItem, future: 'asyncio.Future[Decision]') -> None:
+        """Ends the wait of a request, or gives back a turn that came at the same moment."""
+        if future.done() and not future.cancelled():
+            self.release(item, future.result().backend.instance, 0)
+            return
+        self._waiting_by_id.pop(item.item_id, None)
+        self.queue.remove(item.item_id)
--- a/geraniumrail/entry/completion_run.py
+++ b/geraniumrail/entry/completion_run.py
@@ -11,7 +11,12 @@
 from geraniumrail.entry import events
 from geraniumrail.entry.completion_call import CompletionCall
 from geraniumrail.entry.completions import Completions
-from geraniumrail.errors.backend import BackendError, NoBackendError
+from geraniumrail.errors.backend import (
+    BackendError,
+    NoBackendError,
+    NotSentError,
+    StalledError,
+)
 from geraniumrail.errors.request import IncompleteAnswerError, NotRunError
 from geraniumrail.fairness.engine_window import EngineWindow
 from geraniumrail.fairness.queue_item import QueueItem
@@ -83,7 +88,7 @@
             finally:
                 prompt = self.call.prompt_tokens if self.attempts == 1 else before
                 admission.release(item, backend.instance, prompt + self.offset - before)
-            await self._lost(backend, failure)
+            await self._lost(backend, failure, progressed=self.offset > before)
 
     async def _attempt(self, backend: Backend) -> AsyncIterator[Chunk]:
         self.attempts += 1
@@ -101,6 +106,7 @@
         )
         timing = _Timing(sent_at)
         stream = shared.client.stream(backend, self._engine_call())
+        ended = False
         try:
             async with contextlib.aclosing(stream) as chunks:
                 async for chunk in chunks:
@@ -110,12 +116,18 @@
                     self.text += chunk.text
                     self.offset += chunk.tokens
                     yield chunk
-        except BackendError:
+        except BackendError as error:
+            ended = not isinstance(error, StalledError)
             self._ended(backend, attempt, timing, failed=True)
             raise
         else:
+            ended = True
             self._ended(backend, attempt, timing, failed=False)
         finally:
+            if not ended:
+                # The caller is gone, or the connection may be too silent to carry its end.
+                shared.outcomes.breaker.answered(attempt, call.service, call.route)
+                shared.cancel(backend, call.request_id, self.attempts)
             shared.view.knowledge.finished(backend.instance, call.tokens, shared.clock.now())
 
     def _engine_call(self) -> EngineCall:
@@ -145,11 +157,14 @@
     def _ended(self, backend: Backend, attempt: str, timing: '_Timing', failed: bool) -> None:
         call, shared = self.call, self.shared
         shared.outcomes.breaker.answered(attempt, call.service, call.route)
-        known = shared.view.backends_by_instance.get(backend.instance)
-        if failed and (known is None or known.state == 'leaving'):
+        if failed and self._announced(backend):
             return  # an announced loss of the instance is no fault of the version
         self._observe(backend, failed=failed, between_tokens_s=timing.between_tokens_s)
 
+    def _announced(self, backend: Backend) -> bool:
+        known = self.shared.view.backends_by_instance.get(backend.instance)
+        return known is None or known.state == 'leaving'
+
     def _observe(
         self,
         backend: Backend,
@@ -168,10 +183,13 @@
             self._band,
         )
 
-    async def _lost(self, backend: Backend, error: BackendError) -> None:
+    async def _lost(self, backend: Backend, error: BackendError, progressed: bool) -> None:
         """Prepares the next attempt, or gives up at the deadline."""
         shared = self.shared
-        shared.view.knowledge.failed(backend.instance, shared.clock.now())
+        now = shared.clock.now()
+        shared.view.knowledge.failed(backend.instance, now)
+        if isinstance(error, (StalledError, NotSentError)):
+            shared.view.knowledge.silent(backend.instance, now)
         self._excluded |= {backend.instance}
         log(
             events.STREAM_RESUMED,
@@ -181,10 +199,15 @@
             attempt=self.attempts,
             reason=str(error),
         )
+        # Resumes of lost instances cause no more work than was accepted, and the fair queue keeps
+        # the engines' queues short, so an exhausted budget only delays them.
+        delayed_once = progressed or isinstance(error, NotSentError) or self._announced(backend)
         while not shared.retries.take(self.call.service, shared.clock.now()):
             if self._remaining_s() <= 0:
                 raise self._given_up(str(error)) from error
             await shared.clock.sleep(delay(self.attempts, shared.rng))
+            if delayed_once:
+                break
         if self._remaining_s() <= 0:
             raise self._given_up(str(error)) from error
 
@@ -200,10 +223,11 @@
             item_id=f'{self.call.request_id}.{self.attempts}',
             organisation=self.call.organisation,
             traffic_class=settings.traffic_class,
-            tokens=self.call.tokens - self.offset,
+            tokens=max(1, self.call.tokens - self.offset),
             weight=settings.weight,
             bound_s=settings.review_completion_s if is_review else None,
             queue_limit=settings.queue_limit,
+            resumed=self.attempts > 0,
         )
 
     def _choose(self, window: EngineWindow) -> Decision:
@@ -215,16 +239,14 @@
             for backend in candidates
             if not window.allows(backend.instance, self.settings.traffic_class)
         )
-        excluded = self._excluded
-        if all(backend.instance in excluded for backend in candidates):
-            excluded = frozenset()  # better an engine that failed before than none
+        shares = self._version()
         request = LanguageRequest(
             request_id=call.request_id,
             service=call.service,
             data_centre=shared.place.data_centre,
             region=shared.place.region,
-            version_shares=self._version(),
-            excluded=excluded | full,
+            version_shares=shares,
+            excluded=self._avoided(candidates, shares) | full,
             traffic_class=self.settings.traffic_class,
             model=call.model,
             adapter=call.adapter,
@@ -236,6 +258,23 @@
         log_decision(decision)
         return decision
 
+    def _avoided(
+        self, candidates: list[Backend], shares: tuple[tuple[str, float], ...]
+    ) -> frozenset[str]:
+        """Returns the engines not to try; better one that failed before than none."""
+        versions = dict(shares)
+        usable = frozenset(
+            backend.instance
+            for backend in candidates
+            if self.call.model in backend.models and (not versions or backend.version in versions)
+        )
+        now = self.shared.clock.now()
+        silent = frozenset(
+            each for each in usable if self.shared.view.knowledge.is_silent(each, now)
+        )
+        avoided = (self._excluded | silent, self._excluded)
+        return next((each for each in avoided if usable - each), frozenset())
+
     def _version(self) -> tuple[tuple[str, float], ...]:
         call = self.call
         version = self.shared.outcomes.version(call.service, call.route, self._draw)
--- a/geraniumrail/entry/completions.py
+++ b/geraniumrail/entry/completions.py
@@ -1,14 +1,19 @@
 """Completions: limits, fair queue and the parts that all runs of this entry share."""
 
+import asyncio
 import dataclasses
 import random
 
 from geraniumrail.backends.engine_client import EngineClient
+from geraniumrail.core.backend import Backend
 from geraniumrail.core.clock import Clock
+from geraniumrail.core.events import log
+from geraniumrail.entry import events
 from geraniumrail.entry.admission import Admission
 from geraniumrail.entry.cluster_view import ClusterView
 from geraniumrail.entry.completion_call import CompletionCall
 from geraniumrail.entry.outcomes import Outcomes
+from geraniumrail.errors.backend import BackendError
 from geraniumrail.errors.request import UnknownModelError
 from geraniumrail.fairness.engine_window import EngineWindow
 from geraniumrail.fairness.limits import Limits
@@ -57,6 +62,7 @@
         self.retries = RetryBudget()
         self.window = EngineWindow()
         self.in_progress = 0
+        self._cancels: set[asyncio.Task[None]] = set()
         self._admissions: dict[tuple[str, str], Admission] = {}
 
     def admission(self, service: str, model: str) -> Admission:
@@ -106,6 +112,23 @@
         self.limits.admit(call.organisation, call.tokens, limit, self.clock.now())
         self.retries.requested(call.service, settings.retry_budget, self.clock.now())
 
+    def cancel(self, backend: Backend, request_id: str, attempt: int) -> None:
+        """Stops an abandoned attempt at its engine, on a connection of its own.
+
+        :param backend: the engine.
+        :param request_id: the request.
+        :param attempt: the attempt.
+        """
+        task = asyncio.create_task(self._cancel(backend, request_id, attempt))
+        self._cancels.add(task)
+        task.add_done_callback(self._cancels.discard)
+
+    async def _cancel(self, backend: Backend, request_id: str, attempt: int) -> None:
+        try:
+            await self.client.cancel(backend, request_id, attempt)
+        except BackendError as error:
+            log(events.CANCEL_FAILED, request=request_id, attempt=attempt, reason=str(error))
+
     def settle(self, call: CompletionCall, answer_tokens: int) -> None:
         """Corrects the charge of a request that has ended.
 
--- a/geraniumrail/entry/events.py
+++ b/geraniumrail/entry/events.py
@@ -72,3 +72,8 @@
     'A background task met a failure and goes on.',
     logging.WARNING,
 )
+CANCEL_FAILED = Event.define(
+    1314,
+    'entry.cancel_failed',
+    'An engine did not answer the cancellation of an abandoned attempt.',
+)
--- a/geraniumrail/fairness/account.py
+++ b/geraniumrail/fairness/account.py
@@ -6,6 +6,8 @@
 from geraniumrail.fairness.queue_item import PROMOTE_SHARE, QueueItem
 from geraniumrail.fairness.waiting import Waiting
 
+Position = tuple[float, bool, bool]
+
 
 class Account:
     """Waiting items by class, and the virtual time at which the next one starts."""
@@ -18,7 +20,8 @@
         self.tag = virtual
         self.in_flight = 0
         self.depth = 0
-        self._waiting_by_class: dict[str, collections.OrderedDict[str, Waiting]] = {}
+        # Resumed items have queues of their own.
+        self._waiting_by_class: dict[tuple[str, bool], collections.OrderedDict[str, Waiting]] = {}
         self._tokens_by_class: collections.Counter[str] = collections.Counter()
 
     def add(self, item: QueueItem, now: float) -> None:
@@ -28,7 +31,8 @@
         :param now: monotonic seconds.
         """
         promote_at = None if item.bound_s is None else now + PROMOTE_SHARE * item.bound_s
-        waiting = self._waiting_by_class.setdefault(item.traffic_class, collections.OrderedDict())
+        key = (item.traffic_class, item.resumed)
+        waiting = self._waiting_by_class.setdefault(key, collections.OrderedDict())
         waiting[item.item_id] = Waiting(item, promote_at)
         self.depth += 1
         self._tokens_by_class[item.traffic_class] += item.share_tokens
@@ -38,21 +42,24 @@
 
         :param item: in this account's queue.
         """
-        self._waiting_by_class[item.traffic_class].pop(item.item_id)
+        self._waiting_by_class[item.traffic_class, item.resumed].pop(item.item_id)
         self.depth -= 1
         self._tokens_by_class[item.traffic_class] -= item.share_tokens
 
-    def best(self, now: float) -> tuple[float, QueueItem] | None:
-        """Returns the item to go next and its position; the lowest position goes first.
+    def heads(self, floor: float, now: float) -> list[tuple[Position, QueueItem]]:
+        """Returns the first item of each class and its position; the lowest position goes first.
 
+        :param floor: lowest tag of all organisations; resumed items stand there.
         :param now: monotonic seconds.
         """
-        heads = [next(iter(each.values())) for each in self._waiting_by_class.values() if each]
-        if not heads:
-            return None
+        firsts = (next(iter(each.values())) for each in self._waiting_by_class.values() if each)
+        return [(self._position(first, floor, now), first.item) for first in firsts]
+
+    def _position(self, waiting: Waiting, floor: float, now: float) -> Position:
+        resumed = waiting.item.resumed
+        tag = floor if resumed else self.tag
         # A promoted item goes before the organisation's own chat, at the same position.
-        head = min(heads, key=lambda each: (each.handicap(now), not each.promoted(now)))
-        return self.tag + head.handicap(now), head.item
+        return tag + waiting.handicap(now), not resumed, not waiting.promoted(now)
 
     def backlog(self, traffic_class: str) -> float:
         """Returns the waiting tokens, for a weight of 1, of this class and those before it.
--- a/geraniumrail/fairness/engine_window.py
+++ b/geraniumrail/fairness/engine_window.py
@@ -81,6 +81,13 @@
         """
         self._windows_by_engine.pop(engine, None)
 
+    def in_flight(self, engine: str) -> int:
+        """Returns the number of requests in flight at an engine.
+
+        :param engine: instance.
+        """
+        return self._window(engine).in_flight
+
     def size(self, engine: str) -> float:
         """Returns the window of an engine.
 
--- a/geraniumrail/fairness/fair_queue.py
+++ b/geraniumrail/fairness/fair_queue.py
@@ -1,5 +1,7 @@
 """Start-time fair queueing over organisations, in tokens."""
 
+import itertools
+
 from geraniumrail.errors.request import OverloadedError
 from geraniumrail.fairness.account import Account
 from geraniumrail.fairness.queue_item import QueueItem
@@ -28,13 +30,14 @@
 
         :param item: request to wait.
         :param now: monotonic seconds.
-        :raises OverloadedError: if the organisation has too many waiting items.
+        :raises OverloadedError: if the organisation has too many waiting items and the item was
+            not accepted before.
         """
         account = self._accounts_by_organisation.get(item.organisation)
         if account is None:
             account = Account(self._virtual)
             self._accounts_by_organisation[item.organisation] = account
-        if account.depth >= item.queue_limit:
+        if account.depth >= item.queue_limit and not item.resumed:
             raise OverloadedError(reason='queue limit', retry_after_s=QUEUE_LIMIT_RETRY_S)
         if not account.depth:
             account.tag = max(account.tag, self._virtual - IDLE_CREDIT_TOKENS)
@@ -46,10 +49,25 @@
 
         :param now: monotonic seconds.
         """
-        found = self._best(now)
-        if found is None:
-            return None
-        item = self._items_by_id.pop(found.item_id)
+        heads = self.heads(now)
+        return self.take(heads[0]) if heads else None
+
+    def heads(self, now: float) -> list[QueueItem]:
+        """Returns the first item of each organisation and class, in the order of dispatch.
+
+        :param now: monotonic seconds.
+        """
+        waiting = [each for each in self._accounts_by_organisation.values() if each.depth]
+        floor = min((account.tag for account in waiting), default=0)
+        heads = itertools.chain.from_iterable(account.heads(floor, now) for account in waiting)
+        return [item for _, item in sorted(heads, key=lambda head: head[0])]
+
+    def take(self, item: QueueItem) -> QueueItem:
+        """Removes and charges a waiting item.
+
+        :param item: to dispatch now.
+        """
+        self._items_by_id.pop(item.item_id)
         account = self._accounts_by_organisation[item.organisation]
         account.discard(item)
         self._virtual = max(self._virtual, account.tag)
@@ -58,13 +76,6 @@
         self._dispatched_by_id[item.item_id] = item
         return item
 
-    def peek(self, now: float) -> QueueItem | None:
-        """Returns the item that `pop` would return.
-
-        :param now: monotonic seconds.
-        """
-        return self._best(now)
-
     def settle(self, item_id: str, tokens: float, now: float) -> None:
         """Corrects the charge of a dispatched item when it ends; a second call does nothing.
 
@@ -122,11 +133,6 @@
         )
         return own_backlog * item.weight + others
 
-    def _best(self, now: float) -> QueueItem | None:
-        found = (account.best(now) for account in self._accounts_by_organisation.values())
-        heads = [head for head in found if head is not None]
-        return min(heads, key=lambda head: head[0])[1] if heads else None
-
     def _drop_idle(self, organisation: str, account: Account) -> None:
         # The tag of an organisation that is ahead is kept until the others have caught up.
         idle = not account.depth and not account.in_flight
--- a/geraniumrail/fairness/queue_item.py
+++ b/geraniumrail/fairness/queue_item.py
@@ -17,6 +17,7 @@
     weight: float = 1
     bound_s: float | None = None  # completion bound, counted from `push`
     queue_limit: int = 1000  # waiting items of the organisation
+    resumed: bool = False  # accepted before: never refused, and ahead of new items of its class
 
     @property
     def share_tokens(self) -> float:
--- a/geraniumrail/routing/knowledge.py
+++ b/geraniumrail/routing/knowledge.py
@@ -7,7 +7,7 @@
 from geraniumrail.core.load_report import LoadReport
 from geraniumrail.routing.estimate import Estimate
 from geraniumrail.routing.hints import PrefixHints
-from geraniumrail.routing.view import MIN_TOKENS_PER_S, REPORT_LIFE_S, BackendView
+from geraniumrail.routing.view import MIN_TOKENS_PER_S, REPORT_LIFE_S, SILENT_S, BackendView
 
 PREFILL_TOKENS_PER_S = 8000.0
 _MEAN_STEP = 0.05
@@ -50,6 +50,7 @@
             return
         view.backend = backend
         view.arrived_at = now
+        view.silent_until = now
         self.hints.observe(backend.instance, backend.cache_events, now)
         self.observe_load(backend.instance, backend.load, now)
 
@@ -96,6 +97,23 @@
         """
         self._view(backend_id).fail(now)
 
+    def silent(self, backend_id: str, now: float) -> None:
+        """Notes that nothing answers there; holds until the next announcement or `SILENT_S`.
+
+        :param backend_id: instance.
+        :param now: monotonic seconds.
+        """
+        self._view(backend_id).silent_until = now + SILENT_S
+
+    def is_silent(self, backend_id: str, now: float) -> bool:
+        """Tells whether the backend server is to be avoided while others are usable.
+
+        :param backend_id: instance.
+        :param now: monotonic seconds.
+        """
+        view = self._views_by_id.get(backend_id)
+        return view is not None and now < view.silent_until
+
     def forget(self, backend_id: str) -> None:
         """Drops everything about a backend server.
 
--- a/geraniumrail/routing/view.py
+++ b/geraniumrail/routing/view.py
@@ -16,6 +16,9 @@
 MAX_PENALTY_S = 8.0
 PENALTY_LIFE_S = 3.0
 MAX_CHANGES = 512
+# About an announce lease: after it a backend server that is gone is no candidate any more, and one
+# whose announcements this entry does not get is tried again.
+SILENT_S = 6.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -40,6 +43,7 @@
         self.changes: collections.deque[Change] = collections.deque(maxlen=MAX_CHANGES)
         self._penalty_s: float = 0
         self._failed_at = -math.inf
+        self.silent_until = -math.inf
 
     def expired(self, now: float) -> bool:
         """Tells whether the lease of the last announcement has ended.
--- /dev/null
+++ b/geraniumrail/testing/schedules.py
@@ -0,0 +1,13 @@
+"""Seeded schedules that `scripts/histories` runs."""
+
+from collections.abc import Callable
+
+from geraniumrail.consensus import testing as consensus
+from geraniumrail.testing import streams
+
+Schedule = tuple[str, Callable[[int], object]]
+
+SCHEDULES: tuple[Schedule, ...] = (
+    ('consensus', consensus.run_schedule),
+    ('streams', streams.run_schedule),
+)
