--- a/geraniumrail/entry/admission.py
+++ b/geraniumrail/entry/admission.py
@@ -12,6 +12,10 @@
 from geraniumrail.fairness.shedder import Shedder
 from geraniumrail.routing.decision import Decision
 
+# How many organisations and classes may be passed over for one grant: the first in the queue may
+# need a version or an adapter whose engines are full while other engines are free.
+MAX_HEADS = 8
+
 Chooser = Callable[[EngineWindow], Decision]
 _Waiting = tuple[Chooser, 'asyncio.Future[Decision]']
 
@@ -47,25 +51,24 @@
         :param item: the request in the queue.
         :param choose: chooses among the engines whose window has room.
         :param limit_s: longest wait, in seconds.
-        :raises OverloadedError: if the request is shed.
+        :raises OverloadedError: if the request is shed; never if it is resumed.
         :raises NoBackendError: if no engine had room in time.
         """
         now = self._clock.now()
-        if self.queue.depth():
+        if self.queue.depth() and not item.resumed:
             self._shedder.check(item, self.queue)
         self.queue.push(item, now)
         future: asyncio.Future[Decision] = asyncio.get_running_loop().create_future()
         self._waiting_by_id[item.item_id] = (choose, future)
         self.pump()
         try:
-            return await asyncio.wait_for(asyncio.shield(future), limit_s)
-        except TimeoutError as error:
-            raise NoBackendError(service=self._service) from error
-        finally:
-            self._waiting_by_id.pop(item.item_id, None)
-            if not future.done():
-                self.queue.remove(item.item_id)
-                future.cancel()
+            async with asyncio.timeout(limit_s):
+                return await future
+        except (TimeoutError, asyncio.CancelledError) as error:
+            self._abandon(item, future)
+            if isinstance(error, TimeoutError):
+                raise NoBackendError(service=self._service) from error
+            raise
 
     def release(self, item: QueueItem, engine: str, tokens: float) -> None:
         """Ends a turn and grants the next.
@@ -82,11 +85,11 @@
     def pump(self) -> None:
         """Grants turns while engines have room."""
         granted = True
-        while granted and self.queue.depth():
-            granted = self._grant()
+        while granted:
+            granted = any(self._grant(item) for item in self._heads())
 
-    def _grant(self) -> bool:
-        now = self._clock.now()
+    def _heads(self) -> list[QueueItem]:
+        """Returns the next items of the classes for which an engine has room."""
         engines = self._engines()
         classes = [
             name
@@ -94,17 +97,29 @@
             if any(self.window.allows(engine, name) for engine in engines)
         ]
         reserve_only = self.window.reserve_only(engines)
-        item = self.queue.peek(now, classes, reserve_only=reserve_only)
-        if item is None:
-            return False
+        heads = self.queue.heads(self._clock.now(), classes, reserve_only=reserve_only)
+        return heads[:MAX_HEADS]
+
+    def _grant(self, item: QueueItem) -> bool:
         choose, future = self._waiting_by_id[item.item_id]
+        if future.done():  # cancelled; its task has not run since
+            self._waiting_by_id.pop(item.item_id)
+            return self.queue.remove(item.item_id)
         try:
             decision = choose(self.window)
         except NoBackendError:
             return False
-        self.queue.pop(now, classes, reserve_only=reserve_only)
+        self.queue.take(item)
         self._waiting_by_id.pop(item.item_id)
-        self._shedder.rate.dispatched(item.tokens, self.queue.depth(), now)
+        self._shedder.rate.dispatched(item.tokens, self.queue.depth(), self._clock.now())
         self.window.started(decision.backend.instance, item.traffic_class)
         future.set_result(decision)
         return True
+
+    def _abandon(self, item: QueueItem, future: 'asyncio.Future[Decision]') -> None:
+        """Ends the wait of a request, or gives back a turn that came at the same moment."""
+        if future.done() and not future.cancelled():
+            self.release(item, future.result().backend.instance, 0)
+            return
+        self._waiting_by_id.pop(item.item_id, None)
+        self.queue.remove(item.item_id)
--- a/geraniumrail/fairness/fair_queue.py
+++ b/geraniumrail/fairness/fair_queue.py
@@ -1,5 +1,6 @@
 """Start-time fair queueing over organisations, in tokens."""
 
+import itertools
 import math
 from collections.abc import Collection
 
@@ -33,13 +34,14 @@
 
         :param item: request to wait.
         :param now: monotonic seconds.
-        :raises OverloadedError: if the organisation has too many waiting items.
+        :raises OverloadedError: if the organisation has too many waiting items and the item was
+            not accepted before.
         """
         account = self._accounts_by_organisation.get(item.organisation)
         if account is None:
             account = Account(self._virtual - IDLE_CREDIT_TOKENS)
             self._accounts_by_organisation[item.organisation] = account
-        if account.depth >= item.queue_limit:
+        if account.depth >= item.queue_limit and not item.resumed:
             raise OverloadedError(reason='queue limit', retry_after_s=QUEUE_LIMIT_RETRY_S)
         if not account.depth:
             account.tag = max(account.tag, self._virtual - IDLE_CREDIT_TOKENS)
@@ -53,13 +55,14 @@
         *,
         reserve_only: bool = False,
     ) -> QueueItem | None:
-        """Returns the item that `pop` would return.
+        """Returns the item that `pop` with the same arguments would return.
 
         :param now: monotonic seconds.
         :param classes: classes for which an engine has room; None for all.
         :param reserve_only: only organisations that have used much less than their share may go.
         """
-        return self._best(now, classes, reserve_only)
+        heads = self.heads(now, classes, reserve_only=reserve_only)
+        return heads[0] if heads else None
 
     def pop(
         self,
@@ -74,39 +77,45 @@
         :param classes: classes for which an engine has room; None for all.
         :param reserve_only: only organisations that have used much less than their share may go.
         """
-        item = self.peek(now, classes, reserve_only=reserve_only)
-        if item is None:
-            return None
-        del self._items_by_id[item.item_id]
-        account = self._accounts_by_organisation[item.organisation]
-        account.discard(item)
-        self._virtual = max(self._virtual, account.tag)
-        account.tag += item.share_tokens
-        account.in_flight += 1
-        self._dispatched_by_id[item.item_id] = item
-        return item
+        heads = self.heads(now, classes, reserve_only=reserve_only)
+        return self.take(heads[0]) if heads else None
 
-    def peek(
+    def heads(
         self,
         now: float,
         classes: Collection[str] | None = None,
         *,
         reserve_only: bool = False,
-    ) -> QueueItem | None:
-        """Returns the item that `pop` with the same arguments would return.
+    ) -> list[QueueItem]:
+        """Returns the first item of each organisation and class, in the order of dispatch.
 
         :param now: monotonic seconds.
         :param classes: classes for which an engine has room; None for all.
-        :param reserve_only: only organisations that have used much less than their share may go.
+        :param reserve_only: only organisations that have used much less than their share may go,
+            and requests that were accepted before and lost their engine.
         """
         limit = self._virtual - RESERVE_TOKENS if reserve_only else math.inf
-        found = (
-            account.best(now, classes)
-            for account in self._accounts_by_organisation.values()
-            if account.depth
+        waiting = [each for each in self._accounts_by_organisation.values() if each.depth]
+        floor = min((account.tag for account in waiting), default=0)
+        heads = itertools.chain.from_iterable(
+            account.heads(floor, now, classes) for account in waiting
         )
-        heads = [head for head in found if head is not None and head[0] <= limit]
-        return min(heads, key=lambda head: head[0])[1] if heads else None
+        allowed = (head for head in heads if head[0][0] <= limit or head[1].resumed)
+        return [item for _, item in sorted(allowed, key=lambda head: head[0])]
+
+    def take(self, item: QueueItem) -> QueueItem:
+        """Removes and charges a waiting item.
+
+        :param item: to dispatch now.
+        """
+        self._items_by_id.pop(item.item_id)
+        account = self._accounts_by_organisation[item.organisation]
+        account.discard(item)
+        self._virtual = max(self._virtual, account.tag)
+        account.tag += item.share_tokens
+        account.in_flight += 1
+        self._dispatched_by_id[item.item_id] = item
+        return item
 
     def settle(self, item_id: str, tokens: float, now: float) -> None:
         """Corrects the charge of a dispatched item when it ends; a second call does nothing.
