--- a/geraniumrail/testing/deployment.py
+++ b/geraniumrail/testing/deployment.py
@@ -196,7 +196,7 @@
         """Returns the member that leads, if any."""
         for place in self.places:
             try:
-                status = await self._status(place)
+                status = await self.status(place)
             except (aiohttp.ClientError, TimeoutError):
                 continue
             if status.get('leads'):
@@ -275,14 +275,19 @@
         async def listening() -> bool:
             try:
                 for place in self.places:
-                    await self._status(place)
+                    await self.status(place)
             except (aiohttp.ClientError, TimeoutError):
                 return False
             return True
 
         await self.until(listening, 'an entry does not listen')
 
-    async def _status(self, place: EntryPlace) -> dict[str, Any]:
+    async def status(self, place: EntryPlace) -> dict[str, Any]:
+        """Returns the state of one member.
+
+        :param place: the member.
+        :raises aiohttp.ClientError: if it does not answer.
+        """
         headers = {'Authorization': f'Bearer {OPERATOR_KEY}'}
         timeout = aiohttp.ClientTimeout(total=1)
         async with aiohttp.ClientSession(timeout=timeout, headers=headers) as session:
