--- a/geraniumrail/consensus/file_storage.py
+++ b/geraniumrail/consensus/file_storage.py
@@ -66,8 +66,9 @@
         :param name: first part of the replica id if the folder is new.
         :raises FolderInUseError: if another process or replica has it open.
         """
-        folder.mkdir(parents=True, exist_ok=True)
-        sync_folder(folder.parent)
+        if not folder.exists():
+            folder.mkdir(parents=True)
+            sync_folder(folder.parent)
         lock = os.open(folder / 'lock', os.O_RDWR | os.O_CREAT, 0o600)
         try:
             fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
--- a/geraniumrail/consensus/schedule_test.py
+++ b/geraniumrail/consensus/schedule_test.py
@@ -60,7 +60,7 @@
 
     def test_leader_without_a_lease_is_noticed(self):
         self.assert_noticed(
-            15,
+            5,
             'hold a lease',
             mock.patch.object(Leadership, 'has_lease', Leadership._is_leader),
             mock.patch.object(Leadership, '_check_lease', lambda leadership: None),
@@ -68,7 +68,7 @@
 
     def test_acknowledging_before_the_sync_is_noticed(self):
         self.assert_noticed(
-            10,
+            20,
             'was lost',
             mock.patch.object(Journal, 'sync', return_at_once),
             mock.patch.object(Journal, 'durable_index', anything_is_durable, create=True),
@@ -76,21 +76,21 @@
 
     def test_read_without_a_majority_is_noticed(self):
         self.assert_noticed(
-            14,
+            2,
             'a read missed',
             mock.patch.object(Leadership, 'confirm', confirm_nothing),
         )
 
     def test_vote_for_a_shorter_log_is_noticed(self):
         self.assert_noticed(
-            10,
+            4,
             'another sequence',
             mock.patch.object(Follower, '_vote_refusal', ignore_candidate_log),
         )
 
     def test_append_after_another_entry_is_noticed(self):
         self.assert_noticed(
-            29,
+            10,
             'another sequence',
             mock.patch.object(Follower, '_mismatch', ignore_previous_entry),
         )
