Use earlier latencies only while the old version is as fast as usual

Early in a window the old version has few samples, and its earlier ones stood in although it was slow as well. Earlier samples now count only if the old version has at least three samples in the window and at most a third of them are slow.

--- a/geraniumrail/placement/recovery_test.py
+++ b/geraniumrail/placement/recovery_test.py
@@ -32,6 +32,11 @@
         steps = recovery_order([stream('a', 8000, remaining=10)], 5, 10_000)
         self.assertEqual(steps[0].action, 'finish')
 
+    def test_streams_that_may_end_follow_the_exports_and_the_longest_is_first(self):
+        streams = [stream('a', 900, remaining=5), stream('b', 900, remaining=30), stream('c', 900)]
+        steps = recovery_order(streams, 5, 10_000)
+        self.assertEqual([step.stream for step in steps], ['c', 'b', 'a'])
+
     def test_no_notice_resumes_all(self):
         steps = recovery_order([stream('a', 100), stream('b', 100)], 0, 10_000)
         self.assertEqual({step.action for step in steps}, {'resume'})
--- a/geraniumrail/rollout/strata.py
+++ b/geraniumrail/rollout/strata.py
@@ -8,6 +8,7 @@
 _History = Callable[[str, int], tuple[int, int]]
 
 _FEW = 10
+_LEAST_PRESENT = 3
 
 
 @dataclasses.dataclass
@@ -62,16 +63,26 @@
         """Yields (route, cell); strata with one version only are pooled by route and band.
 
         :param history: returns (bad, total) of earlier samples of the old version by route and
-            band; they are added where it has few in this window.
+            band; they are added where it has few in this window, if it is as fast as usual.
         """
         rest: dict[tuple[str, int], Cell] = defaultdict(Cell)
-        least = 1 if history is None else _FEW
+        uses_history = history is not None and self._old_is_as_usual()
+        least = _FEW if uses_history else 1
         for (route, _, band), cell in self._cells.items():
             if cell.new_total and cell.old_total >= min(least, cell.new_total):
                 yield route, cell
             else:
                 rest[route, band].add(cell.counts)
         for (route, band), pooled in rest.items():
-            if history is not None and pooled.old_total < _FEW:
+            if uses_history and pooled.old_total < _FEW:
                 pooled.add((0, 0, *history(route, band)))
             yield route, pooled
+
+    def _old_is_as_usual(self) -> bool:
+        """Tells whether the old version has samples in this window and few of them are bad.
+
+        Earlier samples say nothing while something slows both versions.
+        """
+        total = sum(cell.old_total for cell in self._cells.values())
+        bad = sum(cell.old_bad for cell in self._cells.values())
+        return total >= _LEAST_PRESENT and bad * _LEAST_PRESENT <= total
