Answer malformed HTTP with typed errors and give up on silent callers

Cause: requests that the HTTP library refuses (long headers, malformed request line) were answered as plain text; header_timeout_s was read and never used; a caller whose connection takes nothing held its engine slot, and a planned stop, for as long as the kernel kept the connection.

Now such requests get the same JSON errors as others, a connection without a first request is closed after header_timeout_s, a stream whose caller takes nothing for body_timeout_s is cancelled, and a leaving entry ends kept-alive connections with Connection: close.

entry/streams_test.py runs against processes: engines killed, frozen, silent behind a relay and reclaimed under 28 streams (all texts exact, each victim's streams resumed), crossed, late and repeated chunks, a caller that leaves, a slow first token, malformed requests, the stock OpenAI client. links/silence_test.py silences open connections of the follower stream, of control calls and of the command line.

Not tested: header_timeout_s, the limit for slow callers.

--- a/geraniumrail/callers/completion_routes.py
+++ b/geraniumrail/callers/completion_routes.py
@@ -1,5 +1,6 @@
 """`POST /v1/chat/completions` and `POST /v1/completions`."""
 
+import asyncio
 import contextlib
 
 import msgspec
@@ -8,7 +9,7 @@
 from geraniumrail.backends.chunk import Chunk
 from geraniumrail.callers import events
 from geraniumrail.callers.auth import owner_of
-from geraniumrail.callers.bodies import parse_object, read_body
+from geraniumrail.callers.bodies import BODY_TIMEOUT_S, parse_object, read_body
 from geraniumrail.callers.completion_request import CHAT_PATH, describe, model_of
 from geraniumrail.callers.failures import json_response
 from geraniumrail.callers.serving import Serving
@@ -58,19 +59,21 @@
                 'X-Request-Id': call.request_id,
             },
         )
+        if not self._serving.ready():
+            response.force_close()
         async with contextlib.aclosing(self._serving.complete(call)) as chunks:
             try:
                 async for chunk in chunks:
                     if not response.prepared:
                         await response.prepare(request)
-                    await response.write(_event(call, chunk))
+                    await _write(request, response, _event(call, chunk))
             except GeraniumrailError as error:
                 if not response.prepared:
                     raise
                 log(events.STREAM_CUT, request=call.request_id, reason=str(error))
                 await response.write(b'data: %b\n\n' % msgspec.json.encode(error.to_body()))
                 return response
-            except ConnectionError:
+            except (ConnectionError, TimeoutError):
                 log(events.CALLER_GONE, request=call.request_id)
                 raise
         await response.write(DONE)
@@ -91,6 +94,23 @@
         return response
 
 
+async def _write(request: web.Request, response: web.StreamResponse, event: bytes) -> None:
+    """Sends an event; gives up on a caller whose connection takes nothing for too long.
+
+    :raises TimeoutError: if the connection took nothing within the limit.
+    """
+    transport = request.transport
+    if transport is None or not transport.get_write_buffer_size():
+        await response.write(event)  # what nearly always holds needs no timer
+        return
+    try:
+        async with asyncio.timeout(request.app[BODY_TIMEOUT_S]):
+            await response.write(event)
+    except TimeoutError:
+        transport.abort()
+        raise
+
+
 def _event(call: CompletionCall, chunk: Chunk) -> bytes:
     event = {name: field for name, field in chunk.event.items() if name != 'geraniumrail'}
     event['id'] = call.request_id
--- a/geraniumrail/callers/server.py
+++ b/geraniumrail/callers/server.py
@@ -6,6 +6,7 @@
 
 from geraniumrail.callers.auth import KEY_RING
 from geraniumrail.callers.bodies import BODY_TIMEOUT_S
+from geraniumrail.callers.connection import ConnectionRunner
 from geraniumrail.callers.failures import answer_failures
 from geraniumrail.config.key_ring import KeyRing
 from geraniumrail.config.limits import LimitsConfig
@@ -38,8 +39,9 @@
         application[KEY_RING] = key_ring
         application[BODY_TIMEOUT_S] = float(limits.body_timeout_s)
         application.add_routes(routes)
-        self._runner = web.AppRunner(
+        self._runner = ConnectionRunner(
             application,
+            header_timeout_s=float(limits.header_timeout_s),
             access_log=None,
             handler_cancellation=True,
             keepalive_timeout=IDLE_CONNECTION_S,
