--- a/geraniumrail/consensus/replica_test.py
+++ b/geraniumrail/consensus/replica_test.py
@@ -6,10 +6,12 @@
 from unittest import mock
 
 from geraniumrail.consensus.context import Context
+from geraniumrail.consensus.entry import Entry, HardState, Stored
 from geraniumrail.consensus.leadership import may_commit
-from geraniumrail.consensus.membership import Member
+from geraniumrail.consensus.membership import Member, Membership
 from geraniumrail.consensus.messages import AppendRequest, HelloRequest, VoteRequest
-from geraniumrail.consensus.testing import Cluster
+from geraniumrail.consensus.testing import Cluster, Disk
+from geraniumrail.core import codec
 from geraniumrail.errors.consensus import (
     CommandTooLargeError,
     ConsensusError,
@@ -275,6 +277,43 @@
         self.assertFalse(may_commit(journal, 1, term=journal.hard.term))
         self.assertTrue(may_commit(journal, journal.last_index, term=journal.hard.term))
 
+    async def applied_by_a_leader_whose_old_entry_is_replaced(self):
+        """Runs figure 8 of the Raft paper with three members; returns what the leader applied."""
+        cluster = self.cluster = Cluster(1, append_entries=1)
+        members = [Member(replica_id=f'{name}.1', address=name, voter=True) for name in 'abc']
+        payload = codec.encode(Membership(group_id='g', members=tuple(members)))
+        first = Entry(index=1, term=1, kind='membership', payload=payload)
+        logs = {
+            'a': (first, Entry(index=2, term=2, payload=b'old')),
+            'b': (first,),
+            'c': (first, Entry(index=2, term=3, payload=b'new')),
+        }
+        for name, entries in logs.items():
+            stored = Stored(replica_id=f'{name}.1', hard=HardState(term=3), entries=entries)
+            cluster.disks_by_name[name] = Disk(stored, cluster.clock, cluster.rng)
+            await cluster.start(name)
+        cluster.network.cut('c')
+        while len(cluster.disks_by_name['b'].load().entries) < 2:
+            await cluster.clock.advance(0.0002)
+            self.assertLess(cluster.clock.now(), 200)
+        cluster.network.cut_one_way('a', 'b')  # the entry of the new term never arrives
+        await cluster.clock.advance(0.1)
+        applied = list(self.applied('a'))
+        await cluster.crash('a')
+        cluster.network.heal()
+        await self.until_applied([b'new'])
+        return applied
+
+    async def test_old_entry_on_a_majority_is_not_committed(self):
+        """It was applied by one leader and replaced by the next."""
+        self.assertEqual(await self.applied_by_a_leader_whose_old_entry_is_replaced(), [])
+
+    async def test_counting_old_entries_is_noticed(self):
+        """Shows that the check above can fail."""
+        with mock.patch('geraniumrail.consensus.leadership.may_commit', lambda *given: True):
+            applied = await self.applied_by_a_leader_whose_old_entry_is_replaced()
+        self.assertEqual(applied, [b'old'])
+
     async def test_learner_that_has_not_caught_up_is_not_promoted(self):
         """A voter without the log would leave the group one loss from a standstill."""
         cluster = await self.create()
