Leave the list of entries before a planned stop and hand over leadership first

Cause: the drain counted the keep time from its own decision, not from when control had heard of it, and allowed other entries one second where a cut-off entry serves up to its 4 s lease; a leaving entry still listed itself; leadership was handed over only after the drain, which may take longer than the instance is left; one entry that did not answer a leaving notice delayed the next notice to all others by up to 2.4 s.

The schedules now check that an engine that stalled gets no new work before it announces itself again.

--- a/geraniumrail/control/control.py
+++ b/geraniumrail/control/control.py
@@ -113,16 +113,21 @@
         await self.replica.start()
         self._tasks = [asyncio.create_task(self._run(), name='control')]
 
+    async def hand_over(self) -> None:
+        """Hands over leadership, if this process leads."""
+        if not self.leadership.holds():
+            return
+        try:
+            await self.replica.transfer_leadership()
+        except ConsensusError as error:
+            log(events.TASK_FAILED, task='transfer_leadership', reason=str(error))
+
     async def stop(self) -> None:
         """Hands over leadership and stops."""
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        if self.leadership.holds():
-            try:
-                await self.replica.transfer_leadership()
-            except ConsensusError as error:
-                log(events.TASK_FAILED, task='transfer_leadership', reason=str(error))
+        await self.hand_over()
         await self.replica.stop()
 
     def now(self) -> float:
--- a/geraniumrail/daemon/daemon.py
+++ b/geraniumrail/daemon/daemon.py
@@ -72,6 +72,9 @@
 
     async def stop(self) -> None:
         """Drains the entry, hands over leadership and closes everything."""
+        if self._control is not None:
+            # Before the entry drains, which may take longer than the instance is left.
+            await self._control.hand_over()
         if self._entry is not None:
             await self._entry.drain()
             await self._entry.stop()
--- a/geraniumrail/entry/cluster_view.py
+++ b/geraniumrail/entry/cluster_view.py
@@ -35,6 +35,7 @@
         self.share = EntryShare(entries=1, share_by_organisation={})
         self.drained: frozenset[str] = frozenset()
         self.registry_version = -1
+        self.answered_at: float = 0  # when the newest report was sent that control has answered
         self.knowledge = knowledge
         self._clock = clock
         self._term = 0
@@ -63,6 +64,7 @@
         self.share = update.share
         self.drained = frozenset(update.drained)
         self._renew(sent_at + update.lease_s)
+        self.answered_at = max(self.answered_at, sent_at)
         return True
 
     def end_lease(self) -> None:
--- a/geraniumrail/entry/entry.py
+++ b/geraniumrail/entry/entry.py
@@ -37,6 +37,8 @@
 
 RENEW_IN_S = 2.0
 TICK_S = 0.1
+OTHERS_LEASE_S = 4.0  # longest time for which another entry serves without hearing of a change
+LEAVE_LIMIT_S = 10.0  # without a control leader for so long, no entry answers /v1/entries
 MS_PER_S = 1000
 
 
@@ -152,11 +154,15 @@
     async def drain(self) -> None:
         """Leaves the list of entries and waits until no caller needs this entry any more."""
         self._state = 'leaving'
+        left_at = self._clock.now()
         self._follower.poke()
+        while self.view.answered_at < left_at and self._clock.now() < left_at + LEAVE_LIMIT_S:
+            await self._clock.sleep(TICK_S)
         keep_for_s = self.view.effective('*', '', '').keep_for_s
         log(events.PLANNED_STOP, step='left the list of entries', keep_for_s=keep_for_s)
-        # Callers keep the answer of /v1/entries for so long, and other entries hear of it late.
-        await self._clock.sleep(keep_for_s + 1)
+        # Callers keep the answer of /v1/entries for so long. Other entries hear of the change at
+        # once, or stop answering when their lease ends.
+        await self._clock.sleep(keep_for_s + OTHERS_LEASE_S)
         while self.in_progress:
             log(events.PLANNED_STOP, step='finishing requests', in_progress=self.in_progress)
             await self._clock.sleep(0.2)
@@ -178,7 +184,13 @@
     def entry_addresses(self) -> tuple[list[str], float]:
         """Returns the addresses for callers and how long to keep them, in seconds."""
         keep_for_s = self.view.effective('*', '', '').keep_for_s
-        return [info.address for info in self.view.entries], keep_for_s
+        leaves = self._state != 'serving'
+        listed = [
+            info.address
+            for info in self.view.entries
+            if not (leaves and info.entry == self.entry_id)
+        ]
+        return listed, keep_for_s
 
     def models(self) -> list[str]:
         """Returns the announced models."""
--- a/geraniumrail/entry/leaving_notices.py
+++ b/geraniumrail/entry/leaving_notices.py
@@ -6,7 +6,7 @@
 from geraniumrail.core.events import log
 from geraniumrail.entry import events
 from geraniumrail.entry.cluster_view import ClusterView
-from geraniumrail.errors.link import LinkError
+from geraniumrail.errors.base import GeraniumrailError
 from geraniumrail.links.messages import Accepted, EntryInfo, LeavingNotice
 from geraniumrail.links.pool import LinkPool
 from geraniumrail.links.server import LinkServer
@@ -47,19 +47,22 @@
 
     async def run(self) -> None:
         """Sends batches until cancelled."""
-        while True:
-            first = await self._pending.get()
-            await asyncio.sleep(BATCH_S)
-            rest = [self._pending.get_nowait() for _ in range(self._pending.qsize())]
-            notice = LeavingNotice(backends=(first, *rest))
-            others = [info for info in self._view.entries if info.entry != self._entry]
-            await asyncio.gather(*(self._send(info, notice) for info in others))
+        # An entry that does not answer must not delay the next notice to the others.
+        async with asyncio.TaskGroup() as sends:
+            while True:
+                first = await self._pending.get()
+                await asyncio.sleep(BATCH_S)
+                rest = [self._pending.get_nowait() for _ in range(self._pending.qsize())]
+                notice = LeavingNotice(backends=(first, *rest))
+                for info in self._view.entries:
+                    if info.entry != self._entry:
+                        sends.create_task(self._send(info, notice))
 
     async def _send(self, info: EntryInfo, notice: LeavingNotice) -> None:
         for _ in range(TRIES):
             try:
                 await self._links.call(info.peer_address, notice, CALL_TIMEOUT_S)
-            except LinkError as error:
+            except GeraniumrailError as error:
                 log(events.NOTICE_FAILED, entry=info.entry, reason=str(error))
                 continue
             return
--- a/geraniumrail/testing/streams.py
+++ b/geraniumrail/testing/streams.py
@@ -30,7 +30,8 @@
 NOTICE_S = 2.0
 END_S = 200.0
 RENEW_S = 2.0
-TOKEN_S = (0.02, 0.08)
+CHUNK_S = (0.05, 0.2)
+MAX_CHUNK_TOKENS = 4
 TRAFFIC_S = 6.0
 GONE_SHARE = 0.1  # of the callers, which leave before they have the answer
 SETTINGS = {
@@ -86,6 +87,8 @@
         self.engines_by_instance = {engine.instance: engine for engine in self.engines}
         self.cancelled: list[str] = []
         self.wrong_resumes: list[str] = []
+        self.attempts: list[tuple[float, str]] = []
+        self.stalled_at: dict[str, float] = {}
         self._clock = clock
         self._rng = rng
 
@@ -102,18 +105,24 @@
         if call.resume_text != expected_text(prompt, call.resume_offset):
             self.wrong_resumes.append(call.request_id)
         limit_s = call.first_token_timeout_s
-        for offset in range(call.resume_offset, int(str(call.body['max_tokens']))):
+        self.attempts.append((self._clock.now(), engine.instance))
+        end = int(str(call.body['max_tokens']))
+        offset = call.resume_offset
+        while offset < end:
             await self._progress(engine, limit_s)
-            text = token(digest(prompt), offset)
-            yield Chunk(call.request_id, call.attempt, offset, text, 1, None, None, {})
+            tokens = min(end - offset, self._rng.randint(1, MAX_CHUNK_TOKENS))
+            text = ''.join(token(digest(prompt), offset + index) for index in range(tokens))
+            yield Chunk(call.request_id, call.attempt, offset, text, tokens, None, None, {})
+            offset += tokens
             limit_s = call.between_tokens_timeout_s
 
     async def _progress(self, engine: SimulatedEngine, limit_s: float) -> None:
-        await self._clock.sleep(self._rng.uniform(*TOKEN_S))
+        await self._clock.sleep(self._rng.uniform(*CHUNK_S))
         if engine.state == 'dead':
             raise ConnectionLostError(backend=engine.instance, reason='reset')
         if engine.state == 'frozen':
             await self._clock.sleep(limit_s)
+            self.stalled_at.setdefault(engine.instance, self._clock.now())
             raise StalledError(backend=engine.instance, limit_s=limit_s, phase='tokens')
 
     async def cancel(self, backend: Backend, request_id: str, attempt: int) -> bool:
@@ -267,6 +276,10 @@
         if any(in_flight.values()) or self.engines.wrong_resumes:
             reason = f'turns not given back: {in_flight}; resumes: {self.engines.wrong_resumes}'
             raise ScheduleFailedError(seed=self.seed, reason=reason)
+        stalled_at = self.engines.stalled_at
+        late = [each for each in self.engines.attempts if each[0] > stalled_at.get(each[1], END_S)]
+        if late:
+            raise ScheduleFailedError(seed=self.seed, reason=f'new work after a stall: {late}')
 
 
 def run_schedule(seed: int) -> None:
