--- a/geraniumrail/callers/completion_routes.py
+++ b/geraniumrail/callers/completion_routes.py
@@ -73,7 +73,7 @@
                 log(events.STREAM_CUT, request=call.request_id, reason=str(error))
                 await response.write(b'data: %b\n\n' % msgspec.json.encode(error.to_body()))
                 return response
-            except (ConnectionError, TimeoutError):
+            except ConnectionError:
                 log(events.CALLER_GONE, request=call.request_id)
                 raise
         await response.write(DONE)
@@ -97,7 +97,7 @@
 async def _write(request: web.Request, response: web.StreamResponse, event: bytes) -> None:
     """Sends an event; gives up on a caller whose connection takes nothing for too long.
 
-    :raises TimeoutError: if the connection took nothing within the limit.
+    :raises ConnectionError: if the connection took nothing within the limit.
     """
     transport = request.transport
     if transport is None or not transport.get_write_buffer_size():
@@ -106,9 +106,9 @@
     try:
         async with asyncio.timeout(request.app[BODY_TIMEOUT_S]):
             await response.write(event)
-    except TimeoutError:
+    except TimeoutError as error:
         transport.abort()
-        raise
+        raise ConnectionResetError('the caller takes nothing') from error
 
 
 def _event(call: CompletionCall, chunk: Chunk) -> bytes:
--- a/geraniumrail/callers/server.py
+++ b/geraniumrail/callers/server.py
@@ -14,6 +14,8 @@
 
 LINE_BYTES = 8190
 IDLE_CONNECTION_S = 75.0
+# How long the rest of a refused body is read, so that the caller can read the answer.
+REFUSED_BODY_S = 2.0
 
 
 class HttpServer:
@@ -45,6 +47,7 @@
             access_log=None,
             handler_cancellation=True,
             keepalive_timeout=IDLE_CONNECTION_S,
+            lingering_time=REFUSED_BODY_S,
             max_line_size=LINE_BYTES,
             max_field_size=limits.max_header_bytes,
         )
