--- a/geraniumrail/consensus/applier.py
+++ b/geraniumrail/consensus/applier.py
@@ -35,6 +35,11 @@
         self._applied_bytes = 0  # since the last snapshot
         machine.restore(journal.snapshot.payload)
 
+    @property
+    def pending(self) -> int:
+        """Number of proposals that wait."""
+        return len(self._waiting_by_index)
+
     def advance(self, commit: int) -> None:
         """Applies entries up to a committed position and resolves their proposals.
 
@@ -56,6 +61,7 @@
         self._machine.restore(snapshot.payload)
         self.applied_index = snapshot.index
         self.commit_index = snapshot.index
+        self._applied_bytes = 0
         self.lose_until(snapshot.index)
 
     def expect(self, index: int, now: float) -> 'asyncio.Future[Result]':
--- a/geraniumrail/entry/admission_test.py
+++ b/geraniumrail/entry/admission_test.py
@@ -21,7 +21,7 @@
 class AdmissionTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         self.window = EngineWindow(initial=1)
-        self.admission = Admission('model-bench', self.window, ManualClock())
+        self.admission = Admission('model-bench', self.window, ManualClock(), lambda: ['e1', 'e2'])
 
     def turn(self, wanted, engine='e1'):
         def choose(window):
--- a/geraniumrail/entry/completion_run.py
+++ b/geraniumrail/entry/completion_run.py
@@ -70,7 +70,8 @@
     async def _attempts(self) -> AsyncIterator[Chunk]:
         while True:
             item = self._item()
-            admission = self.shared.admission(self.call.service, self.call.model)
+            version = self.shared.outcomes.version(self.call.service, self.call.route, self._draw)
+            admission = self.shared.admission(self.call.service, self.call.model, version)
             try:
                 decision = await admission.turn(item, self._choose, self._remaining_s())
             except NoBackendError as error:
@@ -103,6 +104,7 @@
             backend.version,
             call.route,
             sent_at,
+            self._band,
         )
         timing = _Timing(sent_at)
         stream = shared.client.stream(backend, self._engine_call())
--- a/geraniumrail/entry/completion_run_test.py
+++ b/geraniumrail/entry/completion_run_test.py
@@ -21,7 +21,7 @@
     def test_check_finds_resumed_requests_that_are_refused(self):
         switched_off = mock.patch.object(completion_run, 'QueueItem', _as_new)
         with switched_off, self.assertRaisesRegex(ScheduleFailedError, 'queue limit'):
-            run_schedule(0)
+            run_schedule(6)
 
     def test_check_finds_new_work_at_an_engine_that_stalled(self):
         switched_off = mock.patch.object(Knowledge, 'is_silent', return_value=False)
--- a/geraniumrail/entry/completions.py
+++ b/geraniumrail/entry/completions.py
@@ -1,6 +1,7 @@
 """Completions: limits, fair queue and the parts that all runs of this entry share."""
 
 import asyncio
+import collections
 import dataclasses
 import random
 
@@ -63,24 +64,52 @@
         self.window = EngineWindow()
         self.in_progress = 0
         self._cancels: set[asyncio.Task[None]] = set()
-        self._admissions: dict[tuple[str, str], Admission] = {}
+        self._admissions: dict[tuple[str, str, str], Admission] = {}
 
-    def admission(self, service: str, model: str) -> Admission:
-        """Returns the queue of a service and model.
+    def admission(self, service: str, model: str, version: str) -> Admission:
+        """Returns the queue of a service, model and version.
+
+        A queue for each version, so that full engines of one version don't hold up the other.
 
         :param service: name of the service.
         :param model: name of the model.
+        :param version: drawn for the request; empty if any may serve.
         """
-        key = (service, model)
+        key = (service, model, version)
         if key not in self._admissions:
-            self._admissions[key] = Admission(service, self.window, self.clock)
+
+            def engines() -> list[str]:  # noqa: WPS430 - binds the key
+                return [
+                    backend.instance
+                    for backend in self.view.candidates(service)
+                    if model in backend.models and version in {'', backend.version}
+                ]
+
+            self._admissions[key] = Admission(service, self.window, self.clock, engines)
         return self._admissions[key]
 
+    def introduce(self, backend: Backend) -> None:
+        """Opens the window of an engine by the slots that it reports.
+
+        Twice an equal part, because callers do not spread evenly over the entries.
+
+        :param backend: announcement.
+        """
+        entries = max(1, len(self.view.entries))
+        self.window.introduce(backend.instance, 2 * backend.load.slots / entries)
+
     def pump(self) -> None:
         """Grants turns, after engines or settings have changed."""
         for admission in self._admissions.values():
             admission.pump()
 
+    def queue_depths(self) -> dict[str, int]:
+        """Returns the number of requests that wait, by service."""
+        depths: collections.Counter[str] = collections.Counter()
+        for (service, _, _), admission in self._admissions.items():
+            depths[service] += admission.queue.depth()
+        return dict(depths)
+
     def service_of(self, model: str) -> str:
         """Returns the service that serves a model.
 
--- a/geraniumrail/entry/entry.py
+++ b/geraniumrail/entry/entry.py
@@ -192,6 +192,10 @@
         ]
         return listed, keep_for_s
 
+    def queue_depths(self) -> dict[str, int]:
+        """Returns the number of requests that wait, by service."""
+        return self._completions.queue_depths()
+
     def models(self) -> list[str]:
         """Returns the announced models."""
         return self._completions.models()
@@ -277,6 +281,9 @@
     def _updated(self, update: ControlUpdate) -> None:
         self._outcomes.follow_moves()
         self._completions.limits.update(update.share)
+        for backend in update.backends:
+            self._completions.introduce(backend)
+            self._completions.window.reported(backend.instance, backend.load)
         if update.assigned:
             self._bookings.take_over(update.assigned)
         self._completions.pump()
--- a/geraniumrail/fairness/account.py
+++ b/geraniumrail/fairness/account.py
@@ -1,12 +1,13 @@
 """Queue state of one organisation."""
 
 import collections
+from collections.abc import Collection
 
 from geraniumrail.fairness.classes import rule_of
 from geraniumrail.fairness.queue_item import PROMOTE_SHARE, QueueItem
 from geraniumrail.fairness.waiting import Waiting
 
-Position = tuple[float, bool, bool]
+Position = tuple[float, bool, float]  # in tokens, not resumed, order within the organisation
 
 
 class Account:
@@ -20,6 +21,7 @@
         self.tag = virtual
         self.in_flight = 0
         self.depth = 0
+        self.weight: float = 1  # of the newest item
         # Resumed items have queues of their own.
         self._waiting_by_class: dict[tuple[str, bool], collections.OrderedDict[str, Waiting]] = {}
         self._tokens_by_class: collections.Counter[str] = collections.Counter()
@@ -30,11 +32,15 @@
         :param item: not in the queue yet.
         :param now: monotonic seconds.
         """
-        promote_at = None if item.bound_s is None else now + PROMOTE_SHARE * item.bound_s
+        if item.bound_s is None:
+            promote_at = now + rule_of(item.traffic_class).promote_s
+        else:
+            promote_at = now + PROMOTE_SHARE * item.bound_s
         key = (item.traffic_class, item.resumed)
         waiting = self._waiting_by_class.setdefault(key, collections.OrderedDict())
         waiting[item.item_id] = Waiting(item, promote_at)
         self.depth += 1
+        self.weight = item.weight
         self._tokens_by_class[item.traffic_class] += item.share_tokens
 
     def discard(self, item: QueueItem) -> None:
@@ -46,20 +52,29 @@
         self.depth -= 1
         self._tokens_by_class[item.traffic_class] -= item.share_tokens
 
-    def heads(self, floor: float, now: float) -> list[tuple[Position, QueueItem]]:
+    def heads(
+        self,
+        floor: float,
+        now: float,
+        classes: Collection[str] | None = None,
+    ) -> list[tuple[Position, QueueItem]]:
         """Returns the first item of each class and its position; the lowest position goes first.
 
         :param floor: lowest tag of all organisations; resumed items stand there.
         :param now: monotonic seconds.
+        :param classes: classes that may go; None for all.
         """
-        firsts = (next(iter(each.values())) for each in self._waiting_by_class.values() if each)
+        firsts = (
+            next(iter(waiting.values()))
+            for (name, _), waiting in self._waiting_by_class.items()
+            if waiting and (classes is None or name in classes)
+        )
         return [(self._position(first, floor, now), first.item) for first in firsts]
 
     def _position(self, waiting: Waiting, floor: float, now: float) -> Position:
         resumed = waiting.item.resumed
         tag = floor if resumed else self.tag
-        # A promoted item goes before the organisation's own chat, at the same position.
-        return tag + waiting.handicap(now), not resumed, not waiting.promoted(now)
+        return tag + waiting.handicap(now), not resumed, waiting.due()
 
     def backlog(self, traffic_class: str) -> float:
         """Returns the waiting tokens, for a weight of 1, of this class and those before it.
--- a/geraniumrail/links/client.py
+++ b/geraniumrail/links/client.py
@@ -6,9 +6,9 @@
 
 import grpc
 
-from geraniumrail.core import codec
 from geraniumrail.core.refused import Refused
 from geraniumrail.errors.link import LinkError
+from geraniumrail.links import wire
 from geraniumrail.links.method import CALL, FOLLOW, OPTIONS
 from geraniumrail.links.tls import LinkTls
 
@@ -43,7 +43,7 @@
         if channel is None:
             channel = self._new_channel()
             self._channel = channel
-            self._unary = channel.unary_unary(CALL, codec.encode, codec.decode)
+            self._unary = channel.unary_unary(CALL, wire.encode, wire.decode)
         try:
             reply = await self._unary(request, timeout=timeout_s)
         except grpc.aio.AioRpcError as error:
@@ -64,7 +64,7 @@
         :raises GeraniumrailError: the failure that the other daemon answered.
         """
         channel = self._new_channel()
-        stream = channel.stream_stream(FOLLOW, codec.encode, codec.decode)
+        stream = channel.stream_stream(FOLLOW, wire.encode, wire.decode)
         try:
             async for update in stream(reports):
                 if isinstance(update, Refused):
--- a/geraniumrail/rollout/strata.py
+++ b/geraniumrail/rollout/strata.py
@@ -2,9 +2,13 @@
 
 import dataclasses
 from collections import defaultdict
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 _Stratum = tuple[str, str, int]
+_History = Callable[[str, int], tuple[int, int]]
+
+_FEW = 10
+_LEAST_PRESENT = 3
 
 
 @dataclasses.dataclass
@@ -21,6 +25,12 @@
         """Returns new bad, new total, old bad, old total."""
         return (self.new_bad, self.new_total, self.old_bad, self.old_total)
 
+    @property
+    def is_informative(self) -> bool:
+        """Tells whether both versions have outcomes and some, but not all, are bad."""
+        bad = self.new_bad + self.old_bad
+        return 0 < bad < self.new_total + self.old_total and bool(self.new_total and self.old_total)
+
     def add(self, counts: tuple[int, int, int, int]) -> None:
         """Adds outcomes.
 
@@ -49,13 +59,30 @@
         """
         self._cells[stratum].add((bad, total, 0, 0) if is_new else (0, 0, bad, total))
 
-    def paired(self) -> Iterator[tuple[str, Cell]]:
-        """Yields (route, cell); strata with one version only are pooled by route and band."""
+    def paired(self, history: _History | None = None) -> Iterator[tuple[str, Cell]]:
+        """Yields (route, cell); strata with one version only are pooled by route and band.
+
+        :param history: returns (bad, total) of earlier samples of the old version by route and
+            band; they are added where it has few in this window, if it is as fast as usual.
+        """
         rest: dict[tuple[str, int], Cell] = defaultdict(Cell)
+        uses_history = history is not None and self._old_is_as_usual()
+        least = _FEW if uses_history else 1
         for (route, _, band), cell in self._cells.items():
-            if cell.old_total and cell.new_total:
+            if cell.new_total and cell.old_total >= min(least, cell.new_total):
                 yield route, cell
             else:
                 rest[route, band].add(cell.counts)
-        for (route, _), pooled in rest.items():
+        for (route, band), pooled in rest.items():
+            if uses_history and pooled.old_total < _FEW:
+                pooled.add((0, 0, *history(route, band)))
             yield route, pooled
+
+    def _old_is_as_usual(self) -> bool:
+        """Tells whether the old version has samples in this window and few of them are bad.
+
+        Earlier samples say nothing while something slows both versions.
+        """
+        total = sum(cell.old_total for cell in self._cells.values())
+        bad = sum(cell.old_bad for cell in self._cells.values())
+        return total >= _LEAST_PRESENT and bad * _LEAST_PRESENT <= total
