--- a/geraniumrail/links/silence_test.py
+++ b/geraniumrail/links/silence_test.py
@@ -7,6 +7,8 @@
 from aiohttp import web
 
 from geraniumrail.commands.operator_client import OperatorClient, Patience
+from geraniumrail.consensus.messages import HelloRequest
+from geraniumrail.control.peer_transport import PeerTransport
 from geraniumrail.core import codec
 from geraniumrail.core.clock import SystemClock
 from geraniumrail.entry.announces import Announces
@@ -14,6 +16,7 @@
 from geraniumrail.entry.control_link import ControlLink
 from geraniumrail.entry.follower import Follower
 from geraniumrail.entry.leader_finder import LeaderFinder
+from geraniumrail.errors.consensus import PeerUnreachableError
 from geraniumrail.links.messages import (
     Accepted,
     ControlUpdate,
@@ -66,6 +69,7 @@
     async def leader(self):
         server = LinkServer('127.0.0.1:0')
         server.register(Propose, _propose)
+        server.register(HelloRequest, _propose)
         server.register_follow(_follow)
         await server.start()
         self.addAsyncCleanup(server.stop)
@@ -96,6 +100,16 @@
         self.assertEqual(await control.propose(Accepted(), LIMIT_S), Accepted())
         self.assertEqual(relay.accepted, 2)
 
+    async def test_members_call_each_other_on_a_new_connection(self):
+        relay = await self.leader()
+        transport = PeerTransport(self.links)
+        await transport.hello(relay.address, 'main')
+        relay.silence()
+        with self.assertRaises(PeerUnreachableError):
+            await transport.hello(relay.address, 'main')
+        await transport.hello(relay.address, 'main')
+        self.assertEqual(relay.accepted, 2)
+
     async def test_command_line_repeats_on_a_new_connection(self):
         async def answer(request):
             return web.json_response({'leads': True})
