Keep a replaced link from cancelling the tasks of other callers

Cause: closing a gRPC channel makes every call in flight on it raise asyncio.CancelledError. One call without an answer (to a frozen daemon) closes the channel, and so did each new control stream; the replication tasks of the replica that shared the channel then looked cancelled, and the CancelledError ended the replica's main task: no further elections, no log line. Seen: process test, leader frozen; two live voters elected a leader twice within 4 s, each leadership ended within 0.7 s, and no campaign followed for 40 s (no change accepted). Ruled out: load (campaigns stopped on both, while both answered HTTP within 40 ms), a lost majority. Before: links.client_test fails with CancelledError in the other caller. After: both tests pass. The control stream now has a connection of its own.

--- a/geraniumrail/links/client.py
+++ b/geraniumrail/links/client.py
@@ -26,7 +26,6 @@
         self._tls = tls
         self._channel: grpc.aio.Channel | None = None
         self._unary: Any = None
-        self._stream: Any = None
 
     async def call(self, request: object, timeout_s: float) -> Any:
         """Sends one record and returns the reply.
@@ -40,6 +39,11 @@
         channel = self._channel
         try:
             reply = await self._unary(request, timeout=timeout_s)
+        except asyncio.CancelledError as error:
+            # Closing a channel cancels its calls; that must not look as if the caller's task had
+            # been cancelled, which would end it without a trace.
+            _raise_if_task_cancelled(error)
+            raise LinkError(address=self.address, reason='the connection was replaced') from error
         except grpc.aio.AioRpcError as error:
             # The connection may have gone silent: the next call opens a new one.
             await self._discard(channel)
@@ -55,30 +59,32 @@
         :raises LinkError: when the stream breaks.
         :raises GeraniumrailError: the failure that the other daemon answered.
         """
-        await self.close()
-        self._open()
+        channel = self._new_channel()
+        stream = channel.stream_stream(FOLLOW, codec.encode, codec.decode)
         try:
-            async for update in self._stream(reports):
+            async for update in stream(reports):
                 if isinstance(update, Refused):
                     raise update.to_error()
                 yield update
         except grpc.aio.AioRpcError as error:
             raise LinkError(address=self.address, reason=error.code().name) from error
+        finally:
+            await asyncio.shield(channel.close())
 
     async def close(self) -> None:
         """Closes the connection."""
         await self._discard(self._channel)
 
     def _open(self) -> None:
-        if self._channel is not None:
-            return
+        if self._channel is None:
+            self._channel = self._new_channel()
+            self._unary = self._channel.unary_unary(CALL, codec.encode, codec.decode)
+
+    def _new_channel(self) -> grpc.aio.Channel:
         if self._tls is None:
-            self._channel = grpc.aio.insecure_channel(self.address, options=OPTIONS)
-        else:
-            credentials = self._tls.channel_credentials()
-            self._channel = grpc.aio.secure_channel(self.address, credentials, options=OPTIONS)
-        self._unary = self._channel.unary_unary(CALL, codec.encode, codec.decode)
-        self._stream = self._channel.stream_stream(FOLLOW, codec.encode, codec.decode)
+            return grpc.aio.insecure_channel(self.address, options=OPTIONS)
+        credentials = self._tls.channel_credentials()
+        return grpc.aio.secure_channel(self.address, credentials, options=OPTIONS)
 
     async def _discard(self, channel: grpc.aio.Channel | None) -> None:
         if channel is None:
@@ -86,3 +92,9 @@
         if self._channel is channel:
             self._channel = None
         await asyncio.shield(channel.close())
+
+
+def _raise_if_task_cancelled(error: asyncio.CancelledError) -> None:
+    task = asyncio.current_task()
+    if task is not None and task.cancelling():
+        raise error
