--- a/geraniumrail/control/schedules_test.py
+++ b/geraniumrail/control/schedules_test.py
@@ -12,6 +12,9 @@
 from geraniumrail.state import apply_settings
 
 
+SEEDS = 20
+
+
 async def no_barrier(replica):
     return 0
 
@@ -32,22 +35,21 @@
                 self.assertGreater(report.written, 5)
 
     def test_checks_notice_faults(self):
-        """Each mechanism that is switched off is seen; the seeds are the first that show it."""
+        """Each mechanism that is switched off is seen within a few seeds."""
         cases = (
-            ('stale reads', 0, (Replica, 'read_barrier', no_barrier), 'began after'),
-            ('resent changes', 0, (apply_settings, 'remember', lambda *parts: None), 'results'),
+            ('stale reads', (Replica, 'read_barrier', no_barrier), 'began after'),
+            ('resent changes', (apply_settings, 'remember', lambda *parts: None), 'results'),
             (
                 'leases of an earlier leader',
-                3,
                 (EntryLeases, 'complete', lambda leases, now: True),
                 'in force',
             ),
-            ('entry leases', 0, (ClusterView, 'holds_lease', lambda view: True), 'in force'),
+            ('entry leases', (ClusterView, 'holds_lease', lambda view: True), 'in force'),
         )
-        for name, seed, (owner, attribute, replacement), expected in cases:
+        for name, (owner, attribute, replacement), expected in cases:
             with self.subTest(name), mock.patch.object(owner, attribute, replacement):
-                found = ' '.join(run_schedule(seed).violations)
-                self.assertIn(expected, found)
+                found = (' '.join(run_schedule(seed).violations) for seed in range(SEEDS))
+                self.assertTrue(any(expected in each for each in found))
 
 
 class OrderScheduleTest(Quiet):
@@ -61,9 +63,11 @@
 
     def test_checks_notice_faults(self):
         """Without fencing, or without the wait, an old order takes effect late."""
-        self.assertTrue(run_order_schedule(6, enforcing=False).violations)
+        self.assertTrue(
+            any(run_order_schedule(seed, enforcing=False).violations for seed in range(SEEDS))
+        )
         with mock.patch.object(orders, 'FIRST_ORDER_DELAY_S', 0):
-            self.assertTrue(run_order_schedule(7).violations)
+            self.assertTrue(any(run_order_schedule(seed).violations for seed in range(SEEDS)))
 
 
 if __name__ == '__main__':
--- a/geraniumrail/control/testing.py
+++ b/geraniumrail/control/testing.py
@@ -19,7 +19,7 @@
 from geraniumrail.state import commands
 from geraniumrail.testing.daemons import NAMES, Daemon, Daemons
 from geraniumrail.testing.register_history import Operation, check
-from geraniumrail.testing.virtual_loop import run_virtual
+from geraniumrail.testing.virtual_loop import run_virtually
 
 PATHS = ('/salon-a', '/salon-b')
 KEY = 'weight'
@@ -325,7 +325,7 @@
     :param seed: seed.
     :param duration_s: virtual seconds with failures.
     """
-    return run_virtual(Schedule(seed).run(duration_s))
+    return run_virtually(Schedule(seed).run(duration_s))
 
 
 @dataclasses.dataclass
@@ -476,4 +476,27 @@
     :param enforcing: False switches the fencing of the engine that enforces it off.
     :param changes: changes of leadership.
     """
-    return run_virtual(OrderSchedule(seed, enforcing).run(changes))
+    return run_virtually(OrderSchedule(seed, enforcing).run(changes))
+
+
+def prove_settings(seed: int) -> None:
+    """Runs one schedule of settings.
+
+    :param seed: seed.
+    :raises AssertionError: if a guarantee was broken.
+    """
+    _require_none(run_schedule(seed).violations)
+
+
+def prove_orders(seed: int) -> None:
+    """Runs one schedule of orders.
+
+    :param seed: seed.
+    :raises AssertionError: if a guarantee was broken.
+    """
+    _require_none(run_order_schedule(seed).violations)
+
+
+def _require_none(violations: list[str]) -> None:
+    if violations:
+        raise AssertionError(violations)
--- a/geraniumrail/entry/cluster_view.py
+++ b/geraniumrail/entry/cluster_view.py
@@ -44,6 +44,10 @@
         """Tells whether the entry may serve with the settings that it has."""
         return self._clock.now() < self._lease_until
 
+    def lease_left_s(self) -> float:
+        """Returns the seconds until the settings lease runs out."""
+        return max(0, self._lease_until - self._clock.now())
+
     def take(self, update: ControlUpdate, sent_at: float) -> bool:
         """Applies an update of the control leader.
 
@@ -100,6 +104,14 @@
             and self.knowledge.usable(backend, now)
         ]
 
+    def servers(self, service: str) -> list[Backend]:
+        """Returns the backend servers of a service, also those that get no new work.
+
+        :param service: name of the service.
+        """
+        known = self.backends_by_instance.values()
+        return [backend for backend in known if backend.service == service]
+
     def effective(self, organisation: str, service: str, route: str) -> Effective:
         """Returns the effective settings.
 
--- a/geraniumrail/entry/events.py
+++ b/geraniumrail/entry/events.py
@@ -72,3 +72,13 @@
     'A background task met a failure and goes on.',
     logging.WARNING,
 )
+BOOKING_MOVED_ON = Event.define(
+    1314,
+    'entry.booking_moved_on',
+    'The log has another owner or phase of a booking than this entry; the log is read again.',
+)
+CANCEL_FAILED = Event.define(
+    1315,
+    'entry.cancel_failed',
+    'An engine did not answer the cancellation of an abandoned attempt.',
+)
--- a/geraniumrail/links/client.py
+++ b/geraniumrail/links/client.py
@@ -6,12 +6,15 @@
 
 import grpc
 
-from geraniumrail.core import codec
 from geraniumrail.core.refused import Refused
 from geraniumrail.errors.link import LinkError
+from geraniumrail.links import wire
 from geraniumrail.links.method import CALL, FOLLOW, OPTIONS
 from geraniumrail.links.tls import LinkTls
 
+# Other calls on a replaced channel may still be answered.
+CLOSE_GRACE_S = 5.0
+
 
 class LinkClient:
     """One address; the channel is opened at the first call."""
@@ -26,6 +29,7 @@
         self._tls = tls
         self._channel: grpc.aio.Channel | None = None
         self._unary: Any = None
+        self._closing: set[asyncio.Task[None]] = set()
 
     async def call(self, request: object, timeout_s: float) -> Any:
         """Sends one record and returns the reply.
@@ -35,19 +39,19 @@
         :raises LinkError: without an answer; the call may have been carried out.
         :raises GeraniumrailError: the failure that the other daemon answered.
         """
-        self._open()
         channel = self._channel
+        if channel is None:
+            channel = self._new_channel()
+            self._channel = channel
+            self._unary = channel.unary_unary(CALL, wire.encode, wire.decode)
         try:
             reply = await self._unary(request, timeout=timeout_s)
-        except asyncio.CancelledError as error:
-            # Closing a channel cancels its calls; that must not look as if the caller's task had
-            # been cancelled, which would end it without a trace.
-            _raise_if_task_cancelled(error)
-            raise LinkError(address=self.address, reason='the connection was replaced') from error
         except grpc.aio.AioRpcError as error:
             # The connection may have gone silent: the next call opens a new one.
-            await self._discard(channel)
+            self._replace(channel)
             raise LinkError(address=self.address, reason=error.code().name) from error
+        except asyncio.CancelledError as error:
+            raise self._closed() from error
         if isinstance(reply, Refused):
             raise reply.to_error()
         return reply
@@ -60,7 +64,7 @@
         :raises GeraniumrailError: the failure that the other daemon answered.
         """
         channel = self._new_channel()
-        stream = channel.stream_stream(FOLLOW, codec.encode, codec.decode)
+        stream = channel.stream_stream(FOLLOW, wire.encode, wire.decode)
         try:
             async for update in stream(reports):
                 if isinstance(update, Refused):
@@ -68,17 +72,20 @@
                 yield update
         except grpc.aio.AioRpcError as error:
             raise LinkError(address=self.address, reason=error.code().name) from error
+        except asyncio.CancelledError as error:
+            raise self._closed() from error
         finally:
             await asyncio.shield(channel.close())
 
     async def close(self) -> None:
         """Closes the connection."""
-        await self._discard(self._channel)
-
-    def _open(self) -> None:
-        if self._channel is None:
-            self._channel = self._new_channel()
-            self._unary = self._channel.unary_unary(CALL, codec.encode, codec.decode)
+        for task in self._closing:
+            task.cancel()
+        await asyncio.gather(*self._closing, return_exceptions=True)
+        channel = self._channel
+        self._channel = None
+        if channel is not None:
+            await asyncio.shield(channel.close())
 
     def _new_channel(self) -> grpc.aio.Channel:
         if self._tls is None:
@@ -86,15 +93,21 @@
         credentials = self._tls.channel_credentials()
         return grpc.aio.secure_channel(self.address, credentials, options=OPTIONS)
 
-    async def _discard(self, channel: grpc.aio.Channel | None) -> None:
-        if channel is None:
-            return
-        if self._channel is channel:
-            self._channel = None
-        await asyncio.shield(channel.close())
+    def _replace(self, channel: grpc.aio.Channel) -> None:
+        if self._channel is not channel:
+            return  # another call has replaced it
+        self._channel = None
+        task = asyncio.create_task(channel.close(CLOSE_GRACE_S))
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
 
+    def _closed(self) -> BaseException:
+        """Returns the failure of a call that was cancelled by gRPC or by its own task.
 
-def _raise_if_task_cancelled(error: asyncio.CancelledError) -> None:
-    task = asyncio.current_task()
-    if task is not None and task.cancelling():
-        raise error
+        gRPC cancels the calls in progress on a channel that is closed; the tasks that wait for
+        them go on.
+        """
+        task = asyncio.current_task()
+        if task is None or task.cancelling():
+            return asyncio.CancelledError()
+        return LinkError(address=self.address, reason='the connection was closed')
--- a/geraniumrail/links/client_test.py
+++ b/geraniumrail/links/client_test.py
@@ -1,45 +1,66 @@
-"""Guards callers of the links against the loss of a connection that others use as well."""
+"""Guards calls in progress: a call without an answer must not end the others to that address."""
 
 import asyncio
+import contextlib
 import unittest
 
 from geraniumrail.errors.link import LinkError
 from geraniumrail.links.client import LinkClient
-from geraniumrail.links.messages import Accepted, LeavingNotice
+from geraniumrail.links.messages import Accepted, LeavingNotice, Propose, Proposed
 from geraniumrail.links.server import LinkServer
 
+LIMIT_S = 20
+
 
 class LinkClientTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
-        self.arrived = asyncio.Event()
-        self.server = LinkServer('127.0.0.1:0')
-        self.server.register(LeavingNotice, self.wait_for_ever)
-        await self.server.start()
-        self.addAsyncCleanup(self.server.stop)
-        self.client = LinkClient(self.server.address)
+        self.asked = asyncio.Event()
+        self.answer = asyncio.Event()
+        server = LinkServer('127.0.0.1:0')
+        server.register(LeavingNotice, self.never)
+        server.register(Propose, self.later)
+        server.register_follow(self.follow)
+        await server.start()
+        self.addAsyncCleanup(server.stop)
+        self.client = LinkClient(server.address)
         self.addAsyncCleanup(self.client.close)
 
-    async def wait_for_ever(self, request):
-        self.arrived.set()
+    async def never(self, request):
         await asyncio.Event().wait()
-        return Accepted()
 
-    async def test_replaced_connection_does_not_cancel_other_callers(self):
-        """A cancelled task of the replica ended its elections without a trace."""
-        slow = asyncio.create_task(self.client.call(LeavingNotice(backends=()), 60))
-        await asyncio.wait_for(self.arrived.wait(), 20)
-        with self.assertRaises(LinkError):
-            await self.client.call(LeavingNotice(backends=()), 0.1)
+    async def later(self, request):
+        self.asked.set()
+        await self.answer.wait()
+        return Proposed(result=b'')
+
+    async def follow(self, reports):
+        async for _ in reports:
+            yield Accepted()
+
+    async def reports(self):
+        yield Accepted()
+        await self.answer.wait()
+        yield Accepted()
+        await asyncio.Event().wait()
+
+    async def test_timeout_of_one_call_leaves_other_calls_and_streams_in_progress(self):
+        async with asyncio.timeout(LIMIT_S):
+            call = asyncio.create_task(self.client.call(Propose(command=b''), LIMIT_S))
+            async with contextlib.aclosing(self.client.follow(self.reports())) as updates:
+                await anext(updates)
+                await self.asked.wait()
+                with self.assertRaises(LinkError):
+                    await self.client.call(LeavingNotice(backends=()), 0.05)
+                self.answer.set()
+                self.assertEqual(await anext(updates), Accepted())
+            self.assertEqual(await call, Proposed(result=b''))
+
+    async def test_closed_connection_fails_the_call_and_not_its_task(self):
+        call = asyncio.create_task(self.client.call(Propose(command=b''), LIMIT_S))
+        await self.asked.wait()
+        await self.client.close()
         with self.assertRaises(LinkError):
-            await asyncio.wait_for(slow, 20)
-
-    async def test_cancelled_caller_is_cancelled(self):
-        """A stopping daemon must be able to end its calls."""
-        call = asyncio.create_task(self.client.call(LeavingNotice(backends=()), 60))
-        await asyncio.wait_for(self.arrived.wait(), 20)
-        call.cancel()
-        with self.assertRaises(asyncio.CancelledError):
-            await asyncio.wait_for(call, 20)
+            await call
 
 
 if __name__ == '__main__':
--- a/geraniumrail/testing/daemons.py
+++ b/geraniumrail/testing/daemons.py
@@ -13,7 +13,7 @@
 from geraniumrail.consensus.config import ReplicaConfig
 from geraniumrail.consensus.entry import Stored
 from geraniumrail.consensus.membership import Member
-from geraniumrail.consensus.testing import Disk
+from geraniumrail.consensus.testing import Disk, SkewedClock
 from geraniumrail.control import control as control_module
 from geraniumrail.control.control import Control
 from geraniumrail.entry.announces import Announces
@@ -213,7 +213,7 @@
             peers=types.SimpleNamespace(listen=name),
             control=types.SimpleNamespace(seeds=NAMES, data_folder=None),
         )
-        clock = LoopClock(1 + rng.uniform(-SKEW, SKEW), rng.uniform(0, 50))
+        clock = SkewedClock(LoopClock(), 1 + rng.uniform(-SKEW, SKEW), rng.uniform(0, 50))
         self.control = Control(config, disk, self.links, clock, random.Random(rng.random()))
         self.control.register(self.links)
         self.entry_id = f'{name}-{number}'
