--- a/geraniumrail/control/process_test.py
+++ b/geraniumrail/control/process_test.py
@@ -33,6 +33,10 @@
     def __init__(self, deployment, session):
         self.deployment = deployment
         self.session = session
+        # One client goes on at the member that answered last, not at the frozen one.
+        self.client = OperatorClient.from_addresses(
+            [place.operators for place in deployment.places], OPERATOR_KEY
+        )
         self.history = []
         self.problems = []
         self.in_force = 0.0
@@ -51,7 +55,7 @@
     async def read(self):
         operation = Operation(path='/', kind='read', invoked_at=time.monotonic())
         with contextlib.suppress(ControlUnreachableError):
-            node = await self.deployment.operate('GET', f'{ADMIN}/settings?path=/')
+            node = await self.client.request('GET', f'{ADMIN}/settings?path=/')
             operation.version, operation.found = node['version'], node['values'][KEY]
             operation.outcome, operation.completed_at = 'done', time.monotonic()
             self.version = max(self.version, node['version'])
@@ -70,9 +74,7 @@
         )
         self.history.append(operation)
         try:
-            answer = await self.deployment.change(
-                '/', {KEY: wanted}, operation.expected, operation.change_id
-            )
+            answer = await self.change('/', {KEY: wanted}, operation.expected, operation.change_id)
         except AnswerConflictError as error:
             operation.outcome, operation.version = 'conflict', error.fields['version']
         except ControlUnreachableError:
@@ -87,9 +89,18 @@
                 self.in_force = max(self.in_force, wanted)
         operation.completed_at = time.monotonic()
 
+    async def change(self, path, values, version, change_id):
+        body = {
+            'path': path,
+            'values': values,
+            'expected_version': version,
+            'change_id': change_id,
+        }
+        return await self.client.request('PUT', f'{ADMIN}/settings', body)
+
     async def watch(self, place):
         while not self.stopping:
-            await asyncio.sleep(0.03)
+            await asyncio.sleep(0.05)
             process = self.deployment.processes_by_name[place.name]
             asked_at, due = time.monotonic(), self.in_force
             late = (value for at, value in self.accepted if at + IN_FORCE_S < asked_at)
@@ -121,6 +132,7 @@
 
 class ProcessTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
+        asyncio.get_running_loop().set_debug(False)
         folder = tempfile.TemporaryDirectory(prefix='geraniumrail-control-')
         self.addCleanup(folder.cleanup)
         self.deployment = Deployment(pathlib.Path(folder.name))
@@ -144,6 +156,7 @@
         self.assertEqual(recorder.problems, [])
         self.assertGreater(recorder.done, 10)
         await self.give_orders()
+        await self.race_moves()
         await self.restart_after_many_changes()
 
     async def freeze_leader(self):
@@ -153,7 +166,7 @@
         process.freeze()
         await self.until_led_by_another(leader)
         await self.recorder.until_written()
-        listed = await self.deployment.operate('GET', f'{ADMIN}/entries')
+        listed = await self.recorder.client.request('GET', f'{ADMIN}/entries')
         self.assertNotIn(leader.callers, [entry['address'] for entry in listed['entries']])
         process.thaw()
         await self.until_listed(leader)
@@ -184,18 +197,19 @@
         await deployment.processes_by_name[other.name].kill()  # right after the repair
         await recorder.until_written()
         body = {'action': 'add', 'address': lost.peers}
-        added = await deployment.operate('POST', f'{ADMIN}/members', body)
+        added = await recorder.client.request('POST', f'{ADMIN}/members', body)
         self.assertEqual(added['replica_id'], new_id)
         await deployment.start_entry(other.name)
         await self.change_members('promote', new_id)
         await recorder.until_written()
-        listed = await deployment.operate('GET', f'{ADMIN}/members')
+        listed = await recorder.client.request('GET', f'{ADMIN}/members')
         members = {member['replica_id']: member['voter'] for member in listed['members']}
         self.assertNotIn(old_id, members)
         self.assertTrue(members[new_id])
 
     async def refuse_without_majority(self, leader, other):
         """With one voter frozen and one without its disk, an empty disk must not vote."""
+        self.recorder.refusals.clear()
         self.deployment.processes_by_name[other.name].freeze()
         await asyncio.sleep(2)  # the frozen voter must not have answered just before
         client = OperatorClient.from_addresses(
@@ -206,31 +220,61 @@
         body = {'path': '/none', 'values': {'weight': 2}, 'expected_version': 0, 'change_id': 'n'}
         with self.assertRaises((ControlUnreachableError, OperatorOutcomeUnknownError)):
             await client.request('PUT', f'{ADMIN}/settings', body)
+        await self.deployment.until(self.refused_by_all, 'an entry serves without control')
         self.deployment.processes_by_name[other.name].thaw()
         await self.recorder.until_written()
 
+    async def refused_by_all(self):
+        """Tells whether every entry that runs has answered `not_run`."""
+        asked = {name for name, kind in self.recorder.refusals if kind == 'not_run'}
+        return len(asked) >= 3
+
     async def give_orders(self):
         """An order reaches the engine once, and a resend has the same number."""
         await self.deployment.start_engine('engine-1', '--load-s', '0')
-        await self.deployment.until_served(1)
+        await self.deployment.until_served(1, entries=3)
         body = {
             'order_id': 'load-1',
             'instance': 'engine-1',
             'kind': 'load_adapter',
             'name': 'quotations',
         }
-        first = await self.deployment.operate('POST', f'{ADMIN}/orders', body)
-        again = await self.deployment.operate('POST', f'{ADMIN}/orders', body)
+        first = await self.recorder.client.request('POST', f'{ADMIN}/orders', body)
+        again = await self.recorder.client.request('POST', f'{ADMIN}/orders', body)
         self.assertEqual((first['outcome'], again['outcome']), ('accepted', 'repeated'))
         self.assertEqual(first['number'], again['number'])
-        later = await self.deployment.operate(
+        later = await self.recorder.client.request(
             'POST', f'{ADMIN}/orders', {**body, 'order_id': 'load-2', 'name': 'manuals'}
         )
         self.assertGreater(later['number'], first['number'])
         with self.assertRaises(AnswerConflictError) as refused:
-            await self.deployment.operate('POST', f'{ADMIN}/orders', body)
+            await self.recorder.client.request('POST', f'{ADMIN}/orders', body)
         self.assertIn('load-1', str(refused.exception))
 
+    async def race_moves(self):
+        """Two moves of one service: one wins; two operators cancel it: one recorded end."""
+        client = self.recorder.client
+        bodies = [
+            {'move_id': name, 'service': 'model-bench', 'to_version': name, 'deadline_s': 60}
+            for name in ('v2', 'v3')
+        ]
+        started = await asyncio.gather(
+            *(client.request('POST', f'{ADMIN}/moves', body) for body in bodies),
+            return_exceptions=True,
+        )
+        refused = [each for each in started if isinstance(each, Exception)]
+        self.assertEqual([each.fields['type'] for each in refused], ['move_conflict'])
+        (move,) = [each for each in started if isinstance(each, dict)]
+        path = f'{ADMIN}/moves/{move["move_id"]}'
+        ended = await asyncio.gather(
+            *(client.request('DELETE', path) for _ in range(2)), return_exceptions=True
+        )
+        refused = [each for each in ended if isinstance(each, Exception)]
+        self.assertEqual([each.fields['type'] for each in refused], ['move_ended'])
+        recorded = await client.request('GET', path)
+        self.assertIn(recorded, ended)
+        self.assertEqual(recorded['phase'], 'cancelled')
+
     async def restart_after_many_changes(self):
         """All members are killed after more than 500 changes; nothing is lost or applied twice."""
         await asyncio.gather(*(self.change_often(path) for path in PATHS))
@@ -249,13 +293,13 @@
 
     async def change_often(self, path):
         for version in range(CHANGES):
-            await self.deployment.change(
+            await self.recorder.change(
                 path, {'weight': 1.5 + version}, version, f'{path}-{version}'
             )
 
     async def change_members(self, action, replica_id):
         body = {'action': action, 'replica_id': replica_id}
-        await self.deployment.operate('POST', f'{ADMIN}/members', body)
+        await self.recorder.client.request('POST', f'{ADMIN}/members', body)
 
     async def replica_id(self, place):
         status = await self.deployment.operate('GET', f'{ADMIN}/status', place=place)
@@ -284,7 +328,7 @@
 
     async def until_listed(self, place):
         async def listed():
-            found = await self.deployment.operate('GET', f'{ADMIN}/entries')
+            found = await self.recorder.client.request('GET', f'{ADMIN}/entries')
             return place.callers in [entry['address'] for entry in found['entries']]
 
         await self.deployment.until(listed, f'{place.name} did not come back')
--- a/geraniumrail/control/schedules_test.py
+++ b/geraniumrail/control/schedules_test.py
@@ -11,7 +11,6 @@
 from geraniumrail.entry.cluster_view import ClusterView
 from geraniumrail.state import apply_settings
 
-
 SEEDS = 20
 
 
