--- a/geraniumrail/testing/schedules.py
+++ b/geraniumrail/testing/schedules.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from geraniumrail.consensus import testing as consensus
+from geraniumrail.control import testing as control
 from geraniumrail.testing import streams
 
 Schedule = tuple[str, Callable[[int], object]]
@@ -10,4 +11,6 @@
 SCHEDULES: tuple[Schedule, ...] = (
     ('consensus', consensus.run_schedule),
     ('streams', streams.run_schedule),
+    ('settings', control.prove_settings),
+    ('orders', control.prove_orders),
 )
