Answer keyed requests without a lease with entry_unavailable, not not_run

Cause: an entry whose lease ran out answered not_run to a resend whose key had run through another entry, found by the process test (killed-6 had run when a caller was told not_run). Such an entry can't know what became of the key. Requests without a key still get not_run.

--- a/geraniumrail/callers/service_routes.py
+++ b/geraniumrail/callers/service_routes.py
@@ -7,7 +7,7 @@
 from geraniumrail.callers.serving import Serving
 from geraniumrail.core.ids import new_id
 from geraniumrail.entry.plain_call import PlainCall
-from geraniumrail.errors.request import InvalidRequestError
+from geraniumrail.errors.request import EntryUnavailableError, InvalidRequestError, NotRunError
 from geraniumrail.settings.path import is_name
 
 MAX_KEY_LENGTH = 255
@@ -34,7 +34,7 @@
         :param request: the HTTP request.
         """
         owner = owner_of(request, 'caller')
-        self._serving.require_lease()
+        self._require_lease(request)
         body = await read_body(request, self._serving.max_body_bytes())
         path = f'/{request.match_info["path"]}'
         query = f'?{request.query_string}' if request.query_string else ''
@@ -57,6 +57,15 @@
             response.headers[IDEMPOTENCY_KEY] = answer.idempotency_key
         return response
 
+    def _require_lease(self, request: web.Request) -> None:
+        try:
+            self._serving.require_lease()
+        except NotRunError as error:
+            if _key(request):
+                # The key may have run through another entry, so not_run could be false.
+                raise EntryUnavailableError(reason=error.fields['reason']) from error
+            raise
+
 
 def _key(request: web.Request) -> str:
     key = request.headers.get(IDEMPOTENCY_KEY, '')
--- a/geraniumrail/entry/testing.py
+++ b/geraniumrail/entry/testing.py
@@ -50,6 +50,8 @@
 SETTLE_LIMIT_S = 300.0
 DONE = phases.DONE
 LOST = 'lost'  # the caller got no answer
+ELSEWHERE = 'entry_unavailable'
+TOLD = frozenset((DONE, LOST, ELSEWHERE, 'outcome_unknown', 'idempotency_key_reused'))
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -658,7 +660,7 @@
     for request in requests:
         if request.outcome == 'not_run':
             found += check_not_run(request, requests, runs)
-        elif request.outcome not in {DONE, LOST, 'outcome_unknown', 'idempotency_key_reused'}:
+        elif request.outcome not in TOLD:
             found.append(f'{key} was answered {request.outcome}: {request.reason}')
         elif request.outcome == 'idempotency_key_reused' and not any(
             other.body != request.body for other in requests
--- a/geraniumrail/errors/request.py
+++ b/geraniumrail/errors/request.py
@@ -79,6 +79,14 @@
     template = 'the request did not run: {reason}'
 
 
+class EntryUnavailableError(RequestError):
+    """This entry took nothing on; earlier requests with the key may have run elsewhere."""
+
+    type_name = 'entry_unavailable'
+    status = 503
+    template = 'ask another entry with the same key: {reason}'
+
+
 class OutcomeUnknownError(RequestError):
     """The request may have run; it is never sent again by the system."""
 
--- a/geraniumrail/testing/caller.py
+++ b/geraniumrail/testing/caller.py
@@ -12,6 +12,7 @@
 
 STEP_LIMIT_S = 60.0
 RETRY_DELAY_S = 0.1
+ASK_AGAIN = frozenset(('not_run', 'overloaded', 'entry_unavailable'))
 
 
 @dataclasses.dataclass(frozen=True)
@@ -137,7 +138,7 @@
         reply = Reply(0)
         for _ in range(60):
             reply = await self.book(key, body)
-            if reply.status and reply.error_type() not in {'not_run', 'overloaded'}:
+            if reply.status and reply.error_type() not in ASK_AGAIN:
                 return reply
             await asyncio.sleep(RETRY_DELAY_S)
         return reply
