--- a/geraniumrail/consensus/folder.py
+++ b/geraniumrail/consensus/folder.py
@@ -16,6 +16,28 @@
         os.close(descriptor)
 
 
+def write_all(descriptor: int, content: bytes) -> None:
+    """Writes all of the content.
+
+    :param descriptor: of a file opened for writing.
+    :param content: what to write.
+    """
+    written = os.write(descriptor, content)
+    while written < len(content):
+        written += os.write(descriptor, content[written:])
+
+
+def truncate_file(path: pathlib.Path, size: int) -> None:
+    """Cuts off the end of a file, durably.
+
+    :param path: the file.
+    :param size: new size in bytes.
+    """
+    with path.open('r+b') as opened:
+        opened.truncate(size)
+        os.fsync(opened.fileno())
+
+
 def replace_file(path: pathlib.Path, content: bytes) -> None:
     """Replaces a file so that after a crash either the old or the new content is found.
 
--- a/geraniumrail/consensus/testing.py
+++ b/geraniumrail/consensus/testing.py
@@ -102,7 +102,7 @@
 
     def crash(self) -> None:
         """Decides about the write in progress."""
-        if self._writing is not None and self._rng.random() < 0.5:
+        if self._writing is not None and self._rng.random() < 0.25:
             self._store(self._writing)
         self._writing = None
 
@@ -424,7 +424,7 @@
         for name, replica in self.cluster.replicas_by_name.items():
             if replica.is_leader_with_lease():
                 holders.append(name)
-            if replica.status().role == 'failed':
+            if replica._context.standing.role == 'failed':
                 self.report.violations.append(f'{name} has failed')
             self.check_applied(name)
         if len(holders) > 1:
@@ -457,7 +457,7 @@
     def any_replica(self) -> Replica:
         """Returns the leader, or sometimes another replica or a cut-off leader."""
         replicas = list(self.cluster.replicas_by_name.values())
-        leaders = [one for one in replicas if one.status().role == 'leader']
+        leaders = [one for one in replicas if one._context.standing.role == 'leader']
         return self.rng.choice(leaders or replicas)
 
     async def propose_often(self) -> None:
@@ -492,33 +492,50 @@
     async def break_often(self) -> None:
         actions = (
             *[self.crash] * 4,
+            *[self.lose_power] * 2,
             *[self.lose_disk] * 2,
-            *[self.cut_off] * 2,
-            *[self.cut_one_way] * 2,
-            *[self.heal] * 3,
+            *[self.cut_off] * 3,
+            *[self.cut_some] * 2,
+            *[self.cut_pair] * 2,
+            self.heal,
             self.drop,
             self.delay,
             self.stall_disk,
             self.hand_over,
         )
+        for disk in self.cluster.disks_by_name.values():
+            disk.sync_s = self.rng.choice(((0.001, 0.004), (0.005, 0.05)))
         while True:
-            await self.clock.sleep(self.rng.uniform(0.2, 2.5))
+            await self.clock.sleep(self.rng.uniform(0.2, 1.5))
             await self.rng.choice(actions)()
 
     async def crash(self) -> None:
-        up = list(self.cluster.replicas_by_name)
-        if len(self.down) < 2 and up:
-            name = self.rng.choice(up)
-            self.down[name] = self.clock.now() + self.rng.uniform(0.2, 6)
-            self.report.crashes += 1
-            await self.cluster.crash(name)
+        name = self.victim()
+        if len(self.down) < 2 and name not in self.down:
+            await self.crash_one(name)
+
+    async def lose_power(self) -> None:
+        """Ends all replicas at once."""
+        for name in list(self.cluster.replicas_by_name):
+            await self.crash_one(name)
+
+    async def crash_one(self, name: str) -> None:
+        self.down[name] = self.clock.now() + self.rng.uniform(0.2, 6)
+        self.report.crashes += 1
+        await self.cluster.crash(name)
+
+    def victim(self) -> str:
+        """Returns the leader half of the time, else any running replica."""
+        leader = self.cluster.leader()
+        if leader is not None and self.rng.random() < 0.5:
+            return leader
+        return self.rng.choice(list(self.cluster.replicas_by_name) or self.names)
 
     async def lose_disk(self) -> None:
         """Loses one disk and lets the operator repair the group; one at a time."""
-        up = list(self.cluster.replicas_by_name)
-        if self.repairing or self.down or not up:
+        if self.repairing or self.down:
             return
-        name = self.rng.choice(up)
+        name = self.victim()
         lost = self.cluster.replicas_by_name[name].replica_id
         self.repairing = name
         self.report.lost_disks += 1
@@ -557,29 +574,58 @@
 
     async def cut_off(self) -> None:
         self.report.cuts += 1
-        self.cluster.network.cut(*self.rng.sample(self.names, self.rng.choice((1, 1, 2))))
+        others = self.rng.sample(self.names, self.rng.choice((0, 0, 1)))
+        self.cluster.network.cut(self.victim(), *others)
+        await self.hold()
 
-    async def cut_one_way(self) -> None:
+    async def cut_some(self) -> None:
+        """Cuts one replica off from some others, mostly in one direction."""
         self.report.cuts += 1
-        name = self.rng.choice(self.names)
-        others = self.rng.sample(self.cluster.network.others(name), 8 - 1)
-        if self.rng.random() < 0.5:
+        name = self.victim()
+        others = self.rng.sample(self.names, self.rng.randint(1, 4))
+        direction = self.rng.choice(('out', 'in', 'both'))
+        if direction != 'in':
             self.cluster.network.cut_one_way(name, others)
-        else:
+        if direction != 'out':
             self.cluster.network.cut_one_way(others, name)
+        await self.hold()
+
+    async def cut_pair(self) -> None:
+        """Cuts two replicas off from each other while both reach a third."""
+        self.report.cuts += 1
+        name = self.cluster.leader() or self.victim()
+        voters = self.voters(name)
+        other = self.rng.choice(voters or self.names)
+        self.cluster.network.cut_one_way(name, other)
+        self.cluster.network.cut_one_way(other, name)
+        await self.hold()
+
+    def voters(self, name: str) -> list[str]:
+        """Returns the addresses of the other voters that a replica knows."""
+        replica = self.cluster.replicas_by_name.get(name)
+        members = replica.status().members if replica else ()
+        return [one.address for one in members if one.voter and one.address != name]
+
+    async def hold(self) -> None:
+        """Keeps a fault for up to a few election timeouts; mostly it ends after that."""
+        await self.clock.sleep(self.rng.uniform(0, 4))
+        if self.rng.random() < 0.8:
+            self.cluster.network.heal()
 
     async def heal(self) -> None:
         self.cluster.network.heal()
 
     async def drop(self) -> None:
         self.cluster.network.drop = self.rng.uniform(0, 0.4)
+        await self.hold()
 
     async def delay(self) -> None:
         self.cluster.network.delay_s = (0.001, self.rng.choice((0.05, 0.5, 3)))
+        await self.hold()
 
     async def stall_disk(self) -> None:
         disk = self.cluster.disks_by_name[self.rng.choice(self.names)]
-        disk.sync_s = self.rng.choice(((0.001, 0.004), (0.01, 0.2), (0.5, 2.5)))
+        disk.sync_s = self.rng.choice(((0.001, 0.03), (0.01, 0.2), (0.5, 2.5)))
 
     async def hand_over(self) -> None:
         leader = self.cluster.leader()
@@ -599,6 +645,11 @@
         keep_entries=5,
         append_entries=8,
         install_bytes=64,
+        # Half of the default times, so that a schedule holds twice as many elections.
+        heartbeat_s=0.2,
+        lease_s=0.75,
+        election_timeout_s=1.0,
+        call_timeout_s=0.5,
     )
     await cluster.start('d')
     await cluster.add('d')
--- a/geraniumrail/entry/entry.py
+++ b/geraniumrail/entry/entry.py
@@ -180,6 +180,10 @@
         keep_for_s = self.view.effective('*', '', '').keep_for_s
         return [info.address for info in self.view.entries], keep_for_s
 
+    def queue_depths(self) -> dict[str, int]:
+        """Returns the number of requests that wait, by service."""
+        return self._completions.queue_depths()
+
     def models(self) -> list[str]:
         """Returns the announced models."""
         return self._completions.models()
@@ -265,6 +269,9 @@
     def _updated(self, update: ControlUpdate) -> None:
         self._outcomes.follow_moves()
         self._completions.limits.update(update.share)
+        for backend in update.backends:
+            self._completions.introduce(backend)
+            self._completions.window.reported(backend.instance, backend.load)
         if update.assigned:
             self._bookings.take_over(update.assigned)
         self._completions.pump()
--- a/geraniumrail/entry/events.py
+++ b/geraniumrail/entry/events.py
@@ -77,3 +77,8 @@
     'entry.booking_moved_on',
     'The log has another owner or phase of a booking than this entry; the log is read again.',
 )
+CANCEL_FAILED = Event.define(
+    1315,
+    'entry.cancel_failed',
+    'An engine did not answer the cancellation of an abandoned attempt.',
+)
