--- a/geraniumrail/bench/move_model.py
+++ b/geraniumrail/bench/move_model.py
@@ -65,7 +65,7 @@
         self.free_at = [0 for _ in range(SLOTS)]
 
     def running(self, now: float) -> int:
-        return sum(at > now for at in self.free_at)
+        return len([at for at in self.free_at if at > now])
 
 
 class Service:
@@ -108,7 +108,7 @@
         if not engines:
             version = OLD if version == NEW else NEW
             engines = self._usable(version, share, now)
-        engine = min(engines, key=lambda one: (max(now, min(one.free_at)), one.running(now)))
+        engine = min(engines, key=lambda one: (max(now, one.free_at[0]), one.running(now)))
         load = engine.running(now) / SLOTS
         seen = statistics.fmean(one.running(now) for one in engines) / SLOTS
         seen += self._rng.uniform(-_LOAD_ERROR, _LOAD_ERROR)
--- /dev/null
+++ b/geraniumrail/rollout/alarm_test.py
@@ -0,0 +1,41 @@
+"""Guards the alarm: few failures spread over entries raise it, common failures do not."""
+
+import unittest
+
+from geraniumrail.rollout.alarm import Alarm
+from geraniumrail.rollout.outcome_stat import OutcomeStat
+
+
+def stat(version, requests, errors, second=1):
+    return OutcomeStat(
+        service='s',
+        version=version,
+        route='chat',
+        organisation='org',
+        second=second,
+        requests=requests,
+        errors=errors,
+    )
+
+
+class AlarmTest(unittest.TestCase):
+    def setUp(self):
+        self.alarm = Alarm('v1', 'v2')
+
+    def test_one_failure_in_each_of_two_entries_raises_it_once(self):
+        self.alarm.observe(stat('v1', 500, 1), 1)
+        self.alarm.observe(stat('v2', 2, 1), 1)
+        self.assertFalse(self.alarm.take())
+        self.alarm.observe(stat('v2', 2, 1), 1)
+        self.assertTrue(self.alarm.take())
+        self.assertFalse(self.alarm.take())
+
+    def test_failures_of_both_versions_do_not_raise_it(self):
+        for second in range(60):
+            self.alarm.observe(stat('v1', 10, 3, second), second)
+            self.alarm.observe(stat('v2', 3, 1, second), second)
+        self.assertFalse(self.alarm.take())
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/geraniumrail/rollout/move_controller.py
+++ b/geraniumrail/rollout/move_controller.py
@@ -47,6 +47,7 @@
         self.end: MoveEnd | None = None
         self._step_at = step_at
         self._begun_at = now
+        self._now = now
         self._sequential = Sequential(order.from_version, order.to_version)
         self._alarm = Alarm(order.from_version, order.to_version)
         self._samples = 0
@@ -85,15 +86,16 @@
         stats: Iterable[OutcomeStat],
         breakers: Iterable[BreakerReport] = (),
         entry: str = '',
-        now: float = 0,
+        now: float | None = None,
     ) -> None:
         """Takes the report of one entry.
 
         :param stats: outcomes since the last report.
         :param breakers: breakers of the entry that have opened during this move.
         :param entry: name of the entry.
-        :param now: wall seconds.
+        :param now: wall seconds; by default the time of the last decision.
         """
+        now = self._now if now is None else now
         for stat in stats:
             if stat.service == self.order.service:
                 self._sequential.observe(stat)
@@ -130,6 +132,7 @@
 
         :param now: wall seconds.
         """
+        self._now = now
         if self.end is not None:
             return self.end
         evidence = self._sequential.look(now)
