Forget the breakers of entries that no longer report

Cause: an entry lost with an open breaker would hold a move until its deadline. Entries report every second; after 10 s of silence their breakers are dropped.

--- a/geraniumrail/rollout/breaker_panel.py
+++ b/geraniumrail/rollout/breaker_panel.py
@@ -6,6 +6,7 @@
 
 _PROBE_DELAY_S = 3
 _ENTRIES_TO_CONDEMN = 2
+_SILENT_S = 10  # after which an entry is taken for gone; it reports every second
 
 
 class BreakerPanel:
@@ -20,6 +21,7 @@
         self._scope = (service, version)
         self._reports_by_entry: dict[str, tuple[BreakerReport, ...]] = {}
         self._changed_at: dict[str, float] = {}
+        self._seen_at: dict[str, float] = {}
 
     def observe(self, entry: str, reports: Iterable[BreakerReport], now: float) -> None:
         """Takes all breakers of one entry that have opened during the move.
@@ -35,6 +37,18 @@
         if times != [report.times for report in self._reports_by_entry.get(entry, ())]:
             self._changed_at[entry] = now
         self._reports_by_entry[entry] = mine
+        self._seen_at[entry] = now
+
+    def expire(self, now: float) -> None:
+        """Forgets entries that no longer report, so that their breakers do not hold the move.
+
+        :param now: wall seconds.
+        """
+        for entry, seen_at in tuple(self._seen_at.items()):
+            if now - seen_at > _SILENT_S:
+                del self._seen_at[entry]
+                self._reports_by_entry.pop(entry)
+                self._changed_at.pop(entry, None)
 
     def all_closed(self) -> bool:
         """Tells whether no breaker blocks the version."""
--- a/geraniumrail/rollout/move_controller.py
+++ b/geraniumrail/rollout/move_controller.py
@@ -135,6 +135,7 @@
         self._now = now
         if self.end is not None:
             return self.end
+        self._breakers.expire(now)
         evidence = self._sequential.look(now)
         self._judge(evidence, now)
         if self.end is not None:
--- a/geraniumrail/rollout/move_controller_test.py
+++ b/geraniumrail/rollout/move_controller_test.py
@@ -164,6 +164,21 @@
         controller.observe((), (reopened,), 'e1', 8)
         self.assert_end(controller.decide(8), Ending.taken_back, EndReason.breaker)
 
+    def test_open_breaker_of_a_lost_entry_does_not_hold_the_move(self):
+        run = Run(good)
+        run.until(20)
+        lost = BreakerReport(
+            service='assistant-llm',
+            version='v2',
+            route='chat',
+            cause='error_rate',
+            state='open',
+            step=1,
+            times=1,
+        )
+        run.controller.observe((), (lost,), 'lost', run.now)
+        self.assert_end(run.until(1000), Ending.done, EndReason.evidence)
+
 
 if __name__ == '__main__':
     unittest.main()
