--- a/geraniumrail/bench/knowledge_experiment.py
+++ b/geraniumrail/bench/knowledge_experiment.py
@@ -42,6 +42,9 @@
     'subset_64_answers': Spread(subset=64),
     'subset_16_forward': Spread(subset=16, forward=True),
     'subset_32_forward': Spread(subset=32, forward=True),
+    'near_32_answers': Spread(subset=32, far=8),
+    'near_32_forward': Spread(subset=32, far=8, forward=True),
+    'near_32_forward_rings': Spread(subset=32, far=8, forward=True, rings=NEAR_TIGHT),
     'rings_tight': Spread(rings=NEAR_TIGHT),
     'rings_loose': Spread(rings=NEAR_LOOSE),
 }
@@ -100,7 +103,7 @@
 
 def _background(spread: Spread) -> float:
     """Returns bytes per second sent by each entry that the spreader does not count."""
-    if spread.rings:
+    if spread.rings and not spread.forward:
         return FRAME_BYTES / BATCH_S
     if spread.period_s == RECORD_PERIOD_S or spread.period_s == PACKED_PERIOD_S:
         return ONE_WAY_BYTES_PER_S
--- a/geraniumrail/bench/scale_entry.py
+++ b/geraniumrail/bench/scale_entry.py
@@ -52,8 +52,7 @@
         self._region = f'region{number % 4 // 2}'
         if spread.perfect:
             self.knowledge = PerfectKnowledge(fleet.engines_by_name)
-        names = tuple(fleet.engines_by_name)
-        self.subset = choose_subset(f'n{number}', names, spread.subset or len(names))
+        self.subset = self._choose_subset(f'n{number}', spread, fleet.backends)
         self._candidates = [each for each in fleet.backends if each.instance in self.subset]
 
     def submit(self, job: Job) -> None:
@@ -68,6 +67,18 @@
             return 0
         return 1 if backend.region == self._region else 2
 
+    def _choose_subset(
+        self, entry: str, spread: Spread, backends: Sequence[Backend]
+    ) -> frozenset[str]:
+        names = tuple(backend.instance for backend in backends)
+        if spread.far is None:
+            return choose_subset(entry, names, spread.subset or len(names))
+        near = tuple(each.instance for each in backends if each.region == self._region)
+        far = tuple(each.instance for each in backends if each.region != self._region)
+        return choose_subset(entry, near, spread.subset - spread.far) | choose_subset(
+            entry, far, spread.far
+        )
+
     def _on_first(self, name: str, job: Job) -> None:
         report = self._fleet.engines_by_name[name].report()
         self.knowledge.observe_load(name, report, self._time.now)
@@ -120,14 +131,15 @@
         # Received from outside: counted half, as `sent_bytes` counts bytes that are also received.
         self.sent_bytes += announcement_bytes(dataclasses.replace(backend, load=report)) / 2
         holders = self._holders_by_engine[backend.instance]
+        if self._spread.rings:
+            holders = [each for each in holders if self._due(backend, each, report)]
         if self._spread.forward:
             self._deliver(backend, report, holders)
             self.sent_bytes += len(holders) * (len(pack([(number, report)])) + FRAME_BYTES)
-        if self._spread.rings:
-            due = [each for each in holders if self._due(backend, each, report)]
-            self._deliver(backend, report, due)
+        elif self._spread.rings:
+            self._deliver(backend, report, holders)
             # Sent through a tree of entries in batches; framing is counted by the experiment.
-            self.sent_bytes += len(due) * ROW_BYTES
+            self.sent_bytes += len(holders) * ROW_BYTES
         self._time.after(ANNOUNCE_S, functools.partial(self._announce, number, backend))
 
     def _spread_to_all(self, backend: Backend) -> None:
--- a/geraniumrail/bench/spread.py
+++ b/geraniumrail/bench/spread.py
@@ -33,9 +33,10 @@
 
     perfect: bool = False
     subset: int = 0  # engines for each entry; 0: all
+    far: int | None = None  # of these, engines in the other region; None: as the hash falls
     period_s: float = math.inf  # between reports of an engine to all entries
     forward: bool = False  # announcements go to the entries that have the engine in their subset
-    rings: tuple[Ring, ...] = ()
+    rings: tuple[Ring, ...] = ()  # with `forward`: send only what is due
 
 
 def choose_subset(entry: str, engines: tuple[str, ...], size: int) -> frozenset[str]:
