--- a/geraniumrail/control/follower_session.py
+++ b/geraniumrail/control/follower_session.py
@@ -55,7 +55,7 @@
         :param leases: entries with a lease.
         :param usage: use of the organisations.
         """
-        difference = registry.since(self._registry_version, self.info.entry)
+        difference = registry.since(self._registry_version, self.info)
         update = ControlUpdate(
             term=self.term,
             answers=self._answers,
--- a/geraniumrail/core/backend.py
+++ b/geraniumrail/core/backend.py
@@ -22,4 +22,5 @@
     lease_s: float = 6
     sequence: int = 0  # grows with each announcement of this instance
     load: LoadReport = LoadReport()
+    load_known: bool = True  # False: relayed without load to an entry that does not use it
     cache_events: tuple[CacheEvent, ...] = ()
--- a/geraniumrail/entry/cluster_view.py
+++ b/geraniumrail/entry/cluster_view.py
@@ -98,13 +98,15 @@
         :param service: name of the service.
         """
         now = self._clock.now()
-        return [
+        usable = [
             backend
             for backend in self.backends_by_instance.values()
             if backend.service == service
             and backend.instance not in self.drained
             and self.knowledge.usable(backend, now)
         ]
+        # A backend server without a load report looks idle to every entry that lacks it.
+        return [backend for backend in usable if backend.load_known] or usable
 
     def servers(self, service: str) -> list[Backend]:
         """Returns the backend servers of a service, also those that get no new work.
--- a/geraniumrail/entry/outcomes.py
+++ b/geraniumrail/entry/outcomes.py
@@ -53,12 +53,18 @@
         return move.from_version if blocked else move.to_version
 
     def band(self, backend: Backend) -> int:
-        """Returns the load band of a backend server now, before a request is sent.
+        """Returns the load band of a version now, before a request is sent.
 
-        :param backend: the backend server.
+        :param backend: the backend server that will get it.
         """
-        estimate = self._view.knowledge.estimate(backend, self._clock.now())
-        return load_band(int(estimate.requests), 0, estimate.slots)
+        now = self._clock.now()
+        estimates = [
+            self._view.knowledge.estimate(each, now)
+            for each in self._view.candidates(backend.service)
+            if each.version == backend.version
+        ]
+        requests = sum(estimate.requests for estimate in estimates)
+        return load_band(int(requests), 0, sum(estimate.slots for estimate in estimates))
 
     def _has_backend(self, service: str, version: str) -> bool:
         return any(backend.version == version for backend in self._view.candidates(service))
