--- a/geraniumrail/testing/schedules.py
+++ b/geraniumrail/testing/schedules.py
@@ -3,11 +3,13 @@
 from collections.abc import Callable
 
 from geraniumrail.consensus import testing as consensus
+from geraniumrail.entry import testing as bookings
 from geraniumrail.testing import streams
 
 Schedule = tuple[str, Callable[[int], object]]
 
 SCHEDULES: tuple[Schedule, ...] = (
+    ('bookings', bookings.run_schedule),
     ('consensus', consensus.run_schedule),
     ('streams', streams.run_schedule),
 )
