Keep tasks and waiters of bookings in order so that equal seeds give equal histories

Cause: sets of tasks and events iterate by address, so that kills and wake-ups changed the order of random draws (test_same_seed_same_history failed once after the process tests).

--- a/geraniumrail/control/booking_waiters.py
+++ b/geraniumrail/control/booking_waiters.py
@@ -19,7 +19,8 @@
         :param machine: replicated state.
         """
         self._machine = machine
-        self._waiters_by_label: dict[str, set[asyncio.Event]] = {}
+        # In the order of arrival, so that equal schedules give equal histories.
+        self._waiters_by_label: dict[str, dict[asyncio.Event, None]] = {}
         machine.listen(self._applied)
 
     async def wait(self, request: AwaitBooking) -> BookingNow:
@@ -30,14 +31,14 @@
         """
         label = request.key.label()
         event = asyncio.Event()
-        waiters = self._waiters_by_label.setdefault(label, set())
-        waiters.add(event)
+        waiters = self._waiters_by_label.setdefault(label, {})
+        waiters[event] = None
         try:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(request.limit_s):
                     await self._until_final(label, event)
         finally:
-            waiters.discard(event)
+            waiters.pop(event)
             if not waiters:
                 self._waiters_by_label.pop(label, None)
         booking = self._machine.tables.bookings_by_label.get(label)
--- a/geraniumrail/entry/testing.py
+++ b/geraniumrail/entry/testing.py
@@ -133,7 +133,7 @@
         self.faults = faults
         self.journal: list[Run] = []
         self.states: dict[str, tuple[str, bytes]] = {}
-        self.tasks: set[asyncio.Task] = set()
+        self.tasks: dict[asyncio.Task, None] = {}  # ordered, for equal histories
         self.backends = {name: self.backend(name, 1) for name in ('s1', 's2', 's3')}
         self.gone: set[str] = set()
 
@@ -153,8 +153,8 @@
 
     def spawn(self, work) -> None:
         task = asyncio.ensure_future(work)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        self.tasks[task] = None
+        task.add_done_callback(self.tasks.pop)
 
     def hit(self, share: float) -> bool:
         return self.rng.random() < share
@@ -354,7 +354,7 @@
         client = Client(self, services)
         outcomes = Outcomes(self.view, self)
         self.bookings = Bookings(self.entry, self.view, outcomes, control, client, self, rng)
-        self.tasks: set[asyncio.Task] = set()
+        self.tasks: dict[asyncio.Task, None] = {}  # ordered, for equal histories
         self.spawn(self.heartbeat())
 
     def now(self) -> float:
@@ -376,8 +376,8 @@
 
     def spawn(self, work) -> asyncio.Task:
         task = asyncio.ensure_future(work)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        self.tasks[task] = None
+        task.add_done_callback(self.tasks.pop)
         return task
 
     def kill(self) -> None:
@@ -455,7 +455,7 @@
         for name in self.hosts:
             self.start(name)
         self.requests: list[Request] = []
-        self.repairs: set[asyncio.Task] = set()
+        self.repairs: dict[asyncio.Task, None] = {}
 
     def start(self, name: str) -> None:
         rng = random.Random(self.rng.random())
@@ -540,8 +540,8 @@
             actions = announced if self.report.announced else (*hard, *announced)
             for action in self.rng.sample(actions, self.rng.choice((1, 1, 2))):
                 task = asyncio.ensure_future(action())
-                self.repairs.add(task)
-                task.add_done_callback(self.repairs.discard)
+                self.repairs[task] = None
+                task.add_done_callback(self.repairs.pop)
 
     def victim(self) -> Host | None:
         sound = [
