--- a/geraniumrail/entry/cluster_view.py
+++ b/geraniumrail/entry/cluster_view.py
@@ -35,6 +35,7 @@
         self.share = EntryShare(entries=1, share_by_organisation={})
         self.drained: frozenset[str] = frozenset()
         self.registry_version = -1
+        self.answered_at: float = 0  # when the newest report was sent that control has answered
         self.knowledge = knowledge
         self._clock = clock
         self._term = 0
@@ -67,6 +68,7 @@
         self.share = update.share
         self.drained = frozenset(update.drained)
         self._renew(sent_at + update.lease_s)
+        self.answered_at = max(self.answered_at, sent_at)
         return True
 
     def end_lease(self) -> None:
@@ -96,13 +98,15 @@
         :param service: name of the service.
         """
         now = self._clock.now()
-        return [
+        usable = [
             backend
             for backend in self.backends_by_instance.values()
             if backend.service == service
             and backend.instance not in self.drained
             and self.knowledge.usable(backend, now)
         ]
+        # A backend server without a load report looks idle to every entry that lacks it.
+        return [backend for backend in usable if backend.load_known] or usable
 
     def servers(self, service: str) -> list[Backend]:
         """Returns the backend servers of a service, also those that get no new work.
