Fit the booking schedules to streams that know their term

Cause: FollowerSession takes the term since streams end with their leadership; the harness of the bookings still called it the old way, so no entry got an update and the checks that expect a fault found none (4 failures in bookings_test). After: these four pass.

--- a/geraniumrail/entry/testing.py
+++ b/geraniumrail/entry/testing.py
@@ -286,9 +286,9 @@
         self.leases.renew(report.info, self.clock.now())
         self.usage.observe(report.info.entry, report.usage)
         self.registry.observe(backends, self.clock.now())
-        session = FollowerSession(report)
+        session = FollowerSession(report, self.term)
         tables = self.machine.tables
-        return session.build_update(self.term, tables, self.registry, self.leases, self.usage)
+        return session.build_update(tables, self.registry, self.leases, self.usage)
 
 
 class Links:
