Make a registry difference cost as much as it holds

At 64 entries and 880 engines the leader used 72% of a core for some seconds after the engines announced themselves: each update walked over all engines, and each new engine let the subsets of all entries be computed again (880 digests each). Differences are now read from the end of an ordered table, load rows are built once, digests are cached, and subsets are computed again a few times a second at most.

--- a/geraniumrail/control/publisher.py
+++ b/geraniumrail/control/publisher.py
@@ -67,6 +67,7 @@
             self.wake_all()
         if self.registry.expire(now):
             self.wake_all()
+        self.registry.refresh_subsets()
 
     def wake_all(self) -> None:
         """Sends an update to every entry."""
--- a/geraniumrail/control/registry.py
+++ b/geraniumrail/control/registry.py
@@ -1,6 +1,7 @@
 """The backend servers that have announced themselves: soft state of the control leader."""
 
 import dataclasses
+import functools
 import hashlib
 import itertools
 from collections.abc import Iterable, Iterator
@@ -19,6 +20,7 @@
 FAR_SUBSET = 8
 MAX_GONE = 4096
 MAX_SUBSETS = 4096
+WORD_MASK = (1 << 64) - 1
 _Subset = tuple[int, frozenset[str]]  # member changes when it was computed, instances
 UNRENEWED_LEASE_S = 86_400.0
 
@@ -31,6 +33,7 @@
     expires_at: float
     member_version: int  # registry version of the last change other than load
     load_version: int
+    row: LoadRow
 
 
 @dataclasses.dataclass(frozen=True)
@@ -45,7 +48,11 @@
 
 
 class Registry:
-    """Keeps the newest announcement of each instance until its lease runs out."""
+    """Keeps the newest announcement of each instance until its lease runs out.
+
+    Invariant: `known_by_instance` is ordered by `member_version` and the departures by version, so
+    that a difference costs as much as it holds, not as much as there are backend servers.
+    """
 
     def __init__(self, first_version: int = 0) -> None:
         """Starts empty.
@@ -58,6 +65,8 @@
         self._gone_by_instance: dict[str, int] = {}
         self._oldest_difference = first_version
         self._member_changes = 0
+        self._subset_epoch = 0
+        self._subset_changes = 0
         self._subsets_by_entry: dict[str, _Subset] = {}
 
     def observe(self, backends: Iterable[Backend], now: float) -> bool:
@@ -87,6 +96,16 @@
         self._trim()
         return bool(expired)
 
+    def refresh_subsets(self) -> None:
+        """Lets the entries' subsets be computed again if members have changed.
+
+        Called a few times a second: after a change of leader, 880 engines announce themselves to
+        it one by one, and each would change the subsets of 320 entries.
+        """
+        if self._subset_changes != self._member_changes:
+            self._subset_changes = self._member_changes
+            self._subset_epoch += 1
+
     def since(self, version: int, reader: EntryInfo) -> Difference:
         """Returns what a reader lacks.
 
@@ -97,20 +116,29 @@
         held = -1 if full else version
         subset = self._subset(reader)
         backends = tuple(
-            _for_reader(known.backend, instance in subset)
-            for instance, known in self.known_by_instance.items()
-            if known.member_version > held
+            _for_reader(known.backend, known.backend.instance in subset)
+            for known in self._changed_since(held)
         )
-        used = (self.known_by_instance[instance] for instance in subset)
+        used = (self.known_by_instance.get(instance) for instance in subset)
         loads = tuple(
-            LoadRow.from_backend(known.backend)
+            known.row
             for known in used
-            if known.member_version <= held < known.load_version
-        )
-        gone = tuple(
-            instance for instance, removed in self._gone_by_instance.items() if removed > held
+            if known is not None and known.member_version <= held < known.load_version
         )
-        return Difference(self.version, full, backends, loads, () if full else gone)
+        gone = () if full else tuple(self._gone_since(held))
+        return Difference(self.version, full, backends, loads, gone)
+
+    def _changed_since(self, held: int) -> Iterator[Known]:
+        for known in reversed(self.known_by_instance.values()):
+            if known.member_version <= held:
+                return
+            yield known
+
+    def _gone_since(self, held: int) -> Iterator[str]:
+        for instance, version in reversed(self._gone_by_instance.items()):
+            if version <= held:
+                return
+            yield instance
 
     def _observe_one(self, backend: Backend, now: float) -> bool:
         known = self.known_by_instance.get(backend.instance)
@@ -124,18 +152,21 @@
         elif changed:
             log(events.BACKEND_CHANGED, instance=backend.instance, state=backend.state)
         self._gone_by_instance.pop(backend.instance, None)
+        if changed:
+            self.known_by_instance.pop(backend.instance, None)  # goes to the end of the order
         self.known_by_instance[backend.instance] = Known(
             backend=backend,
             expires_at=now + backend.lease_s,
             member_version=known.member_version if known and not changed else self.version,
             load_version=self.version,
+            row=LoadRow.from_backend(backend),
         )
         return changed
 
     def _subset(self, reader: EntryInfo) -> frozenset[str]:
         """Returns the instances whose load the entry gets; computed anew when members change."""
         held = self._subsets_by_entry.get(reader.entry)
-        if held is not None and held[0] == self._member_changes:
+        if held is not None and held[0] >= self._subset_epoch:
             return held[1]
         groups: dict[tuple[str, str], list[Backend]] = {}
         for known in self.known_by_instance.values():
@@ -146,7 +177,7 @@
         )
         if len(self._subsets_by_entry) > MAX_SUBSETS:
             self._subsets_by_entry.clear()  # entries that restarted leave theirs behind
-        self._subsets_by_entry[reader.entry] = (self._member_changes, subset)
+        self._subsets_by_entry[reader.entry] = (self._subset_epoch, subset)
         return subset
 
     def _trim(self) -> None:
@@ -177,12 +208,22 @@
     if len(backends) <= NEAR_SUBSET + FAR_SUBSET:
         yield from (backend.instance for backend in backends)
         return
-    ranked = sorted(backends, key=lambda backend: _rank(reader.entry, backend.instance))
+    entry = _digest(reader.entry)
+    ranked = sorted(backends, key=lambda backend: _mix(entry ^ _digest(backend.instance)))
     near = [backend for backend in ranked if backend.region == reader.region][:NEAR_SUBSET]
-    far = [backend for backend in ranked if backend not in near]
+    far = [backend for backend in ranked if backend.region != reader.region]
+    far += [backend for backend in ranked if backend.region == reader.region][NEAR_SUBSET:]
     chosen = itertools.chain(near, far[: NEAR_SUBSET + FAR_SUBSET - len(near)])
     yield from (backend.instance for backend in chosen)
 
 
-def _rank(reader: str, instance: str) -> bytes:
-    return hashlib.blake2b(f'{reader}|{instance}'.encode(), digest_size=8).digest()
+@functools.cache
+def _digest(name: str) -> int:
+    return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=8).digest())
+
+
+def _mix(number: int) -> int:
+    """Spreads the bits of a number of 64 bits (the finalizer of splitmix64)."""
+    number = ((number ^ (number >> 30)) * 0xBF58476D1CE4E5B9) & WORD_MASK
+    number = ((number ^ (number >> 27)) * 0x94D049BB133111EB) & WORD_MASK
+    return number ^ (number >> 31)
--- a/geraniumrail/core/load_row.py
+++ b/geraniumrail/core/load_row.py
@@ -9,6 +9,8 @@
 
 Figures = tuple[int, int, int, int, float, float, float]
 
+LOAD_FIELDS = tuple(field.name for field in dataclasses.fields(LoadReport))
+
 
 @record
 class LoadRow:
@@ -29,7 +31,16 @@
 
         :param backend: the announcement.
         """
-        figures = dataclasses.astuple(backend.load)
+        load = backend.load
+        figures = (
+            load.running,
+            load.queued,
+            load.slots,
+            load.queued_tokens,
+            load.tokens_per_s,
+            load.kv_used,
+            load.age_s,
+        )
         return cls(i=backend.instance, s=backend.sequence, f=figures, e=backend.cache_events)
 
     def renew(self, known: Backend) -> Backend:
@@ -37,8 +48,7 @@
 
         :param known: the last announcement of the instance.
         """
-        names = (field.name for field in dataclasses.fields(LoadReport))
-        load = LoadReport(**dict(zip(names, self.f, strict=True)))
+        load = LoadReport(**dict(zip(LOAD_FIELDS, self.f, strict=True)))
         return dataclasses.replace(
             known,
             sequence=self.s,
