--- a/geraniumrail/bench/control_slopes.py
+++ b/geraniumrail/bench/control_slopes.py
@@ -30,7 +30,6 @@
 
 RENEW_S = 2.0
 CHANGES = 10
-SETTLE_S = 6.0
 MIB = 1 << 20
 
 
@@ -155,22 +154,22 @@
     deployment: Deployment,
     leader: psutil.Process,
     size: tuple[int, int],
-    seconds: float,
+    args: argparse.Namespace,
 ) -> str:
     """Measures one size and returns a line of CSV.
 
     :param deployment: the control members.
     :param leader: process of the control leader.
     :param size: numbers of entries and of backend servers.
-    :param seconds: length of the measurement.
+    :param args: parsed options.
     """
     count, backends = size
     seeds = [place.peers for place in deployment.places]
     entries = [SimulatedEntry(number, seeds) for number in range(count)]
     announcing = asyncio.create_task(announce(entries, backends, RENEW_S))
-    await asyncio.sleep(SETTLE_S)
+    await asyncio.sleep(args.settle)
     before = Usage.take(leader)
-    await asyncio.sleep(seconds)
+    await asyncio.sleep(args.seconds)
     after = Usage.take(leader)
     known = min(len(entry.view.backends_by_instance) for entry in entries)
     in_force_s = [await change(deployment, f'{count}-{backends}-{each}') for each in range(CHANGES)]
@@ -231,7 +230,7 @@
                         deployment,
                         psutil.Process(pid),
                         (count, backends),
-                        args.seconds,
+                        args,
                     )
                     print(line, flush=True)
         finally:
@@ -244,6 +243,8 @@
     parser.add_argument('--entries', type=int, nargs='+', default=[4, 16, 64, 160])
     parser.add_argument('--backends', type=int, nargs='+', default=[9, 90, 880])
     parser.add_argument('--seconds', type=float, default=10)
+    # All simulated entries share one process, which takes some seconds for 320 whole registries.
+    parser.add_argument('--settle', type=float, default=6)
     uvloop.run(run(parser.parse_args()))
 
 
