Adapt engine windows to load rows and leave prefill out of the first-token wait

With 120 streams through one entry 933 requests were shed although the engines had 384 slots: windows started at 4 for each engine when the queue asked for them before the first update, and load rows did not reach them.

--- a/geraniumrail/entry/completion_run.py
+++ b/geraniumrail/entry/completion_run.py
@@ -47,6 +47,7 @@
         self._excluded: frozenset[str] = frozenset()
         self._draw = shared.rng.random()
         self._band = 0
+        self._prefill_s: float = 0
         self._end = shared.clock.now() + self.settings.deadline_ms / 1000
 
     async def chunks(self) -> AsyncIterator[Chunk]:
@@ -77,6 +78,7 @@
             except NoBackendError as error:
                 raise self._given_up(str(error)) from error
             backend = decision.backend
+            self._prefill_s = sum(part.amount for part in decision.parts if part.name == 'prefill')
             before = self.offset
             try:
                 async with contextlib.aclosing(self._attempt(backend)) as chunks:
@@ -152,7 +154,8 @@
         now = shared.clock.now()
         shared.outcomes.breaker.answered(attempt, call.service, call.route)
         target_s = self.settings.first_token_ms / 1000
-        shared.window.first_token(backend.instance, timing.first_token_s, target_s, now)
+        wait_s = max(0, timing.first_token_s - self._prefill_s)
+        shared.window.first_token(backend.instance, wait_s, target_s, now)
         if not self.offset:
             self._observe(backend, failed=None, first_token_s=timing.first_token_s)
 
--- a/geraniumrail/entry/completions.py
+++ b/geraniumrail/entry/completions.py
@@ -4,6 +4,7 @@
 import collections
 import dataclasses
 import random
+from collections.abc import Iterable
 
 from geraniumrail.backends.engine_client import EngineClient
 from geraniumrail.core.backend import Backend
@@ -98,6 +99,17 @@
         entries = max(1, len(self.view.entries))
         self.window.introduce(backend.instance, 2 * backend.load.slots / entries)
 
+    def reported(self, instances: Iterable[str]) -> None:
+        """Adapts the windows of engines that sent a load report.
+
+        :param instances: which engines.
+        """
+        for instance in instances:
+            backend = self.view.backends_by_instance.get(instance)
+            if backend is not None and backend.load_known:
+                self.introduce(backend)
+                self.window.reported(instance, backend.load)
+
     def pump(self) -> None:
         """Grants turns, after engines or settings have changed."""
         for admission in self._admissions.values():
--- a/geraniumrail/entry/entry.py
+++ b/geraniumrail/entry/entry.py
@@ -236,6 +236,7 @@
         known = self.view.backends_by_instance.get(backend.instance)
         self._announces.add(backend)
         self.view.observe((backend,))
+        self._completions.reported((backend.instance,))
         if known is None or known.state != backend.state:
             self._follower.poke()
             if backend.state == 'leaving':
@@ -281,9 +282,8 @@
     def _updated(self, update: ControlUpdate) -> None:
         self._outcomes.follow_moves()
         self._completions.limits.update(update.share)
-        for backend in update.backends:
-            self._completions.introduce(backend)
-            self._completions.window.reported(backend.instance, backend.load)
+        self._completions.reported(backend.instance for backend in update.backends)
+        self._completions.reported(row.i for row in update.loads)
         if update.assigned:
             self._bookings.take_over(update.assigned)
         self._completions.pump()
