--- a/geraniumrail/entry/completion_run.py
+++ b/geraniumrail/entry/completion_run.py
@@ -1,5 +1,6 @@
 """Carries one completion to its end, over as many attempts as it takes."""
 
+import asyncio
 import contextlib
 import dataclasses
 from collections.abc import AsyncIterator
@@ -48,6 +49,7 @@
         self._draw = shared.rng.random()
         self._band = 0
         self._prefill_s: float = 0
+        self._chosen = ''  # engine that counts this request as sent
         self._end = shared.clock.now() + self.settings.deadline_ms / 1000
 
     async def chunks(self) -> AsyncIterator[Chunk]:
@@ -77,6 +79,9 @@
                 decision = await admission.turn(item, self._choose, self._remaining_s())
             except NoBackendError as error:
                 raise self._given_up(str(error)) from error
+            except asyncio.CancelledError:
+                self._forget_choice()
+                raise
             backend = decision.backend
             self._prefill_s = sum(part.amount for part in decision.parts if part.name == 'prefill')
             before = self.offset
@@ -99,7 +104,6 @@
         attempt = f'{call.request_id}.{self.attempts}'
         sent_at = shared.clock.now()
         self._band = shared.outcomes.band(backend)
-        shared.view.knowledge.sent(backend.instance, call.tokens, call.prefixes, sent_at)
         shared.outcomes.breaker.waiting(
             attempt,
             call.service,
@@ -132,7 +136,7 @@
                 # The caller is gone, or the connection may be too silent to carry its end.
                 shared.outcomes.breaker.answered(attempt, call.service, call.route)
                 shared.cancel(backend, call.request_id, self.attempts)
-            shared.view.knowledge.finished(backend.instance, call.tokens, shared.clock.now())
+            self._forget_choice()
 
     def _engine_call(self) -> EngineCall:
         settings = self.settings
@@ -261,8 +265,18 @@
         )
         decision = choose(candidates, request, shared.view.knowledge, shared.rng, now)
         log_decision(decision)
+        # Counted here and not when the attempt starts: several turns are granted at once, and all
+        # of them would choose the same engine.
+        self._chosen = decision.backend.instance
+        shared.view.knowledge.sent(self._chosen, call.tokens, call.prefixes, now)
         return decision
 
+    def _forget_choice(self) -> None:
+        if self._chosen:
+            now = self.shared.clock.now()
+            self.shared.view.knowledge.finished(self._chosen, self.call.tokens, now)
+            self._chosen = ''
+
     def _avoided(
         self, candidates: list[Backend], shares: tuple[tuple[str, float], ...]
     ) -> frozenset[str]:
