Send a new backend server of a small service with its load at once

In streams_test no entry but one sent work to a new engine for up to 2 s, so no stream ran at it. Cause: subsets are computed again a few times a second, and until then a new engine counted as outside of them. Ruled out: routing (48 streams were spread evenly over the other engines).

--- a/geraniumrail/control/registry.py
+++ b/geraniumrail/control/registry.py
@@ -1,5 +1,6 @@
 """The backend servers that have announced themselves: soft state of the control leader."""
 
+import collections
 import dataclasses
 import functools
 import hashlib
@@ -66,6 +67,7 @@
         self._oldest_difference = first_version
         self._member_changes = 0
         self._subset_epoch = 0
+        self._sizes: collections.Counter[tuple[str, str]] = collections.Counter()
         self._subset_changes = 0
         self._subsets_by_entry: dict[str, _Subset] = {}
 
@@ -90,6 +92,7 @@
         for instance in expired:
             self.version += 1
             gone = self.known_by_instance.pop(instance)
+            self._sizes[_group(gone.backend)] -= 1
             self._member_changes += 1
             self._gone_by_instance[instance] = self.version
             log(events.BACKEND_GONE, instance=instance, service=gone.backend.service)
@@ -116,7 +119,7 @@
         held = -1 if full else version
         subset = self._subset(reader)
         backends = tuple(
-            _for_reader(known.backend, known.backend.instance in subset)
+            _for_reader(known.backend, self._is_used(known.backend, subset))
             for known in self._changed_since(held)
         )
         used = (self.known_by_instance.get(instance) for instance in subset)
@@ -128,6 +131,12 @@
         gone = () if full else tuple(self._gone_since(held))
         return Difference(self.version, full, backends, loads, gone)
 
+    def _is_used(self, backend: Backend, subset: frozenset[str]) -> bool:
+        # The subset may be older than a new backend server, which would get no work from this
+        # entry until its next announcement.
+        small = self._sizes[_group(backend)] <= NEAR_SUBSET + FAR_SUBSET
+        return small or backend.instance in subset
+
     def _changed_since(self, held: int) -> Iterator[Known]:
         for known in reversed(self.known_by_instance.values()):
             if known.member_version <= held:
@@ -154,6 +163,9 @@
         self._gone_by_instance.pop(backend.instance, None)
         if changed:
             self.known_by_instance.pop(backend.instance, None)  # goes to the end of the order
+            self._sizes[_group(backend)] += 1
+            if known is not None:
+                self._sizes[_group(known.backend)] -= 1
         self.known_by_instance[backend.instance] = Known(
             backend=backend,
             expires_at=now + backend.lease_s,
@@ -170,8 +182,7 @@
             return held[1]
         groups: dict[tuple[str, str], list[Backend]] = {}
         for known in self.known_by_instance.values():
-            group = (known.backend.service, known.backend.version)
-            groups.setdefault(group, []).append(known.backend)
+            groups.setdefault(_group(known.backend), []).append(known.backend)
         subset = frozenset(
             itertools.chain.from_iterable(_nearest(group, reader) for group in groups.values()),
         )
@@ -217,6 +228,10 @@
     yield from (backend.instance for backend in chosen)
 
 
+def _group(backend: Backend) -> tuple[str, str]:
+    return backend.service, backend.version
+
+
 @functools.cache
 def _digest(name: str) -> int:
     return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=8).digest())
--- a/geraniumrail/control/registry_test.py
+++ b/geraniumrail/control/registry_test.py
@@ -66,6 +66,13 @@
         renewed_by_row = row.renew(dataclasses.replace(known, load_known=False))
         self.assertEqual(renewed_by_row, dataclasses.replace(known, sequence=2))
 
+    def test_new_server_of_a_small_service_has_load_at_once(self):
+        self.registry.observe([announced(1)], 0)
+        held = self.registry.since(-1, READER).version
+        self.registry.observe([announced(2)], 1)
+        sent = self.registry.since(held, READER).backends
+        self.assertEqual([(each.instance, each.load_known) for each in sent], [('engine-2', True)])
+
     def test_departure_reaches_entries_that_get_no_load(self):
         self.registry.observe([announced(number) for number in range(200)], 0)
         first = self.registry.since(-1, READER)
