--- a/geraniumrail/operators/move_routes.py
+++ b/geraniumrail/operators/move_routes.py
@@ -90,6 +90,7 @@
         return json_response(self._shown(result.move))
 
     def _shown(self, move: Move) -> dict[str, object]:
+        left = {'deadline_in_s': self._left_s(move)} if move.running() else {}
         return {
             'move_id': move.move_id,
             'service': move.service,
@@ -100,8 +101,12 @@
             'step': move.step,
             'reason': move.reason,
             'operator': move.operator,
-            'deadline_in_s': round(move.deadline - self._control.wall(), 1),
+            'deadline_at': move.deadline,
+            **left,
             'started_at': move.started_at,
             'stepped_at': move.stepped_at,
             'ended_at': move.ended_at,
         }
+
+    def _left_s(self, move: Move) -> float:
+        return round(move.deadline - self._control.wall(), 1)
