--- a/geraniumrail/forwarding/run.py
+++ b/geraniumrail/forwarding/run.py
@@ -121,6 +121,8 @@
         failed = attempt.status >= _SERVER_ERROR
         self._observe(attempt.backend, failed=failed)
         if failed and self._may_repeat(attempt.backend):
+            self._may_have_run = True
+            self._excluded |= {attempt.backend.instance}
             return BackendError(backend=attempt.backend.instance, reason=f'status {attempt.status}')
         if self._reply.started:
             raise IncompleteAnswerError(reason=f'status {attempt.status} after the first event')
