--- a/geraniumrail/consensus/replica.py
+++ b/geraniumrail/consensus/replica.py
@@ -196,7 +196,7 @@
             group_id=context.membership.group_id,
             role=standing.role,
             term=context.term,
-            leader=standing.leader_address,
+            leader=standing.leader_address if context.hears_leader() or leadership else '',
             commit=context.applier.commit_index,
             applied=context.applier.applied_index,
             last_index=journal.last_index,
--- a/geraniumrail/entry/follower.py
+++ b/geraniumrail/entry/follower.py
@@ -17,9 +17,14 @@
 from geraniumrail.links.messages import ControlUpdate, EntryReport
 from geraniumrail.links.pool import LinkPool
 
-REPORT_INTERVAL_S = 1.0
-# Every report is answered at once; a stream without answers has gone silent.
-SILENCE_LIMIT_S = 2.2
+# A few entries report more often, so that they notice a lost leader well within their lease; many
+# would take too much of the leader's processor.
+LONGEST_INTERVAL_S = 1.0
+SHORTEST_INTERVAL_S = 0.4
+INTERVAL_FOR_EACH_ENTRY_S = 0.02
+# Every report is answered at once; a stream without answers for so many intervals is silent.
+SILENT_INTERVALS = 2
+SILENCE_MARGIN_S = 0.2
 RECONNECT_DELAY_S = 0.15
 MIN_REPORT_INTERVAL_S = 0.05
 
@@ -63,6 +68,11 @@
         """Sends the next report at once."""
         self._poked.set()
 
+    def _interval_s(self) -> float:
+        entries = self._view.share.entries
+        wanted = max(SHORTEST_INTERVAL_S, INTERVAL_FOR_EACH_ENTRY_S * entries)
+        return min(LONGEST_INTERVAL_S, wanted)
+
     async def run(self) -> None:
         """Follows until cancelled."""
         while True:
@@ -87,7 +97,8 @@
         followed = False
         try:
             while True:
-                async with asyncio.timeout(SILENCE_LIMIT_S):
+                silence_s = SILENT_INTERVALS * self._interval_s() + SILENCE_MARGIN_S
+                async with asyncio.timeout(silence_s):
                     update = await anext(updates, None)
                 if update is None:
                     raise LinkError(address=address, reason='the stream ended')
@@ -105,7 +116,7 @@
             self._sent_at_by_sequence[sequence] = self._clock.now()
             yield self._build_report(sequence)
             try:
-                async with asyncio.timeout(REPORT_INTERVAL_S):
+                async with asyncio.timeout(self._interval_s()):
                     await self._poked.wait()
             except TimeoutError:
                 continue
