--- a/geraniumrail/backends/connections_test.py
+++ b/geraniumrail/backends/connections_test.py
@@ -4,14 +4,16 @@
 import socket
 import unittest
 
-from geraniumrail.backends.connections import make_socket
+from geraniumrail.backends.connections import ConnectionsConfig, make_socket
 from geraniumrail.backends.event_lines import EventLines, LineTooLongError
 
 
 class SocketTest(unittest.TestCase):
     @unittest.skipUnless(hasattr(socket, 'TCP_USER_TIMEOUT'), 'Linux only')
     def test_cut_off_peer_does_not_hold_a_connection_for_minutes(self):
-        with make_socket(4000, (socket.AF_INET, socket.SOCK_STREAM, 0)) as made:
+        with make_socket(
+            ConnectionsConfig(user_timeout_ms=4000), (socket.AF_INET, socket.SOCK_STREAM, 0)
+        ) as made:
             option = made.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
         self.assertEqual(option, 4000)
 
--- a/geraniumrail/config/control.py
+++ b/geraniumrail/config/control.py
@@ -9,7 +9,8 @@
 KEYS = ('seeds', 'data_folder', 'durable', 'voters', 'found', 'election_timeout_s')
 
 _MAX_VOTERS = 9
-_ELECTION_TIMEOUT_S = 2.0  # see ReplicaConfig
+_LEAST_TIMEOUT_S = 0.5
+_MOST_TIMEOUT_S = 60
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -25,7 +26,7 @@
     durable: bool = False
     voters: int = 0  # 0: operators change the members
     found: bool = False
-    election_timeout_s: float = _ELECTION_TIMEOUT_S
+    election_timeout_s: float | None = None  # None: the default of ReplicaConfig
 
     @classmethod
     def from_config(cls, section: Section) -> 'ControlConfig':
@@ -44,5 +45,11 @@
             durable=durable,
             voters=section.whole('voters', 0, _MAX_VOTERS, 0),
             found=section.flag('found', default=False),
-            election_timeout_s=section.number('election_timeout_s', 0.5, 60, _ELECTION_TIMEOUT_S),
+            election_timeout_s=_election_timeout_s(section),
         )
+
+
+def _election_timeout_s(section: Section) -> float | None:
+    if 'election_timeout_s' not in section.nodes_by_key:
+        return None
+    return section.number('election_timeout_s', _LEAST_TIMEOUT_S, _MOST_TIMEOUT_S, 0)
--- a/geraniumrail/consensus/config.py
+++ b/geraniumrail/consensus/config.py
@@ -7,23 +7,6 @@
 class ReplicaConfig:
     """Settings of one replica; times are in seconds."""
 
-    @classmethod
-    def from_election_timeout(cls, name: str, address: str, timeout_s: float) -> 'ReplicaConfig':
-        """Creates settings whose times keep the ratios of the defaults.
-
-        :param name: first part of the replica id.
-        :param address: ip:port at which the other replicas reach this one.
-        :param timeout_s: election timeout.
-        """
-        ratio = timeout_s / cls.election_timeout_s
-        return cls(
-            name=name,
-            address=address,
-            heartbeat_s=cls.heartbeat_s * ratio,
-            lease_s=cls.lease_s * ratio,
-            election_timeout_s=timeout_s,
-        )
-
     name: str  # first part of the replica id
     address: str  # ip:port at which the other replicas reach this one
     group: str = 'main'
@@ -45,3 +28,16 @@
     append_entries: int = 512  # limits of one request
     append_bytes: int = 524288
     install_bytes: int = 262144
+
+    def with_election_timeout(self, timeout_s: float) -> 'ReplicaConfig':
+        """Returns settings with another election timeout whose other times keep their ratio.
+
+        :param timeout_s: election timeout.
+        """
+        ratio = timeout_s / self.election_timeout_s
+        return dataclasses.replace(
+            self,
+            heartbeat_s=self.heartbeat_s * ratio,
+            lease_s=self.lease_s * ratio,
+            election_timeout_s=timeout_s,
+        )
--- a/geraniumrail/control/control.py
+++ b/geraniumrail/control/control.py
@@ -64,11 +64,7 @@
         self.machine = Machine()
         transport = PeerTransport(links)
         self.replica = Replica.from_config(
-            ReplicaConfig.from_election_timeout(
-                config.instance,
-                config.peers.listen,
-                config.control.election_timeout_s,
-            ),
+            _replica_config(config),
             storage,
             transport,
             self.machine,
@@ -264,3 +260,9 @@
         self._expired_at = self._clock.now()
         before = self._clock.wall() - KEEP_ANSWERS_S
         await self.proposer.propose(commands.ExpireBookings(claimed_before=before))
+
+
+def _replica_config(config: DaemonConfig) -> ReplicaConfig:
+    found = ReplicaConfig(name=config.instance, address=config.peers.listen)
+    timeout_s = config.control.election_timeout_s
+    return found if timeout_s is None else found.with_election_timeout(timeout_s)
--- a/geraniumrail/control/follower_session.py
+++ b/geraniumrail/control/follower_session.py
@@ -51,7 +51,7 @@
         registry: Registry,
         leases: EntryLeases,
         usage: UsageShares,
-        facts: GroupFacts,
+        facts: GroupFacts = GroupFacts(),  # noqa: B008  it is immutable
     ) -> ControlUpdate:
         """Builds the next update and remembers what it holds.
 
--- a/geraniumrail/forwarding/forwarder_test.py
+++ b/geraniumrail/forwarding/forwarder_test.py
@@ -128,8 +128,7 @@
         forwarder = testing.make_forwarder([testing.route()], [stand.backend()])
         task = asyncio.create_task(self.serve(forwarder))
         async with asyncio.timeout(LIMIT_S):
-            while not stand.requests:
-                await asyncio.sleep(0.01)
+            await stand.asked.wait()
             task.cancel()
             await stand.closed.wait()
 
--- a/geraniumrail/forwarding/testing.py
+++ b/geraniumrail/forwarding/testing.py
@@ -85,11 +85,12 @@
         self.scripts = list(scripts)
         self.requests = []  # request line and headers of each request
         self.closed = asyncio.Event()  # a connection was closed by the entry
+        self.asked = asyncio.Event()
         self.connections = 0
 
     async def start(self):
         self.server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
-        self.address = '127.0.0.1:{}'.format(self.server.sockets[0].getsockname()[1])
+        self.address = f'127.0.0.1:{self.server.sockets[0].getsockname()[1]}'
         return self
 
     async def stop(self):
@@ -116,6 +117,7 @@
             while True:
                 lines = (await reader.readuntil(b'\r\n\r\n')).decode().split('\r\n')
                 self.requests.append(lines)
+                self.asked.set()
                 length = next((ln for ln in lines if ln.lower().startswith('content-length')), ':0')
                 await reader.readexactly(int(length.partition(':')[2]))
                 await self._play(self.scripts.pop(0) if self.scripts else [HANG], writer, reader)
--- a/geraniumrail/testing/daemons.py
+++ b/geraniumrail/testing/daemons.py
@@ -10,6 +10,7 @@
 from typing import Any
 from unittest import mock
 
+from geraniumrail.config.control import ControlConfig
 from geraniumrail.consensus.config import ReplicaConfig
 from geraniumrail.consensus.entry import Stored
 from geraniumrail.consensus.membership import Member
@@ -211,7 +212,7 @@
         config = types.SimpleNamespace(
             instance=name,
             peers=types.SimpleNamespace(listen=name),
-            control=types.SimpleNamespace(seeds=NAMES, data_folder=None),
+            control=ControlConfig(seeds=NAMES),
         )
         clock = SkewedClock(LoopClock(), 1 + rng.uniform(-SKEW, SKEW), rng.uniform(0, 50))
         self.control = Control(config, disk, self.links, clock, random.Random(rng.random()))
