--- a/geraniumrail/consensus/context.py
+++ b/geraniumrail/consensus/context.py
@@ -14,6 +14,9 @@
 from geraniumrail.consensus.timeout import within
 from geraniumrail.core.clock import Clock
 
+# Of the election timeout; a campaign takes a few round trips.
+FIRST_SPREAD = 0.4
+
 
 @dataclasses.dataclass
 class Standing:
@@ -82,6 +85,15 @@
         timeout = self.config.election_timeout_s
         self.standing.deadline = self.clock.now() + timeout * self.rng.uniform(shortest, 2.0)
 
+    def set_first_deadline(self) -> None:
+        """Draws the time of the first campaign: soon after a leader's lease must have ended.
+
+        All replicas may have restarted at the same moment, so the draws are spread.
+        """
+        timeout = self.config.election_timeout_s
+        earliest = max(self.clock.now(), self.standing.heard_at + timeout)
+        self.standing.deadline = earliest + timeout * self.rng.uniform(0, FIRST_SPREAD)
+
     def hears_leader(self) -> bool:
         """Tells whether a live leader was heard so recently that it may hold its lease."""
         silence = self.clock.now() - self.standing.heard_at
--- a/geraniumrail/consensus/replica.py
+++ b/geraniumrail/consensus/replica.py
@@ -48,6 +48,7 @@
         machine: StateMachine,
         clock: Clock,
         rng: random.Random,
+        heard_at: float | None = None,
     ) -> 'Replica':
         """Creates a replica from what is stored.
 
@@ -57,13 +58,15 @@
         :param machine: what the commands are applied to; its state is replaced.
         :param clock: measures leases and timeouts.
         :param rng: spreads election timeouts.
+        :param heard_at: a leader may have been heard until then, by the same clock; by default
+            until now. After a start that took long, an election need not wait any more.
         :raises LogDamagedError: if the storage is damaged.
         """
         stored = storage.load()
         journal = Journal(storage, stored)
         applier = Applier(journal, machine, (config.snapshot_after, config.keep_entries))
         # A replica may have confirmed a leader's lease just before it restarted.
-        standing = Standing(heard_at=clock.now(), deadline=0)
+        standing = Standing(heard_at=clock.now() if heard_at is None else heard_at, deadline=0)
         context = Context(
             config=config,
             replica_id=stored.replica_id,
@@ -75,7 +78,10 @@
             standing=standing,
             changed=asyncio.Event(),
         )
-        context.set_deadline()
+        if heard_at is None:
+            context.set_deadline()
+        else:
+            context.set_first_deadline()
         log(
             events.LOADED,
             replica=stored.replica_id,
--- a/geraniumrail/control/control.py
+++ b/geraniumrail/control/control.py
@@ -36,6 +36,8 @@
 from geraniumrail.state.machine import Machine
 
 TICK_S = 0.2
+# Until an elected leader has taken office nobody is served.
+OFFICE_TICK_S = 0.05
 EXPIRE_INTERVAL_S = 300.0
 KEEP_ANSWERS_S = 86_400.0
 
@@ -51,6 +53,7 @@
         clock: Clock,
         rng: random.Random,
         window_s: float = 0,
+        heard_at: float | None = None,
     ) -> None:
         """Connects the parts.
 
@@ -60,6 +63,7 @@
         :param clock: time.
         :param rng: source of election jitter.
         :param window_s: length of a usage window in seconds; 0: usage is not reported.
+        :param heard_at: see `Replica.from_config`.
         """
         self.machine = Machine()
         transport = PeerTransport(links)
@@ -70,6 +74,7 @@
             self.machine,
             clock,
             rng,
+            heard_at,
         )
         self.leadership = Leadership(self.replica)
         self.proposer = Proposer(self.replica)
@@ -103,6 +108,7 @@
         clock: Clock,
         rng: random.Random,
         window_s: float = 0,
+        heard_at: float | None = None,
     ) -> 'Control':
         """Creates the control role of a settings file.
 
@@ -111,6 +117,7 @@
         :param clock: time.
         :param rng: source of election jitter.
         :param window_s: length of a usage window in seconds; 0: usage is not reported.
+        :param heard_at: see `Replica.from_config`.
         :raises LogDamagedError: if the data folder is damaged.
         """
         folder = config.control.data_folder
@@ -122,7 +129,7 @@
             founding = founding_state(address, config.control.seeds) if founds else None
             repairs = config.control.voters > 0
             storage = FileStorage.open(folder, config.instance, founding, set_aside=repairs)
-        return cls(config, storage, links, clock, rng, window_s)
+        return cls(config, storage, links, clock, rng, window_s, heard_at)
 
     def register(self, server: LinkServer) -> None:
         """Handles the records of other daemons.
@@ -220,7 +227,7 @@
 
     async def _run(self) -> None:
         while True:
-            await self._clock.sleep(TICK_S)
+            await self._clock.sleep(TICK_S if self.leadership.holds() else OFFICE_TICK_S)
             if not self.leadership.elected():
                 continue
             if not self.leadership.holds() and not await self._take_office():
--- a/geraniumrail/control/fleet.py
+++ b/geraniumrail/control/fleet.py
@@ -10,17 +10,21 @@
 from geraniumrail.core.events import log
 from geraniumrail.deployment.service import Scaling, ServiceSpec
 from geraniumrail.links.messages import EntryReport
-from geraniumrail.placement.fleet_plan import FleetBounds, FleetKey, fleet_plan, stopgap
+from geraniumrail.placement.fleet_plan import FleetBounds, FleetKey, fleet_plan, transition
 
 DECIDE_INTERVAL_S = 0.5
 # After a change of leader the backend servers announce themselves anew; before this time the
 # registry may lack some, and an order by what it holds would stop them.
-SETTLE_S = 3.0
+SETTLE_S = 2.0
 # An order that was refused because nothing is to be had is made again after this time.
 REFUSED_RETRY_S = 2.0
 UNKNOWN_RETRY_S = 1.0
-# Backend servers that were ordered and do not serve after their start time and this: order again.
-MISSING_MARGIN_S = 3.0
+# A refusal is taken to hold for this time, a little longer than the pause between orders.
+REFUSAL_LIFE_S = 3.0
+# An order whose backend servers do not all serve is repeated; the same number starts no more.
+REPEAT_S = 2.0
+# A plan is made anew when demand falls below this part of what it was made for.
+SHRINK_BELOW = 0.7
 # What one engine answers within the latency target, in prompt and output tokens that the requests
 # name, cached ones included (docs/MEASUREMENTS.md, "Engines ordered").
 TOKENS_PER_ENGINE_S = 18_000.0
@@ -52,6 +56,8 @@
         self._since = self._control.now()
         self._ordered: dict[_Subject, tuple[int, float]] = {}
         self._retry_at: dict[_Subject, float] = {}
+        self._refused_at: dict[_Subject, float] = {}
+        self._had: set[tuple[str, str]] = set()  # data centres with reclaimable ones that served
         self._first_by_service: dict[str, int] = {}
         self._planned: dict[str, dict[FleetKey, int]] = {}
         self._planned_for: dict[str, float] = {}
@@ -73,13 +79,12 @@
             return []
         self._decided_at = now
         deployment = self._control.machine.tables.deployment
-        wanted = [
+        return [
             order
             for service in deployment.services
             if service.scaling is not None
-            for order in self._wanted(service, service.scaling, now)
+            for order in self._due(service, service.scaling, now)
         ]
-        return [order for order in wanted if self._is_due(order, now)]
 
     def answered(self, order: FleetOrder, answer: DutyAnswer) -> None:
         """Notes what became of an order.
@@ -92,81 +97,98 @@
         if answer is DutyAnswer.accepted:
             self._ordered[subject] = (order.count, now)
             return
+        if answer is DutyAnswer.conflict:
+            self._refused_at[subject] = now
         delay_s = REFUSED_RETRY_S if answer is DutyAnswer.conflict else UNKNOWN_RETRY_S
         self._retry_at[subject] = now + delay_s
 
-    def _is_due(self, order: FleetOrder, now: float) -> bool:
-        subject = (order.service, order.data_centre, order.reclaimable)
-        count, _ = self._ordered.get(subject, (None, 0))
-        return count != order.count and now >= self._retry_at.get(subject, -math.inf)
-
-    def _wanted(self, service: ServiceSpec, scaling: Scaling, now: float) -> list[FleetOrder]:
+    def _due(self, service: ServiceSpec, scaling: Scaling, now: float) -> list[FleetOrder]:
         serving = self._serving(service.name)
-        planned = self._plan(service.name, scaling, serving, now)
-        self._forget_missing(service.name, scaling, serving, now)
-        needed = math.ceil(self._planned_for[service.name] / TOKENS_PER_ENGINE_S)
-        fixed = stopgap(serving, needed, scaling.most, scaling.price_by_data_centre)
+        bounds = FleetBounds(
+            least=scaling.least,
+            most=scaling.most,
+            reclaimable_price=scaling.reclaimable_price,
+            price_by_data_centre=scaling.price_by_data_centre,
+        )
+        tokens_per_s = self._tokens_per_s(service.name, serving, now)
+        if tokens_per_s is None:
+            return []
+        planned = self._plan(service.name, tokens_per_s, bounds, now)
+        # Before the first request nothing is needed but what is planned.
+        idle = not self._demand.seen(service.name)
+        needed = 0 if idle else math.ceil(tokens_per_s / TOKENS_PER_ENGINE_S)
+        refused = frozenset(
+            name
+            for name in scaling.price_by_data_centre
+            if self._refused(service.name, name, now)
+            or self._reclaimed(service.name, name, planned, serving)
+        )
+        fleet = transition(planned, serving, refused, needed, bounds)
         orders = (
-            FleetOrder(service.name, data_centre, max(count, fixed[data_centre]), kind)
-            if not kind
-            else FleetOrder(service.name, data_centre, count, kind)
-            for (data_centre, kind), count in planned.items()
+            FleetOrder(service.name, data_centre, count, kind)
+            for (data_centre, kind), count in fleet.items()
         )
         # Reclaimable ones first, since they need the time to start.
-        return sorted(orders, key=lambda order: not order.reclaimable)
+        by_kind = sorted(orders, key=lambda order: not order.reclaimable)
+        return [order for order in by_kind if self._is_due(order, serving, now)]
 
-    def _plan(
+    def _refused(self, service: str, data_centre: str, now: float) -> bool:
+        at = self._refused_at.get((service, data_centre, True), -math.inf)
+        return now - at < REFUSAL_LIFE_S
+
+    def _reclaimed(
         self,
         service: str,
-        scaling: Scaling,
+        data_centre: str,
+        planned: dict[FleetKey, int],
         serving: collections.Counter[FleetKey],
-        now: float,
-    ) -> dict[FleetKey, int]:
-        first = self._first_by_service.setdefault(service, serving.total())
-        floor = first * TOKENS_PER_ENGINE_S * UNKNOWN_DEMAND
+    ) -> bool:
+        """Tells whether all reclaimable ones of a data centre are leaving or gone."""
+        key = (data_centre, True)
+        if serving[key]:
+            self._had.add((service, data_centre))
+        return planned[key] > 0 and not serving[key] and (service, data_centre) in self._had
+
+    def _is_due(
+        self, order: FleetOrder, serving: collections.Counter[FleetKey], now: float
+    ) -> bool:
+        subject = (order.service, order.data_centre, order.reclaimable)
+        if now < self._retry_at.get(subject, -math.inf):
+            return False
+        count, at = self._ordered.get(subject, (None, 0))
+        missing = serving[order.data_centre, order.reclaimable] < order.count
+        return count != order.count or (missing and now - at > REPEAT_S)
+
+    def _tokens_per_s(
+        self, service: str, serving: collections.Counter[FleetKey], now: float
+    ) -> float | None:
+        """Returns the demand to plan for, or None if it is better to change nothing."""
         known = self._demand.tokens_per_s(service, now)
-        tokens_per_s = floor if known is None else known
-        planned_for = self._planned_for.get(service)
-        if planned_for is not None and planned_for * 0.7 <= tokens_per_s <= planned_for:
+        if known is not None:
+            return known
+        if self._control.machine.tables.duty.number > 1:
+            return None  # a change of leader: the fleet was planned by an earlier one
+        first = self._first_by_service.setdefault(service, serving.total())
+        return first * TOKENS_PER_ENGINE_S * UNKNOWN_DEMAND
+
+    def _plan(
+        self, service: str, tokens_per_s: float, bounds: FleetBounds, now: float
+    ) -> dict[FleetKey, int]:
+        planned_for = self._planned_for.get(service, 0)
+        if planned_for * SHRINK_BELOW <= tokens_per_s <= planned_for:
             return self._planned[service]
-        fleet = fleet_plan(
-            service,
-            tokens_per_s,
-            TOKENS_PER_ENGINE_S,
-            ON_DEMAND_SHARE,
-            FleetBounds(
-                least=scaling.least,
-                most=scaling.most,
-                reclaimable_price=scaling.reclaimable_price,
-                price_by_data_centre=scaling.price_by_data_centre,
-            ),
-            now,
-        )
+        fleet = fleet_plan(service, tokens_per_s, TOKENS_PER_ENGINE_S, ON_DEMAND_SHARE, bounds, now)
         log(
             events.FLEET_PLANNED,
             service=service,
             tokens_per_s=round(tokens_per_s),
-            demand_known=known is not None,
-            fleet={f'{name}/{"spot" if kind else "fixed"}': n for (name, kind), n in fleet.items()},
+            reclaimable={name: count for (name, kind), count in fleet.items() if kind},
+            on_demand={name: count for (name, kind), count in fleet.items() if not kind},
         )
         self._planned[service] = fleet
         self._planned_for[service] = tokens_per_s
         return fleet
 
-    def _forget_missing(
-        self,
-        service: str,
-        scaling: Scaling,
-        serving: collections.Counter[FleetKey],
-        now: float,
-    ) -> None:
-        """Lets an order be made again whose backend servers have not come or were taken away."""
-        for subject, (count, at) in tuple(self._ordered.items()):
-            name, data_centre, kind = subject
-            overdue = now - at > scaling.boot_s + MISSING_MARGIN_S
-            if name == service and overdue and serving[data_centre, kind] < count:
-                self._ordered.pop(subject)
-
     def _serving(self, service: str) -> collections.Counter[FleetKey]:
         known = self._control.publisher.registry.known_by_instance.values()
         return collections.Counter(
--- a/geraniumrail/control/fleet_demand.py
+++ b/geraniumrail/control/fleet_demand.py
@@ -35,6 +35,13 @@
                     (now, each.tokens)
                 )
 
+    def seen(self, service: str) -> bool:
+        """Tells whether any request of the service was reported.
+
+        :param service: name of the service.
+        """
+        return service in self._since
+
     def tokens_per_s(self, service: str, now: float) -> float | None:
         """Returns the highest recent demand, or None while it is not known.
 
--- a/geraniumrail/placement/fleet_plan.py
+++ b/geraniumrail/placement/fleet_plan.py
@@ -2,7 +2,7 @@
 
 import collections
 import dataclasses
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 
 from geraniumrail.placement.demand import Demand
 from geraniumrail.placement.offer import Offer
@@ -45,7 +45,8 @@
         tokens_per_s_by_class={ENGINE: tokens_per_engine_s},
         on_demand_share=on_demand_share,
     )
-    wanted = plan(Demand(service=service, tokens_per_s=tokens_per_s), (), offers, settings, now)
+    demand = Demand(service=service, tokens_per_s=tokens_per_s)
+    wanted = plan(demand, (), offers, settings, now, logged=False)
     counts = collections.Counter(
         (action.offer.data_centre, action.offer.reclaimable)
         for action in wanted.actions
@@ -74,11 +75,8 @@
         rest += counts.get((data_centre, True), 0) - reclaimable
         fleet[data_centre, False] = on_demand
         fleet[data_centre, True] = reclaimable
-    cheapest_first = sorted(
-        bounds.price_by_data_centre, key=lambda name: bounds.price_by_data_centre[name]
-    )
     kind = bounds.reclaimable_price > 0
-    for data_centre in cheapest_first:
+    for data_centre in _cheapest_first(bounds):
         used = fleet[data_centre, False] + fleet[data_centre, True]
         added = min(rest, bounds.most - used)
         rest -= added
@@ -96,30 +94,50 @@
     )
 
 
-def stopgap(
+def transition(
+    planned: Mapping[FleetKey, int],
     serving: Mapping[FleetKey, int],
+    refused: Collection[str],
     needed: int,
-    most: int,
-    price_by_data_centre: Mapping[str, float],
-) -> collections.Counter[str]:
-    """Returns the on-demand engines for each data centre while reclaimable ones are missing.
+    bounds: FleetBounds,
+) -> dict[FleetKey, int]:
+    """Returns the next fleet to order on the way to the planned one.
 
-    Those that serve already are kept before others are started.
+    On-demand engines stand in while reclaimable ones are missing. Both count towards the most of a
+    data centre, so on-demand ones are given up as reclaimable ones begin to serve, which makes room
+    for more of these; no engine that is needed is given up before its replacement serves. New
+    on-demand ones are ordered only where reclaimable ones are refused. Reclaims come in series, so
+    while one can't be made good, the next data centre may be lost as well.
 
+    :param planned: engines wanted, by data centre and kind.
     :param serving: engines that take work now.
+    :param refused: data centres where no reclaimable engine is to be had.
     :param needed: engines that hold the demand.
-    :param most: engines of both kinds in one data centre.
-    :param price_by_data_centre: price of an on-demand engine.
+    :param bounds: of the service.
     """
-    reclaimable = sum(count for (_, kind), count in serving.items() if kind)
-    missing = max(0, needed - reclaimable)
-    chosen: collections.Counter[str] = collections.Counter()
-    cheapest_first = sorted(price_by_data_centre, key=lambda name: price_by_data_centre[name])
-    room = {name: most - serving.get((name, True), 0) for name in cheapest_first}
+    reclaimable = {name: serving.get((name, True), 0) for name in bounds.price_by_data_centre}
+    at_risk = max(reclaimable.values(), default=0) if refused else 0
+    missing = max(0, needed - sum(reclaimable.values()) + at_risk)
+    fixed = dict.fromkeys(bounds.price_by_data_centre, 0)
     for keeps in (True, False):
-        for name in cheapest_first:
-            limit = serving.get((name, False), 0) if keeps else room[name]
-            added = max(0, min(missing, limit - chosen[name], room[name] - chosen[name]))
-            chosen[name] += added
+        for name in _cheapest_first(bounds):
+            room = bounds.most - reclaimable[name]
+            if name not in refused:
+                # One place is left, so that reclaimable ones can begin to replace the others.
+                room = min(room, bounds.most - 1)
+            if keeps or name not in refused:
+                room = min(room, serving.get((name, False), 0))
+            added = max(0, min(missing, room - fixed[name]))
+            fixed[name] += added
             missing -= added
-    return chosen
+    fleet: dict[FleetKey, int] = {}
+    for name, kept in fixed.items():
+        on_demand = max(kept, planned.get((name, False), 0))
+        fleet[name, False] = on_demand
+        fleet[name, True] = min(planned.get((name, True), 0), bounds.most - on_demand)
+    return fleet
+
+
+def _cheapest_first(bounds: FleetBounds) -> list[str]:
+    prices = bounds.price_by_data_centre
+    return sorted(prices, key=lambda name: prices[name])
--- a/geraniumrail/placement/planner.py
+++ b/geraniumrail/placement/planner.py
@@ -25,6 +25,8 @@
     offers: Iterable[Offer],
     settings: PlacementSettings,
     now: float,
+    *,
+    logged: bool = True,
 ) -> Plan:
     """Returns the changes that reach the target at the least cost per answered token.
 
@@ -33,6 +35,7 @@
     :param offers: offers with present prices and refusals.
     :param settings: capacity, shares and times.
     :param now: seconds.
+    :param logged: write a line for each action.
     """
     offers_by_key = {offer.key: offer for offer in offers}
     usable = [offer for offer in offers_by_key.values() if now >= offer.retry_at]
@@ -48,7 +51,7 @@
         settled = [one for one in instances if now - one.started_at >= settings.min_age_s]
         actions = _stops(pool, settled, offers_by_key)
         actions = actions or _moves(pool, settled, offers_by_key, usable)
-    for action in actions:
+    for action in actions if logged else ():
         _log(action, demand, settings, usable)
     if missing > 0:
         core_events.log(
