--- a/geraniumrail/entry/cluster_view.py
+++ b/geraniumrail/entry/cluster_view.py
@@ -1,5 +1,7 @@
 """What this entry knows of settings, moves, backend servers and other entries."""
 
+import asyncio
+import contextlib
 from collections.abc import Iterable
 
 from geraniumrail.core.backend import Backend
@@ -50,6 +52,8 @@
         self._lease_until: float = 0
         self._unconfirmed: set[str] = set()
         self._confirm_until: float = 0
+        self._lease_gained = asyncio.Event()
+        self._lease_lost_at = clock.now()
         self._true_wall_at: tuple[float, float] = (0, 0)  # agreed time of day, and clock then
 
     def true_wall(self) -> float:
@@ -61,6 +65,19 @@
         """Tells whether the entry may serve with the settings that it has."""
         return self._clock.now() < self._lease_until
 
+    async def wait_for_lease(self, limit_s: float, lost_within_s: float) -> bool:
+        """Waits for a lease that was lost just now; tells whether it is held.
+
+        :param limit_s: seconds to wait at most.
+        :param lost_within_s: after this time without a lease it is not waited for.
+        """
+        if not self.holds_lease() and self._clock.now() - self._lease_lost_at < lost_within_s:
+            self._lease_gained.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(limit_s):
+                    await self._lease_gained.wait()
+        return self.holds_lease()
+
     def lease_left_s(self) -> float:
         """Returns the seconds until the settings lease runs out."""
         return max(0, self._lease_until - self._clock.now())
@@ -107,6 +124,7 @@
     def end_lease(self) -> None:
         """Notes that the lease ran out, once."""
         if self._lease_until and not self.holds_lease():
+            self._lease_lost_at = self._lease_until
             self._lease_until = 0
             log(events.LEASE_LOST, revision=self.tree.revision)
 
@@ -207,3 +225,4 @@
         if not self.holds_lease():
             log(events.LEASE_GAINED, term=self._term, revision=self.tree.revision)
         self._lease_until = max(self._lease_until, until)
+        self._lease_gained.set()
--- a/geraniumrail/entry/entry.py
+++ b/geraniumrail/entry/entry.py
@@ -7,7 +7,7 @@
 from collections.abc import AsyncIterator
 
 from geraniumrail.backends.chunk import Chunk
-from geraniumrail.backends.connections import Connections, ConnectionsConfig
+from geraniumrail.backends.connections import Connections
 from geraniumrail.backends.engine_client import EngineClient
 from geraniumrail.backends.service_client import ServiceClient
 from geraniumrail.config.daemon import DaemonConfig
@@ -81,7 +81,8 @@
         self._finder = finder
         self.control = ControlLink(finder, links, clock, rng)
         self._outcomes = Outcomes(self.view, clock)
-        self._connections = Connections.from_config(ConnectionsConfig())
+        forwarded = forwarding or ForwardingConfig()
+        self._connections = Connections.from_config(forwarded.connections)
         place = Place(self.entry_id, config.data_centre, config.region)
         engine_client = EngineClient(self._connections)
         self._completions = Completions(
@@ -112,7 +113,6 @@
             rng=rng,
         )
         self._plain = PlainCalls(parts, self._bookings, config.data_centre, config.region)
-        forwarded = forwarding or ForwardingConfig()
         self.forwarder = Forwarder(
             Parts(
                 view=self.view,
--- a/geraniumrail/forwarding/admitted.py
+++ b/geraniumrail/forwarding/admitted.py
@@ -13,7 +13,7 @@
 
 # Callers come back this long after a refusal by an entry that has lost control; by then another
 # entry is given out, or a leader is elected.
-LEASE_RETRY_S = 0.5
+LEASE_RETRY_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/geraniumrail/forwarding/config.py
+++ b/geraniumrail/forwarding/config.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from geraniumrail.backends.connections import ConnectionsConfig
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ForwardingConfig:
@@ -13,4 +15,10 @@
     drain_s: float = 6.0  # how long requests are served after a planned stop has begun
     new_streams_s: float = 2.5  # how long a new stream is taken after that
     probe_timeout_s: float = 0.3  # of a connection that shows whether a backend server has ended
+    # An entry that has just started, or lost its leader, has a lease again within about a second: a
+    # request waits for it, since most callers come back only once.
+    lease_wait_s: float = 1.2
+    lease_wait_part: float = 0.3  # of the time that the caller has
+    lease_lost_s: float = 3.0  # no request waits when the lease was lost longer ago
+    connections: ConnectionsConfig = ConnectionsConfig()
     connect_attempts: int = 3  # backend servers to which no connection could be made
--- a/geraniumrail/forwarding/forwarder.py
+++ b/geraniumrail/forwarding/forwarder.py
@@ -54,6 +54,11 @@
             self.in_progress -= 1
 
     async def _serve(self, inbound: Inbound, reply: Reply) -> None:
+        config = self.parts.config
+        limit_s = config.lease_wait_s
+        if inbound.deadline_s is not None:
+            limit_s = min(limit_s, inbound.deadline_s * config.lease_wait_part)
+        await self.parts.view.wait_for_lease(limit_s, config.lease_lost_s)
         admitted = admit(inbound, self.parts)
         if self._leaving_since is not None:
             gone_s = self.parts.clock.now() - self._leaving_since
--- a/geraniumrail/forwarding/forwarder_test.py
+++ b/geraniumrail/forwarding/forwarder_test.py
@@ -188,6 +188,17 @@
         forwarder = testing.make_forwarder([testing.route()], [stand.backend()], version=0)
         self.assertEqual((await self.serve(forwarder)).status, 503)
 
+    async def test_request_waits_for_the_first_lease(self):
+        """Pattern: all processes restart at once; callers come back only once."""
+        stand, *_ = await self.started(StandIn('i-1', [head('req-1', body=b'x')]))
+        forwarder = testing.make_forwarder([testing.route()], [stand.backend()], lease_s=0)
+        view = forwarder.parts.view
+        task = asyncio.create_task(self.serve(forwarder))
+        await asyncio.sleep(0.1)
+        self.assertEqual(stand.connections, 0)
+        view._renew(forwarder.parts.clock.now() + 60)
+        self.assertEqual((await task).status, 200)
+
     async def test_limit_of_the_organisation(self):
         limit = {'in_tokens': True, 'rate_per_s': 10, 'burst': 100}
         self.assertEqual(await self.status(limit, prompt_tokens=90, output_tokens=5), 200)
--- a/geraniumrail/forwarding/run.py
+++ b/geraniumrail/forwarding/run.py
@@ -24,6 +24,7 @@
 from geraniumrail.forwarding.reply import Reply
 from geraniumrail.routing.choice import choose
 from geraniumrail.routing.events import log_decision
+from geraniumrail.routing.homes import homes_of
 from geraniumrail.routing.request import LanguageRequest, PlainRequest, RouteRequest
 
 # A refusal because the backend servers are full or gone; the next ones serve within this time.
@@ -55,6 +56,7 @@
         self._may_have_run = False
         self._counted = False
         self._first_s: float | None = None
+        self._unread: float = 0  # prompt tokens that the chosen backend server has yet to read
 
     async def carry(self) -> None:
         """Answers the request.
@@ -139,8 +141,10 @@
                 continue
             if self._splitter.events > began and self._first_s is None:
                 self._first_s = self._now() - sent_at
+                self._parts.view.knowledge.read_prompt(self._unread, self._first_s)
                 self._note_started(self._now())
                 self._observe(attempt.backend, failed=None)
+            self._note_read(attempt.backend)
             if not self._reply.started:
                 await self._reply.start(attempt.status, attempt.headers)
             await self._reply.write(whole)
@@ -228,6 +232,7 @@
         if inbound.prompt_tokens is None:
             return PlainRequest(**common)
         ids = [part.part_id for part in inbound.parts]
+        instances = [each.instance for each in self._candidates()]
         sizes = tuple(itertools.accumulate(part.tokens for part in inbound.parts))
         return LanguageRequest(
             **common,
@@ -235,6 +240,7 @@
             prefixes=tuple('/'.join(ids[: count + 1]) for count in range(len(ids))),
             prefix_tokens=sizes,
             prompt_tokens=inbound.prompt_tokens,
+            homes=homes_of(ids[0] if len(ids) > 1 else '', instances),
             expected_answer_tokens=inbound.output_tokens,
         )
 
@@ -252,7 +258,12 @@
         tokens = inbound.tokens or 1
         prefixes = [part.part_id for part in inbound.parts]
         chains = tuple('/'.join(prefixes[: count + 1]) for count in range(len(prefixes)))
-        parts.view.knowledge.sent(backend.instance, tokens, chains, now)
+        knowledge = parts.view.knowledge
+        cached, worth = knowledge.hints.cached_prefix(backend.instance, chains, now)
+        known = sum(part.tokens for part in inbound.parts[:cached]) * worth
+        self._unread = max(0, (inbound.prompt_tokens or 0) - known)
+        knowledge.prefilling(backend.instance, self._unread)
+        knowledge.sent(backend.instance, tokens, chains, now)
         parts.outcomes.breaker.waiting(
             name, admitted.service, backend.version, admitted.route.name, now
         )
@@ -260,9 +271,15 @@
     def _note_ended(self, backend: Backend, name: str) -> None:
         admitted, parts = self._admitted, self._parts
         tokens = self._inbound.tokens or 1
+        self._note_read(backend)
         parts.view.knowledge.finished(backend.instance, tokens, self._now())
         parts.outcomes.breaker.answered(name, admitted.service, admitted.route.name)
 
+    def _note_read(self, backend: Backend) -> None:
+        """The prompt was read, or never will be."""
+        self._parts.view.knowledge.prefilling(backend.instance, -self._unread)
+        self._unread = 0
+
     def _take_load(self, attempt: Attempt) -> None:
         if attempt.head.load is not None:
             self._parts.view.knowledge.observe_load(
--- a/geraniumrail/forwarding/testing.py
+++ b/geraniumrail/forwarding/testing.py
@@ -208,7 +208,7 @@
     return Inbound(**{**fields, **changes})
 
 
-def make_forwarder(routes, backends, *, version=1, **organisation):
+def make_forwarder(routes, backends, *, version=1, lease_s=60, **organisation):
     """Builds a forwarder whose view has one configuration and some backend servers."""
     clock = SystemClock()
     view = ClusterView(clock, Knowledge())
@@ -222,7 +222,7 @@
     update = ControlUpdate(
         term=1,
         answers=1,
-        lease_s=60,
+        lease_s=lease_s,
         revision=0,
         deployment_version=version,
         deployment=deployment,
--- a/geraniumrail/routing/choice.py
+++ b/geraniumrail/routing/choice.py
@@ -111,7 +111,8 @@
         for instance in knowledge.hints.holders(request.prefixes)
         if instance in usable_by_id
     )
-    return tuple(itertools.islice(found, MAX_HOLDERS))
+    homes = (usable_by_id[instance] for instance in request.homes if instance in usable_by_id)
+    return (*itertools.islice(found, MAX_HOLDERS), *homes)
 
 
 def _reason(best: tuple[ScorePart, ...], second: tuple[ScorePart, ...]) -> str:
--- /dev/null
+++ b/geraniumrail/routing/homes_test.py
@@ -0,0 +1,85 @@
+"""Guards prompts that are shared by callers of different entries: pattern of one popular manual."""
+
+import random
+import unittest
+
+from geraniumrail.core.backend import Backend
+from geraniumrail.core.load_report import LoadReport
+from geraniumrail.routing.choice import choose
+from geraniumrail.routing.homes import homes_of
+from geraniumrail.routing.knowledge import Knowledge
+from geraniumrail.routing.request import LanguageRequest
+
+INSTANCES = [f'i-{number}' for number in range(12)]
+
+
+def backend(instance):
+    return Backend(
+        instance=instance,
+        service='model-bench',
+        address='10.0.0.1:80',
+        data_centre='cheras',
+        region='klang-valley',
+        version='v1',
+        models=('m',),
+        lease_s=600,
+        load=LoadReport(slots=64),
+    )
+
+
+BACKENDS = [backend(instance) for instance in INSTANCES]
+
+
+def request(number, prefix):
+    return LanguageRequest(
+        request_id=f'req-{number}',
+        service='model-bench',
+        data_centre='cheras',
+        region='klang-valley',
+        model='m',
+        prefixes=(prefix,),
+        prefix_tokens=(6300,),
+        prompt_tokens=9190,
+        homes=homes_of(prefix, INSTANCES),
+    )
+
+
+class HomesTest(unittest.TestCase):
+    def test_entries_agree(self):
+        shuffled = INSTANCES[::-1]
+        self.assertEqual(homes_of('manual', INSTANCES), homes_of('manual', shuffled))
+
+    def test_other_prefixes_keep_their_homes_when_an_engine_leaves(self):
+        prefixes = [f'manual-{number}' for number in range(200)]
+        left = INSTANCES[1:]
+        moved = [
+            prefix for prefix in prefixes if homes_of(prefix, INSTANCES) != homes_of(prefix, left)
+        ]
+        self.assertTrue(all('i-0' in homes_of(prefix, INSTANCES) for prefix in moved))
+
+    def test_entries_read_a_shared_part_at_few_engines(self):
+        """Four entries that know nothing of each other send one manual to its homes."""
+        chosen = set()
+        for entry in range(4):
+            knowledge = Knowledge()
+            rng = random.Random(entry)
+            chosen.add(
+                choose(BACKENDS, request(entry, 'manual'), knowledge, rng, 0).backend.instance
+            )
+        self.assertLessEqual(len(chosen), 2)
+
+    def test_burst_of_one_prefix_spreads(self):
+        """Pattern: one key gets much of the traffic; prompts that are yet to be read count."""
+        knowledge = Knowledge(prefill_tokens_per_s=40_000)
+        rng = random.Random(1)
+        chosen = []
+        for number in range(24):
+            found = choose(BACKENDS, request(number, 'manual'), knowledge, rng, 0).backend
+            chosen.append(found.instance)
+            knowledge.sent(found.instance, 9190, ('manual',), 0)
+            knowledge.prefilling(found.instance, 9190)
+        self.assertGreater(len(set(chosen)), 6)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/geraniumrail/routing/knowledge.py
+++ b/geraniumrail/routing/knowledge.py
@@ -15,6 +15,12 @@
 ECHO = 3.0
 _MEAN_STEP = 0.05
 
+# A prompt too short to show the rate of reading.
+LEAST_SAMPLE_TOKENS = 1000
+# The fastest sample counts, and fades by this factor with each further one.
+FORGETTING = 0.998
+MOST_TOKENS_PER_S = 500_000.0
+
 
 class Knowledge:
     """Load, prefix hints and recent failures for each backend server."""
@@ -36,6 +42,7 @@
         self._views_by_id: dict[str, BackendView] = {}
         self._mean_occupancy: float = 0
         self._mean_tokens: float = 0
+        self._pending_tokens: dict[str, float] = {}
 
     def observe(self, backend: Backend, now: float) -> None:
         """Takes in an announcement, ignoring one older than the last (by `sequence`).
@@ -83,6 +90,35 @@
         self._view(backend_id).change(1, tokens, now)
         self.hints.sent(backend_id, prefix, now)
 
+    def prefilling(self, backend_id: str, tokens: float) -> None:
+        """Notes prompt tokens that an engine has yet to read, or has read if negative.
+
+        Prompts are read one after the other, so they delay the first token of the next request
+        long before the slots of the engine are taken.
+
+        :param backend_id: instance.
+        :param tokens: expected prompt tokens without a cached part.
+        """
+        pending = self._pending_tokens.get(backend_id, 0) + tokens
+        self._pending_tokens[backend_id] = max(0, pending)
+
+    def pending_tokens(self, backend_id: str) -> float:
+        """Returns the prompt tokens that this entry has sent and an engine has yet to read.
+
+        :param backend_id: instance.
+        """
+        return self._pending_tokens.get(backend_id, 0)
+
+    def read_prompt(self, tokens: float, seconds: float) -> None:
+        """Learns how fast engines read prompts; waits make most samples too slow.
+
+        :param tokens: prompt tokens that were read.
+        :param seconds: from sending the request to the first token.
+        """
+        if tokens >= LEAST_SAMPLE_TOKENS and seconds > 0:
+            kept = self.prefill_tokens_per_s * FORGETTING
+            self.prefill_tokens_per_s = max(kept, min(MOST_TOKENS_PER_S, tokens / seconds))
+
     def finished(self, backend_id: str, tokens: float, now: float) -> None:
         """Notes that a request sent by this entry ended.
 
@@ -123,6 +159,7 @@
         :param backend_id: instance.
         """
         self._views_by_id.pop(backend_id, None)
+        self._pending_tokens.pop(backend_id, None)
         self.hints.forget(backend_id)
 
     def usable(self, backend: Backend, now: float) -> bool:
--- a/geraniumrail/routing/request.py
+++ b/geraniumrail/routing/request.py
@@ -26,6 +26,7 @@
     block_tokens: int = 64
     prefix_tokens: tuple[int, ...] = ()  # of each prefix, where they are no whole blocks
     prompt_tokens: int = 0
+    homes: tuple[str, ...] = ()  # instances where all entries send this prefix, best first
     expected_answer_tokens: int = 0
 
 
--- a/geraniumrail/routing/score.py
+++ b/geraniumrail/routing/score.py
@@ -21,6 +21,8 @@
 # stale reports outweigh the draw when there are many entries.
 BATCH_COST_S = 0.2
 PLAIN_SERVICE_S = 0.05
+# Another entry has probably sent the same prefix there; this one can't know.
+HOME_WORTH = 0.6
 
 
 @functools.singledispatch
@@ -57,9 +59,12 @@
     )
     waiting = max(0, estimate.requests + 1 - estimate.slots)
     cached, worth = knowledge.hints.cached_prefix(backend.instance, request.prefixes, now)
+    if not cached and backend.instance in request.homes:
+        cached, worth = 1, HOME_WORTH
     sizes = request.prefix_tokens
     cached_tokens = sizes[cached - 1] if sizes and cached else cached * request.block_tokens
     uncached_tokens = max(0, request.prompt_tokens - cached_tokens * worth)
+    uncached_tokens += knowledge.pending_tokens(backend.instance)
     adapter_missing = request.adapter and request.adapter not in backend.adapters
     amounts = {
         'wait': waiting * mean_tokens / estimate.tokens_per_s,
