--- a/geraniumrail/consensus/file_storage.py
+++ b/geraniumrail/consensus/file_storage.py
@@ -9,6 +9,7 @@
 import contextlib
 import dataclasses
 import fcntl
+import functools
 import os
 import pathlib
 import time
@@ -118,12 +119,12 @@
             log(events.SET_ASIDE, folder=self._folder, reason=str(error))
         # The replica may have voted or acknowledged entries that can't be read any more, so it
         # must not go on under its old id, and it founds no group.
-        for name in ('log', 'snapshot'):
+        for file in ('log', 'snapshot'):
             with contextlib.suppress(FileNotFoundError):
-                (self._folder / name).replace(self._folder / f'{name}.damaged')
+                (self._folder / file).replace(self._folder / f'{file}.damaged')
         sync_folder(self._folder)
-        name = self._first.replica_id.partition('.')[0]
-        self._first = Stored(replica_id=new_replica_id(name))
+        instance = self._first.replica_id.partition('.')[0]
+        self._first = Stored(replica_id=new_replica_id(instance))
         return self._load()
 
     def _load(self) -> Stored:
@@ -155,7 +156,8 @@
 
         :param state: the snapshot and what remains of the log.
         """
-        await self._in_thread(lambda: self._until_done(lambda: self._compact(state)))
+        work = functools.partial(self._until_done, functools.partial(self._compact, state))
+        await self._in_thread(work)
 
     async def close(self) -> None:
         """Closes the files after the write in progress."""
@@ -167,7 +169,7 @@
         await asyncio.get_running_loop().run_in_executor(self._thread, work)
 
     def _append(self, content: bytes) -> None:
-        self._until_done(lambda: self._append_once(content))
+        self._until_done(functools.partial(self._append_once, content))
 
     def _append_once(self, content: bytes) -> None:
         try:
@@ -201,7 +203,8 @@
             frames.frame(0, encode(state.snapshot)),
         )
         replace_file(self._folder / 'log', _log_content(state))
-        old, self._log = self._log, -1
+        old = self._log
+        self._log = -1
         if old >= 0:
             os.close(old)
         self._reopen()
--- a/geraniumrail/control/access.py
+++ b/geraniumrail/control/access.py
@@ -12,8 +12,9 @@
 from geraniumrail.entry.control_link import ControlLink
 from geraniumrail.entry.leader_finder import LeaderFinder
 from geraniumrail.errors.deployment import UnknownServiceMoveError
-from geraniumrail.links.messages import (
-    Accepted,
+from geraniumrail.links.messages import Accepted
+from geraniumrail.links.pool import LinkPool
+from geraniumrail.links.requests import (
     Announce,
     BeginMove,
     DeploymentNow,
@@ -24,7 +25,6 @@
     ReadMove,
     Withdraw,
 )
-from geraniumrail.links.pool import LinkPool
 from geraniumrail.links.server import LinkServer
 from geraniumrail.state import commands
 
--- a/geraniumrail/control/control.py
+++ b/geraniumrail/control/control.py
@@ -29,8 +29,9 @@
 from geraniumrail.core.events import log
 from geraniumrail.errors.base import GeraniumrailError
 from geraniumrail.errors.consensus import ConsensusError
-from geraniumrail.links.messages import AwaitBooking, BookingNow, Join, Propose, Proposed
+from geraniumrail.links.messages import AwaitBooking, BookingNow, Propose, Proposed
 from geraniumrail.links.pool import LinkPool
+from geraniumrail.links.requests import Join
 from geraniumrail.links.server import LinkServer
 from geraniumrail.state import commands
 from geraniumrail.state.machine import Machine
--- a/geraniumrail/control/duty_call.py
+++ b/geraniumrail/control/duty_call.py
@@ -37,8 +37,8 @@
 
     service: str
     data_centre: str
-    count: int
     reclaimable: bool
+    count: int
 
 
 class DutyTarget(Protocol):
--- a/geraniumrail/control/fleet.py
+++ b/geraniumrail/control/fleet.py
@@ -30,7 +30,7 @@
 TOKENS_PER_ENGINE_S = 18_000.0
 # Until demand is known: this multiple of what the engines that are there can answer.
 UNKNOWN_DEMAND = 1.6
-ON_DEMAND_SHARE = 0.0
+ON_DEMAND_SHARE: float = 0
 
 _Subject = tuple[str, str, bool]
 
@@ -115,22 +115,19 @@
             return []
         planned = self._plan(service.name, tokens_per_s, bounds, now)
         # Before the first request nothing is needed but what is planned.
-        idle = not self._demand.seen(service.name)
-        needed = 0 if idle else math.ceil(tokens_per_s / TOKENS_PER_ENGINE_S)
-        refused = frozenset(
+        seen = self._demand.seen(service.name)
+        needed = math.ceil(tokens_per_s / TOKENS_PER_ENGINE_S) if seen else 0
+        refused = [
             name
             for name in scaling.price_by_data_centre
             if self._refused(service.name, name, now)
             or self._reclaimed(service.name, name, planned, serving)
-        )
+        ]
         fleet = transition(planned, serving, refused, needed, bounds)
-        orders = (
-            FleetOrder(service.name, data_centre, count, kind)
-            for (data_centre, kind), count in fleet.items()
-        )
         # Reclaimable ones first, since they need the time to start.
-        by_kind = sorted(orders, key=lambda order: not order.reclaimable)
-        return [order for order in by_kind if self._is_due(order, serving, now)]
+        by_kind = sorted(fleet.items(), key=lambda ordered: not ordered[0][1])
+        orders = (FleetOrder(service.name, *key, count) for key, count in by_kind)
+        return [order for order in orders if self._is_due(order, serving, now)]
 
     def _refused(self, service: str, data_centre: str, now: float) -> bool:
         at = self._refused_at.get((service, data_centre, True), -math.inf)
--- a/geraniumrail/control/fleet_demand.py
+++ b/geraniumrail/control/fleet_demand.py
@@ -12,14 +12,16 @@
 # Demand is averaged over this time.
 AVERAGE_S = 4.0
 
+_Samples = collections.deque[tuple[float, float]]  # (time, tokens)
+
 
 class FleetDemand:
     """Soft state of the control leader."""
 
     def __init__(self) -> None:
         """Starts without reports."""
-        self._tokens: dict[str, collections.deque[tuple[float, float]]] = {}
-        self._peaks: dict[str, collections.deque[tuple[float, float]]] = {}
+        self._tokens: dict[str, _Samples] = {}
+        self._peaks: dict[str, _Samples] = {}
         self._since: dict[str, float] = {}
 
     def observe(self, demand: Iterable[ServiceDemand], now: float) -> None:
--- a/geraniumrail/control/follower_session.py
+++ b/geraniumrail/control/follower_session.py
@@ -51,7 +51,7 @@
         registry: Registry,
         leases: EntryLeases,
         usage: UsageShares,
-        facts: GroupFacts = GroupFacts(),  # noqa: B008  it is immutable
+        facts: GroupFacts | None = None,
     ) -> ControlUpdate:
         """Builds the next update and remembers what it holds.
 
@@ -61,6 +61,7 @@
         :param usage: use of the organisations.
         :param facts: members and time.
         """
+        known = facts or GroupFacts()
         difference = registry.since(self._registry_version, self.info)
         update = ControlUpdate(
             term=self.term,
@@ -80,9 +81,9 @@
             assigned=self._assigned(tables),
             deployment_version=tables.deployment.version,
             deployment=self._deployment(tables),
-            members=facts.members,
-            wall_error_s=facts.wall_error_s,
-            window_s=facts.window_s,
+            members=known.members,
+            wall_error_s=known.wall_error_s,
+            window_s=known.window_s,
         )
         self._revision = tables.tree.revision
         self._registry_version = difference.version
--- a/geraniumrail/control/joiner.py
+++ b/geraniumrail/control/joiner.py
@@ -8,8 +8,8 @@
 from geraniumrail.core.events import log
 from geraniumrail.errors.base import GeraniumrailError
 from geraniumrail.errors.consensus import NotLeaderError
-from geraniumrail.links.messages import Join
 from geraniumrail.links.pool import LinkPool
+from geraniumrail.links.requests import Join
 
 # A replica that has heard a leader so recently belongs to the group.
 SILENCE_S = 1.0
--- a/geraniumrail/control/registry.py
+++ b/geraniumrail/control/registry.py
@@ -93,12 +93,10 @@
         expired = [
             instance for instance, known in self.known_by_instance.items() if known.expires_at < now
         ]
-        for instance in expired:
-            self._remove(instance)
+        for lost in expired:
+            self._remove(lost)
         self._withdrawn_by_instance = {
-            instance: kept
-            for instance, kept in self._withdrawn_by_instance.items()
-            if kept[1] >= now
+            name: kept for name, kept in self._withdrawn_by_instance.items() if kept[1] >= now
         }
         self._trim()
         return bool(expired)
--- a/geraniumrail/control/repair.py
+++ b/geraniumrail/control/repair.py
@@ -12,7 +12,8 @@
 from geraniumrail.core.clock import Clock
 from geraniumrail.core.events import log
 from geraniumrail.errors.consensus import ConsensusError
-from geraniumrail.links.messages import Accepted, Join
+from geraniumrail.links.messages import Accepted
+from geraniumrail.links.requests import Join
 
 # A voter silent for so long is replaced if a learner is ready; shorter than the time within which
 # the next loss may follow a return, longer than a restart of a process.
--- a/geraniumrail/control/usage_ledger.py
+++ b/geraniumrail/control/usage_ledger.py
@@ -8,13 +8,15 @@
 # Windows for which counts are kept; reports name the last few.
 KEPT_WINDOWS = 24
 
+_Counts = dict[tuple[str, str], int]  # by entry and organisation
+
 
 class UsageLedger:
     """Sums the counts of all entries; a repeated report changes nothing."""
 
     def __init__(self) -> None:
         """Starts empty."""
-        self._counts: dict[int, dict[tuple[str, str], int]] = {}
+        self._counts: dict[int, _Counts] = {}
 
     def observe(self, entry: str, started: Iterable[Started]) -> None:
         """Takes the counts of one entry.
--- a/geraniumrail/core/log_writer.py
+++ b/geraniumrail/core/log_writer.py
@@ -62,5 +62,6 @@
             self._is_scheduled = True
             self._loop.call_later(FLUSH_INTERVAL_S, self.flush)
         elif self.dropped:
-            dropped, self.dropped = self.dropped, 0
+            dropped = self.dropped
+            self.dropped = 0
             logging.getLogger('absl').warning('log lines dropped: %d', dropped)
--- a/geraniumrail/deployment/check.py
+++ b/geraniumrail/deployment/check.py
@@ -25,8 +25,8 @@
         yield 'the version is not a positive number'
     services = [service.name for service in deployment.services]
     yield from (f'service {name} stands twice' for name in _repeated(services))
-    for route in deployment.routes:
-        yield from _route_faults(route, frozenset(services))
+    for checked in deployment.routes:
+        yield from _route_faults(checked, frozenset(services))
     places = [(route.host, route.prefix) for route in deployment.routes]
     yield from (f'two routes have host {host} and prefix {at}' for host, at in _repeated(places))
     names = [organisation.name for organisation in deployment.organisations]
--- a/geraniumrail/entry/entry.py
+++ b/geraniumrail/entry/entry.py
@@ -29,6 +29,7 @@
 from geraniumrail.entry.outcomes import Outcomes
 from geraniumrail.entry.plain_call import PlainAnswer, PlainCall
 from geraniumrail.entry.plain_calls import PlainCalls, PlainParts
+from geraniumrail.entry.reporter import Reporter
 from geraniumrail.errors.request import NotRunError
 from geraniumrail.fairness.quota import Quota
 from geraniumrail.forwarding.config import ForwardingConfig
@@ -37,7 +38,7 @@
 from geraniumrail.forwarding.forwarder import Forwarder
 from geraniumrail.forwarding.parts import Parts
 from geraniumrail.forwarding.usage_counter import UsageCounter
-from geraniumrail.links.messages import ControlUpdate, EntryInfo, EntryReport, Usage
+from geraniumrail.links.messages import ControlUpdate, EntryInfo
 from geraniumrail.links.pool import LinkPool
 from geraniumrail.links.server import LinkServer
 from geraniumrail.routing.knowledge import Knowledge
@@ -74,11 +75,9 @@
         self.view = ClusterView(clock, Knowledge())
         self._config = config
         self._clock = clock
-        self._state = 'serving'
-        self._reported_at = clock.now()
         self._announces = Announces(clock)
         finder = LeaderFinder(config.control.seeds)
-        self._finder = finder
+        self.learn_seeds = finder.learn
         self.control = ControlLink(finder, links, clock, rng)
         self._outcomes = Outcomes(self.view, clock)
         forwarded = forwarding or ForwardingConfig()
@@ -131,13 +130,30 @@
             )
         )
         self._notices = LeavingNotices(self.entry_id, self.view, links)
+        self._reporter = Reporter(
+            info=EntryInfo(
+                entry=self.entry_id,
+                instance=config.instance,
+                address=config.callers.listen,
+                peer_address=config.peers.listen,
+                data_centre=config.data_centre,
+                region=config.region,
+            ),
+            view=self.view,
+            announces=self._announces,
+            outcomes=self._outcomes,
+            completions=self._completions,
+            forwarder=self.forwarder,
+            clock=clock,
+            reported_at=clock.now(),
+        )
         self._follower = Follower(
             self.view,
             self._announces,
             finder,
             links,
             clock,
-            self._report,
+            self._reporter.build,
         )
         self._follower.listeners.append(self._updated)
         self._tasks: list[asyncio.Task[None]] = []
@@ -187,7 +203,7 @@
 
     async def drain(self) -> None:
         """Leaves the list of entries and waits until no caller needs this entry any more."""
-        self._state = 'leaving'
+        self._reporter.state = 'leaving'
         left_at = self._clock.now()
         self._follower.poke()
         while self.view.answered_at < left_at and self._clock.now() < left_at + LEAVE_LIMIT_S:
@@ -202,16 +218,9 @@
             await self._clock.sleep(0.2)
         log(events.PLANNED_STOP, step='no request in progress')
 
-    def learn_seeds(self, seeds: tuple[str, ...]) -> None:
-        """Takes over other seeds.
-
-        :param seeds: ip:port of control members' links.
-        """
-        self._finder.learn(seeds)
-
     def leave(self) -> None:
         """Begins a planned stop without waiting for its end."""
-        self._state = 'leaving'
+        self._reporter.state = 'leaving'
         self.forwarder.leave()
         self._follower.poke()
 
@@ -236,7 +245,7 @@
     def entry_addresses(self) -> tuple[list[str], float]:
         """Returns the addresses for callers and how long to keep them, in seconds."""
         keep_for_s = self.view.effective('*', '', '').keep_for_s
-        leaves = self._state != 'serving'
+        leaves = self._reporter.state != 'serving'
         listed = [
             info.address
             for info in self.view.entries
@@ -298,44 +307,13 @@
 
     def ready(self) -> bool:
         """Tells whether callers should be sent here."""
-        return self._state == 'serving' and self.view.holds_lease()
+        return self._reporter.state == 'serving' and self.view.holds_lease()
 
     def max_body_bytes(self) -> int:
         """Returns the limit of a request body."""
         in_tree = self.view.effective('*', '', '').max_body_bytes
         return min(in_tree, self._config.limits.max_body_bytes)
 
-    def _report(self, sequence: int) -> EntryReport:
-        now = self._clock.now()
-        demand = self._completions.limits.take_demand(now - self._reported_at)
-        demand |= self.forwarder.parts.quota.take_demand()
-        self._reported_at = now
-        return EntryReport(
-            sequence=sequence,
-            info=EntryInfo(
-                entry=self.entry_id,
-                instance=self._config.instance,
-                address=self._config.callers.listen,
-                peer_address=self._config.peers.listen,
-                data_centre=self._config.data_centre,
-                region=self._config.region,
-                state=self._state,
-                applied_revision=self.view.tree.revision,
-            ),
-            registry_version=self.view.registry_version,
-            announces=self._announces.take_pending(),
-            outcomes=self._outcomes.log.drain(),
-            usage=tuple(
-                Usage(organisation=organisation, tokens=tokens)
-                for organisation, tokens in demand.items()
-            ),
-            breakers=self._outcomes.breaker.reports(),
-            deployment_version=self.view.table.version,
-            started=self.forwarder.parts.usage.report(),
-            wall=self._clock.wall(),
-            demand=self.forwarder.parts.demand.take(),
-        )
-
     def _updated(self, update: ControlUpdate) -> None:
         self._outcomes.follow_moves()
         self._completions.limits.update(update.share)
--- /dev/null
+++ b/geraniumrail/entry/reporter.py
@@ -0,0 +1,55 @@
+"""Builds the reports of an entry to the control leader."""
+
+import dataclasses
+
+from geraniumrail.core.clock import Clock
+from geraniumrail.entry.announces import Announces
+from geraniumrail.entry.cluster_view import ClusterView
+from geraniumrail.entry.completions import Completions
+from geraniumrail.entry.outcomes import Outcomes
+from geraniumrail.forwarding.forwarder import Forwarder
+from geraniumrail.links.messages import EntryInfo, EntryReport, Usage
+
+
+@dataclasses.dataclass
+class Reporter:
+    """What the report says is taken once: it is not repeated in the next one."""
+
+    info: EntryInfo  # without what changes
+    view: ClusterView
+    announces: Announces
+    outcomes: Outcomes
+    completions: Completions
+    forwarder: Forwarder
+    clock: Clock
+    state: str = 'serving'
+    reported_at: float = 0
+
+    def build(self, sequence: int) -> EntryReport:
+        """Returns the next report.
+
+        :param sequence: its number.
+        """
+        now = self.clock.now()
+        parts = self.forwarder.parts
+        demand = self.completions.limits.take_demand(now - self.reported_at)
+        demand |= parts.quota.take_demand()
+        self.reported_at = now
+        return EntryReport(
+            sequence=sequence,
+            info=dataclasses.replace(
+                self.info, state=self.state, applied_revision=self.view.tree.revision
+            ),
+            registry_version=self.view.registry_version,
+            announces=self.announces.take_pending(),
+            outcomes=self.outcomes.log.drain(),
+            usage=tuple(
+                Usage(organisation=organisation, tokens=tokens)
+                for organisation, tokens in demand.items()
+            ),
+            breakers=self.outcomes.breaker.reports(),
+            deployment_version=self.view.table.version,
+            started=parts.usage.report(),
+            wall=self.clock.wall(),
+            demand=parts.demand.take(),
+        )
--- a/geraniumrail/forwarding/attempt.py
+++ b/geraniumrail/forwarding/attempt.py
@@ -16,7 +16,6 @@
     CrossedAnswerError,
     NotSentError,
     RefusedError,
-    StalledError,
 )
 from geraniumrail.forwarding.dialect import Dialect, Head, Sending
 from geraniumrail.forwarding.inbound import Headers, Inbound
@@ -60,7 +59,6 @@
         :param connections: to backend servers.
         :raises NotSentError: if no byte was written: it did not run.
         :raises RefusedError: if the backend server says that it did not run.
-        :raises StalledError: if the time is up: it may have run.
         :raises ConnectionLostError: for all other failures: it may have run.
         """
         async with self._typed_failures():
@@ -78,7 +76,6 @@
         """Returns the whole body.
 
         :raises ConnectionLostError: if it is not complete.
-        :raises StalledError: if the time is up.
         """
         async with self._typed_failures():
             return await self._opened().read()
@@ -87,7 +84,6 @@
         """Yields the body as it arrives.
 
         :raises ConnectionLostError: if it is not complete.
-        :raises StalledError: if the time is up.
         """
         content = self._opened().content
         while True:
@@ -119,6 +115,9 @@
         self.head = self._dialect.read_head(response.status, response.headers)
         if self.head.idle_s is not None:
             connections.idle.announce(self.backend.address, self.head.idle_s)
+        self._check_head(response)
+
+    def _check_head(self, response: ClientResponse) -> None:
         answered = self.head.request_id
         if answered and answered != self._inbound.request_id:
             response.close()
@@ -139,21 +138,13 @@
     async def _typed_failures(self) -> AsyncIterator[None]:
         try:
             yield
-        except TimeoutError as error:
-            if not self.exchange.connected:
-                raise self._not_sent('no connection in time') from error
-            raise StalledError(
-                backend=self.backend.instance,
-                limit_s=round(self.sending.left_s, 3),
-                phase='answer',
-            ) from error
         except _FAILURES as error:
-            if not self.exchange.connected:
-                raise self._not_sent(repr(error)) from error
-            raise ConnectionLostError(backend=self.backend.instance, reason=repr(error)) from error
+            # Timeouts of connections are among them; the time of the request ends elsewhere.
+            raise self._typed(error) from error
 
-    def _not_sent(self, reason: str) -> NotSentError:
-        return NotSentError(backend=self.backend.instance, reason=reason)
+    def _typed(self, error: Exception) -> NotSentError | ConnectionLostError:
+        kind = ConnectionLostError if self.exchange.connected else NotSentError
+        return kind(backend=self.backend.instance, reason=repr(error))
 
 
 async def has_ended(backend: Backend, timeout_s: float) -> bool:
--- a/geraniumrail/forwarding/event_splitter.py
+++ b/geraniumrail/forwarding/event_splitter.py
@@ -38,7 +38,9 @@
         if end < 0:
             self._held = held
             return b''
-        whole, self._held = held[: end + len(_SEPARATOR)], held[end + len(_SEPARATOR) :]
+        end += len(_SEPARATOR)
+        whole = held[:end]
+        self._held = held[end:]
         for event in whole.split(_SEPARATOR):
             self._note(event)
         return whole
--- a/geraniumrail/forwarding/inbound.py
+++ b/geraniumrail/forwarding/inbound.py
@@ -1,6 +1,7 @@
 """A request as a caller sent it."""
 
 import dataclasses
+import functools
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -37,6 +38,12 @@
         """Path without the query."""
         return self.target.partition('?')[0]
 
+    @functools.cached_property
+    def prefixes(self) -> tuple[str, ...]:
+        """Names of the leading parts, each covering all parts before it."""
+        ids = [part.part_id for part in self.parts]
+        return tuple('/'.join(ids[: count + 1]) for count in range(len(ids)))
+
     @property
     def tokens(self) -> float | None:
         """Prompt and output tokens, or None if the request names none."""
--- a/geraniumrail/forwarding/run.py
+++ b/geraniumrail/forwarding/run.py
@@ -11,7 +11,6 @@
     NoBackendError,
     NotSentError,
     RefusedError,
-    StalledError,
 )
 from geraniumrail.errors.request import IncompleteAnswerError, NotRunError, OutcomeUnknownError
 from geraniumrail.forwarding import events
@@ -22,6 +21,7 @@
 from geraniumrail.forwarding.inbound import Inbound
 from geraniumrail.forwarding.parts import Parts
 from geraniumrail.forwarding.reply import Reply
+from geraniumrail.forwarding.run_notes import RunNotes
 from geraniumrail.routing.choice import choose
 from geraniumrail.routing.events import log_decision
 from geraniumrail.routing.homes import homes_of
@@ -54,9 +54,7 @@
         self._sent = 0  # attempts that count towards the limit of the route
         self._unsent = 0  # backend servers to which no connection could be made
         self._may_have_run = False
-        self._counted = False
-        self._first_s: float | None = None
-        self._unread: float = 0  # prompt tokens that the chosen backend server has yet to read
+        self._notes = RunNotes(inbound, admitted, parts)
 
     async def carry(self) -> None:
         """Answers the request.
@@ -96,7 +94,8 @@
         attempt = Attempt(self._inbound, sending, self._parts.dialect)
         name = f'{self._inbound.request_id}.{self._sent}'
         sent_at = self._now()
-        self._note_sent(backend, name, sent_at)
+        self._sent += 1
+        self._notes.sent(backend, name)
         try:
             async with asyncio.timeout(max(0, self._left_s())):
                 return await self._exchange(attempt, sent_at)
@@ -107,21 +106,19 @@
             return error
         finally:
             attempt.close()
-            self._note_ended(backend, name)
+            self._notes.ended(backend, name)
 
     async def _exchange(self, attempt: Attempt, sent_at: float) -> BackendError | None:
         await attempt.open(self._parts.connections)
-        self._take_load(attempt)
+        self._notes.head(attempt)
         if self._admitted.route.kind == STREAM and attempt.is_success:
             await self._relay(attempt, sent_at)
             return None
         body = await attempt.read()
-        self._note_started(sent_at)
-        self._first_s = self._now() - sent_at
-        if attempt.status < _SERVER_ERROR and not attempt.is_success and not attempt.head.sealed:
-            raise OutcomeUnknownError(reason='the answer bears no signature')
         failed = attempt.status >= _SERVER_ERROR
-        self._observe(attempt.backend, failed=failed)
+        self._notes.answered(attempt, sent_at, failed=failed)
+        if not failed and not attempt.is_success and not attempt.head.sealed:
+            raise OutcomeUnknownError(reason='the answer bears no signature')
         if failed and self._may_repeat(attempt.backend):
             self._may_have_run = True
             self._excluded |= {attempt.backend.instance}
@@ -134,17 +131,11 @@
 
     async def _relay(self, attempt: Attempt, sent_at: float) -> None:
         self._splitter.restart()
-        began = self._splitter.events
         async for part in attempt.parts():
             whole = self._splitter.feed(part)
             if not whole:
                 continue
-            if self._splitter.events > began and self._first_s is None:
-                self._first_s = self._now() - sent_at
-                self._parts.view.knowledge.read_prompt(self._unread, self._first_s)
-                self._note_started(self._now())
-                self._observe(attempt.backend, failed=None)
-            self._note_read(attempt.backend)
+            self._notes.first_event(attempt.backend, sent_at)
             if not self._reply.started:
                 await self._reply.start(attempt.status, attempt.headers)
             await self._reply.write(whole)
@@ -154,7 +145,7 @@
                 reason='the stream ended within an event',
             )
         await self._reply.finish()
-        self._observe_end(attempt.backend, failed=False)
+        self._notes.observe(attempt.backend, failed=False)
         self._log_end(attempt)
 
     async def _prepare_next(self, failure: BackendError) -> None:
@@ -162,16 +153,12 @@
 
         :raises GeraniumrailError: the final answer otherwise.
         """
-        if self._left_s() <= 0:
+        unreachable = self._unsent >= self._parts.config.connect_attempts
+        unrepeatable = self._may_have_run and not self._admitted.route.repeatable
+        if self._left_s() <= 0 or unreachable or unrepeatable:
             raise self._given_up(failure)
-        if isinstance(failure, NotSentError):
-            if self._unsent >= self._parts.config.connect_attempts:
-                raise self._given_up(failure)
-            return
-        if isinstance(failure, RefusedError) and failure.fields.get('wrong_instance'):
+        if isinstance(failure, NotSentError) or failure.fields.get('wrong_instance'):
             return
-        if self._may_have_run and not self._admitted.route.repeatable:
-            raise self._given_up(failure)
         if self._sent >= self._admitted.route.attempts:
             await self._check_ended(failure)
         if not self._parts.retries.take(self._admitted.service, self._now()):
@@ -181,7 +168,7 @@
         """A backend server that has ended does not count towards the limit of attempts."""
         backend = self._last
         known = self._parts.view.backends_by_instance.get(backend.instance)
-        if isinstance(failure, (RefusedError, StalledError)):
+        if isinstance(failure, RefusedError):
             raise self._given_up(failure)
         if known is not None and not await has_ended(backend, self._parts.config.probe_timeout_s):
             raise self._given_up(failure)
@@ -189,13 +176,11 @@
     def _may_repeat(self, backend: Backend) -> bool:
         """Tells whether a failure that a backend server answered leads to another attempt."""
         route = self._admitted.route
-        return (
-            route.repeatable
-            and self._sent < route.attempts
-            and not self._reply.started
-            and any(each.instance != backend.instance for each in self._candidates())
-            and self._parts.retries.can_take(self._admitted.service, self._now())
-        )
+        if not route.repeatable or self._sent >= route.attempts or self._reply.started:
+            return False
+        if all(each.instance == backend.instance for each in self._candidates()):
+            return False
+        return self._parts.retries.can_take(self._admitted.service, self._now())
 
     def _choose(self, failure: BackendError | None) -> Backend:
         now = self._now()
@@ -231,16 +216,16 @@
         }
         if inbound.prompt_tokens is None:
             return PlainRequest(**common)
-        ids = [part.part_id for part in inbound.parts]
+        shared = inbound.prefixes[0] if len(inbound.parts) > 1 else ''
         instances = [each.instance for each in self._candidates()]
         sizes = tuple(itertools.accumulate(part.tokens for part in inbound.parts))
         return LanguageRequest(
             **common,
             model=inbound.model,
-            prefixes=tuple('/'.join(ids[: count + 1]) for count in range(len(ids))),
+            prefixes=inbound.prefixes,
             prefix_tokens=sizes,
             prompt_tokens=inbound.prompt_tokens,
-            homes=homes_of(ids[0] if len(ids) > 1 else '', instances),
+            homes=homes_of(shared, instances),
             expected_answer_tokens=inbound.output_tokens,
         )
 
@@ -252,49 +237,6 @@
         avoided = self._excluded | silent
         return avoided if usable - avoided else self._excluded
 
-    def _note_sent(self, backend: Backend, name: str, now: float) -> None:
-        admitted, inbound, parts = self._admitted, self._inbound, self._parts
-        self._sent += 1
-        tokens = inbound.tokens or 1
-        prefixes = [part.part_id for part in inbound.parts]
-        chains = tuple('/'.join(prefixes[: count + 1]) for count in range(len(prefixes)))
-        knowledge = parts.view.knowledge
-        cached, worth = knowledge.hints.cached_prefix(backend.instance, chains, now)
-        known = sum(part.tokens for part in inbound.parts[:cached]) * worth
-        self._unread = max(0, (inbound.prompt_tokens or 0) - known)
-        knowledge.prefilling(backend.instance, self._unread)
-        knowledge.sent(backend.instance, tokens, chains, now)
-        parts.outcomes.breaker.waiting(
-            name, admitted.service, backend.version, admitted.route.name, now
-        )
-
-    def _note_ended(self, backend: Backend, name: str) -> None:
-        admitted, parts = self._admitted, self._parts
-        tokens = self._inbound.tokens or 1
-        self._note_read(backend)
-        parts.view.knowledge.finished(backend.instance, tokens, self._now())
-        parts.outcomes.breaker.answered(name, admitted.service, admitted.route.name)
-
-    def _note_read(self, backend: Backend) -> None:
-        """The prompt was read, or never will be."""
-        self._parts.view.knowledge.prefilling(backend.instance, -self._unread)
-        self._unread = 0
-
-    def _take_load(self, attempt: Attempt) -> None:
-        if attempt.head.load is not None:
-            self._parts.view.knowledge.observe_load(
-                attempt.backend.instance, attempt.head.load, self._now()
-            )
-
-    def _note_started(self, at: float) -> None:
-        """Counts the request as begun, once, in the usage window of a moment."""
-        if self._counted:
-            return
-        self._counted = True
-        view = self._parts.view
-        wall = view.true_wall() + at - self._now()
-        self._parts.usage.started(self._admitted.organisation, wall, view.window_s)
-
     def _note_failure(self, attempt: Attempt, error: BackendError, sent_at: float) -> None:
         backend, now = attempt.backend, self._now()
         knowledge = self._parts.view.knowledge
@@ -309,10 +251,9 @@
             knowledge.silent(backend.instance, now)
         elif not refused:
             self._may_have_run = True
-            self._note_started(sent_at)
+            self._notes.began(sent_at)
             knowledge.failed(backend.instance, now)
-            if not self._is_announced(backend):
-                self._observe_end(backend, failed=True)
+            self._notes.lost(backend)
         log(
             events.ATTEMPT_FAILED,
             request=self._inbound.request_id,
@@ -324,37 +265,11 @@
             reason=str(error),
         )
 
-    def _is_announced(self, backend: Backend) -> bool:
-        known = self._parts.view.backends_by_instance.get(backend.instance)
-        return known is None or known.state == 'leaving'
-
-    def _observe(self, backend: Backend, failed: bool | None) -> None:
-        admitted = self._admitted
-        self._parts.outcomes.observe(
-            admitted.service,
-            backend.version,
-            admitted.route.name,
-            admitted.organisation,
-            failed,
-            self._first_s,
-        )
-
-    def _observe_end(self, backend: Backend, failed: bool) -> None:
-        admitted = self._admitted
-        self._parts.outcomes.observe(
-            admitted.service,
-            backend.version,
-            admitted.route.name,
-            admitted.organisation,
-            failed,
-        )
-
     def _time_is_up(self, attempt: Attempt) -> IncompleteAnswerError | NotRunError:
         if not attempt.exchange.connected and not self._may_have_run:
             return NotRunError(reason='no backend server took it in time')
-        self._note_started(self._now())
-        if not self._is_announced(attempt.backend):
-            self._observe_end(attempt.backend, failed=True)
+        self._notes.began(self._now())
+        self._notes.lost(attempt.backend)
         return IncompleteAnswerError(reason='its time is up')
 
     def _given_up(
@@ -371,20 +286,7 @@
         return OutcomeUnknownError(reason=str(failure))
 
     def _log_end(self, attempt: Attempt) -> None:
-        log(
-            events.FORWARDED,
-            request=self._inbound.request_id,
-            route=self._admitted.route.name,
-            organisation=self._admitted.organisation,
-            backend=attempt.backend.instance,
-            version=attempt.backend.version,
-            config=self._parts.view.table.version,
-            status=attempt.status,
-            attempts=self._sent,
-            events=self._splitter.events,
-            first_s=None if self._first_s is None else round(self._first_s, 4),
-            total_s=round(self._now() - self._inbound.arrived_at, 4),
-        )
+        self._notes.log_end(attempt, self._sent, self._splitter.events)
 
     def _left_s(self) -> float:
         return self._admitted.ends_at - self._now()
--- /dev/null
+++ b/geraniumrail/forwarding/run_notes.py
@@ -0,0 +1,165 @@
+"""What one request teaches routing, version moves, usage and the log."""
+
+from geraniumrail.core.backend import Backend
+from geraniumrail.core.events import log
+from geraniumrail.forwarding import events
+from geraniumrail.forwarding.admitted import Admitted
+from geraniumrail.forwarding.attempt import Attempt
+from geraniumrail.forwarding.inbound import Inbound
+from geraniumrail.forwarding.parts import Parts
+
+
+class RunNotes:
+    """Bookkeeping of one request; nothing here decides what becomes of it."""
+
+    def __init__(self, inbound: Inbound, admitted: Admitted, parts: Parts) -> None:
+        """Starts before the first attempt.
+
+        :param inbound: the caller's request.
+        :param admitted: how it is forwarded.
+        :param parts: of the entry.
+        """
+        self.first_s: float | None = None  # from sending to the first event, or to the answer
+        self._inbound = inbound
+        self._admitted = admitted
+        self._parts = parts
+        self._is_counted = False
+        self._unread: float = 0  # prompt tokens that the chosen backend server has yet to read
+
+    def sent(self, backend: Backend, attempt: str) -> None:
+        """Notes that an attempt is made.
+
+        :param backend: where it is sent.
+        :param attempt: its name.
+        """
+        inbound, now = self._inbound, self._parts.clock.now()
+        knowledge = self._parts.view.knowledge
+        cached, worth = knowledge.hints.cached_prefix(backend.instance, inbound.prefixes, now)
+        known = sum(part.tokens for part in inbound.parts[:cached]) * worth
+        self._unread = max(0, (inbound.prompt_tokens or 0) - known)
+        knowledge.prefilling(backend.instance, self._unread)
+        knowledge.sent(backend.instance, inbound.tokens or 1, inbound.prefixes, now)
+        self._parts.outcomes.breaker.waiting(
+            attempt, self._admitted.service, backend.version, self._admitted.route.name, now
+        )
+
+    def ended(self, backend: Backend, attempt: str) -> None:
+        """Notes that an attempt has ended, however it did.
+
+        :param backend: where it was sent.
+        :param attempt: its name.
+        """
+        self._read(backend)
+        knowledge = self._parts.view.knowledge
+        knowledge.finished(backend.instance, self._inbound.tokens or 1, self._parts.clock.now())
+        self._parts.outcomes.breaker.answered(
+            attempt, self._admitted.service, self._admitted.route.name
+        )
+
+    def head(self, attempt: Attempt) -> None:
+        """Takes the load that came with an answer.
+
+        :param attempt: the attempt.
+        """
+        if attempt.head.load is not None:
+            now = self._parts.clock.now()
+            knowledge = self._parts.view.knowledge
+            knowledge.observe_load(attempt.backend.instance, attempt.head.load, now)
+
+    def first_event(self, backend: Backend, sent_at: float) -> None:
+        """Notes the first event of a stream, once.
+
+        :param backend: where it comes from.
+        :param sent_at: when the attempt was sent.
+        """
+        if self.first_s is None:
+            now = self._parts.clock.now()
+            self.first_s = now - sent_at
+            self._parts.view.knowledge.read_prompt(self._unread, self.first_s)
+            self.began(now)
+            self.observe(backend, failed=None, first_s=self.first_s)
+        self._read(backend)
+
+    def answered(self, attempt: Attempt, sent_at: float, *, failed: bool) -> None:
+        """Notes a whole answer.
+
+        :param attempt: the attempt.
+        :param sent_at: when it was sent.
+        :param failed: whether the backend server failed.
+        """
+        self.began(sent_at)
+        self.first_s = self._parts.clock.now() - sent_at
+        self.observe(attempt.backend, failed=failed, first_s=self.first_s)
+
+    def began(self, at: float) -> None:
+        """Counts the request as begun, once, in the usage window of a moment.
+
+        :param at: when a backend server began to work on it, seconds of this process's clock.
+        """
+        if self._is_counted:
+            return
+        self._is_counted = True
+        view = self._parts.view
+        wall = view.true_wall() + at - self._parts.clock.now()
+        self._parts.usage.started(self._admitted.organisation, wall, view.window_s)
+
+    def observe(
+        self, backend: Backend, *, failed: bool | None, first_s: float | None = None
+    ) -> None:
+        """Counts an outcome for the version of a backend server.
+
+        :param backend: the backend server.
+        :param failed: None while the request has not ended.
+        :param first_s: time to the first event, if it is known now.
+        """
+        self._parts.outcomes.observe(
+            self._admitted.service,
+            backend.version,
+            self._admitted.route.name,
+            self._admitted.organisation,
+            failed,
+            first_s,
+        )
+
+    def lost(self, backend: Backend) -> None:
+        """Counts a failure, unless the backend server had announced that it leaves.
+
+        :param backend: the backend server.
+        """
+        if not self.is_leaving(backend):
+            self.observe(backend, failed=True)
+
+    def is_leaving(self, backend: Backend) -> bool:
+        """Tells whether a backend server has left or said that it leaves.
+
+        :param backend: the backend server.
+        """
+        known = self._parts.view.backends_by_instance.get(backend.instance)
+        return known is None or known.state == 'leaving'
+
+    def log_end(self, attempt: Attempt, attempts: int, streamed: int) -> None:
+        """Writes the line of a request that was answered by a backend server.
+
+        :param attempt: the last attempt.
+        :param attempts: how many were made.
+        :param streamed: events of the stream.
+        """
+        log(
+            events.FORWARDED,
+            request=self._inbound.request_id,
+            route=self._admitted.route.name,
+            organisation=self._admitted.organisation,
+            backend=attempt.backend.instance,
+            version=attempt.backend.version,
+            config=self._parts.view.table.version,
+            status=attempt.status,
+            attempts=attempts,
+            events=streamed,
+            first_s=None if self.first_s is None else round(self.first_s, 4),
+            total_s=round(self._parts.clock.now() - self._inbound.arrived_at, 4),
+        )
+
+    def _read(self, backend: Backend) -> None:
+        """The prompt was read, or never will be."""
+        self._parts.view.knowledge.prefilling(backend.instance, -self._unread)
+        self._unread = 0
--- a/geraniumrail/forwarding/usage_counter.py
+++ b/geraniumrail/forwarding/usage_counter.py
@@ -28,8 +28,8 @@
 
     def report(self) -> tuple[Started, ...]:
         """Returns the counts of the last windows."""
-        for window in sorted(self._counts)[:-REPORTED_WINDOWS]:
-            self._counts.pop(window)
+        for old in sorted(self._counts)[:-REPORTED_WINDOWS]:
+            self._counts.pop(old)
         return tuple(
             Started(window=window, organisation=organisation, count=count)
             for window, counts in self._counts.items()
--- /dev/null
+++ b/geraniumrail/links/requests.py
@@ -0,0 +1,77 @@
+"""Records of calls to the control leader."""
+
+from geraniumrail.core.backend import Backend
+from geraniumrail.core.codec import record
+from geraniumrail.links.messages import EntryInfo
+from geraniumrail.state.move import Move
+
+
+@record
+class Announce:
+    """Brings an announcement to the control leader."""
+
+    backend: Backend
+
+
+@record
+class Withdraw:
+    """Tells the control leader that a backend server takes no more work."""
+
+    instance: str
+    incarnation: int
+
+
+@record
+class ReadDeployment:
+    """Asks the leader for the newest configuration, confirmed by a majority."""
+
+
+@record
+class DeploymentNow:
+    """The newest configuration as it was sent."""
+
+    version: int
+    source: bytes
+
+
+@record
+class ReadMove:
+    """Asks the leader for the last version move of a service, confirmed by a majority."""
+
+    service: str
+
+
+@record
+class MoveNow:
+    """The last version move of a service."""
+
+    move: Move
+
+
+@record
+class BeginMove:
+    """Asks the leader to start a version move away from the versions in use."""
+
+    service: str
+    to_version: str
+    duration_s: float
+
+
+@record
+class ReadEntries:
+    """Asks the leader which entries take new callers."""
+
+
+@record
+class EntriesNow:
+    """The entries that take new callers."""
+
+    entries: tuple[EntryInfo, ...]
+
+
+@record
+class Join:
+    """Asks the leader to take a replica into the group."""
+
+    replica_id: str
+    address: str
