--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -6,6 +6,7 @@
 import unittest
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
+ADAPTER = ROOT / 'platform' / 'adapter'
 sys.path.insert(0, str(ROOT))
 
 
@@ -42,7 +43,10 @@
     """Runs the tests whose id contains one of the arguments, or all."""
     red = known_red()
     found = flatten(
-        unittest.TestLoader().discover(str(ROOT / 'geraniumrail'), '*_test.py', str(ROOT))
+        unittest.TestSuite(
+            unittest.TestLoader().discover(str(folder), '*_test.py', str(top))
+            for folder, top in ((ROOT / 'geraniumrail', ROOT), (ADAPTER, ADAPTER.parent))
+        )
     )
     chosen = [
         test
