--- a/geraniumrail/testing/daemons.py
+++ b/geraniumrail/testing/daemons.py
@@ -198,7 +198,9 @@
 class Daemon:
     """One process with both roles; the entry role consists of its view and follower."""
 
-    def __init__(self, net: Net, name: str, number: int, disk: Disk, rng: random.Random) -> None:
+    def __init__(
+        self, net: Net, name: str, number: int, disk: Disk, rng: random.Random, voters: int = 0
+    ) -> None:
         """Builds the roles.
 
         :param net: carries the records.
@@ -206,13 +208,14 @@
         :param number: distinguishes the starts of one daemon.
         :param disk: storage of the replica.
         :param rng: seeded.
+        :param voters: number that the group keeps by itself; 0: operators change the members.
         """
         self.name = name
         self.links = Links(net, name)
         config = types.SimpleNamespace(
             instance=name,
             peers=types.SimpleNamespace(listen=name),
-            control=ControlConfig(seeds=NAMES),
+            control=ControlConfig(seeds=NAMES, voters=voters),
         )
         clock = SkewedClock(LoopClock(), 1 + rng.uniform(-SKEW, SKEW), rng.uniform(0, 50))
         self.control = Control(config, disk, self.links, clock, random.Random(rng.random()))
@@ -262,11 +265,13 @@
 class Daemons:
     """Three voters and a learner."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, voters: int = 0) -> None:
         """Prepares the daemons.
 
         :param seed: seed of everything random.
+        :param voters: number that the group keeps by itself; 0: operators change the members.
         """
+        self._voters = voters
         random.seed(seed)
         self.rng = random.Random(seed)
         self.net = Net(self.rng)
@@ -314,11 +319,24 @@
         )
         with mock.patch.object(control_module, 'ReplicaConfig', small):
             daemon = Daemon(
-                self.net, name, next(self._numbers), self._disks_by_name[name], self.rng
+                self.net,
+                name,
+                next(self._numbers),
+                self._disks_by_name[name],
+                self.rng,
+                self._voters,
             )
         self.net.daemons_by_name[name] = daemon
         await daemon.start()
 
+    def give_disk(self, name: str, stored: Stored) -> None:
+        """Replaces the disk of a daemon that does not run.
+
+        :param name: its name.
+        :param stored: content of the new disk.
+        """
+        self._disks_by_name[name] = Disk(stored, self.clock, self.rng)
+
     async def crash(self, name: str, down_s: float) -> None:
         """Ends a daemon; what it had not synced may be lost.
 
