--- /dev/null
+++ b/geraniumrail/control/duties_test.py
@@ -0,0 +1,157 @@
+"""Guards usage reports and orders: exact repeats, one holder at a time, agreed time."""
+
+import asyncio
+import logging
+import types
+import unittest
+
+from geraniumrail.control.duties import CLOSE_DELAY_S, Duties
+from geraniumrail.control.duty_call import DutyAnswer
+from geraniumrail.control.true_time import TrueTime
+from geraniumrail.control.usage_ledger import UsageLedger
+from geraniumrail.deployment.deployment import Deployment
+from geraniumrail.deployment.organisation import Organisation
+from geraniumrail.links.messages import Started
+from geraniumrail.state import (
+    apply_deployment,  # noqa: F401  registers the commands
+    commands,
+)
+from geraniumrail.state.apply import apply
+from geraniumrail.state.tables import Tables
+
+WINDOW_S = 5
+LEASE_S = 3
+
+
+class Api:
+    """Records the calls and answers as it is told."""
+
+    def __init__(self):
+        self.calls = []
+        self.answers = []
+
+    async def report(self, call, usage):
+        self.calls.append((call.number, usage.window, dict(usage.counts)))
+        return self.answers.pop(0) if self.answers else DutyAnswer.accepted
+
+
+class Control:
+    """The leader of a log that several leaders share in turn."""
+
+    def __init__(self, tables):
+        self.machine = types.SimpleNamespace(tables=tables)
+        self.publisher = types.SimpleNamespace(ledger=UsageLedger())
+        self.leadership = types.SimpleNamespace(holds=lambda: True)
+        self.proposer = self
+        self.clock = 1000.0
+
+    async def propose(self, command):
+        return apply(command, self.machine.tables)
+
+    def now(self):
+        return self.clock
+
+    def true_wall(self):
+        return self.clock
+
+
+class DutiesTest(unittest.TestCase):
+    def setUp(self):
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+        self.tables = Tables()
+        organisations = (Organisation(name='salon'), Organisation(name='idle'))
+        deployment = Deployment(version=1, organisations=organisations)
+        apply(commands.ReplaceDeployment(deployment=deployment), self.tables)
+        self.api = Api()
+
+    def leader(self, holder):
+        control = Control(self.tables)
+        duties = Duties(control, self.api, holder, WINDOW_S, LEASE_S, None)
+        duties.became_leader()
+        return control, duties
+
+    def run_for(self, control, duties, seconds):
+        for _ in range(int(seconds * 5)):
+            control.clock += 0.2
+            asyncio.run(duties.run_once())
+
+    def count(self, control, entry, window, number):
+        started = Started(window=window, organisation='salon', count=number)
+        control.publisher.ledger.observe(entry, [started])
+
+    def test_window_is_reported_once_with_the_counts_of_all_entries(self):
+        control, duties = self.leader('a')
+        self.count(control, 'entry-1', 200, 7)
+        self.count(control, 'entry-1', 200, 9)  # repeated with what has come since
+        self.count(control, 'entry-2', 200, 1)
+        self.run_for(control, duties, 3 * WINDOW_S)
+        reports = [call for call in self.api.calls if call[1] == 200]
+        self.assertEqual(reports, [(1, 200, {'salon': 10, 'idle': 0})])
+
+    def test_report_without_an_answer_is_repeated_exactly(self):
+        """It may be carried out later: other counts under one window would contradict it."""
+        control, duties = self.leader('a')
+        self.count(control, 'entry-1', 200, 7)
+        self.api.answers = [DutyAnswer.accepted] * 3 + [DutyAnswer.unknown] * 2
+        self.run_for(control, duties, WINDOW_S + CLOSE_DELAY_S + 1)
+        self.count(control, 'entry-1', 200, 8)
+        self.run_for(control, duties, WINDOW_S)
+        counts = [call[2]['salon'] for call in self.api.calls if call[1] == 200]
+        self.assertGreater(len(counts), 1)
+        self.assertEqual(set(counts), {7})
+
+    def test_new_leader_repeats_what_was_fixed(self):
+        control, duties = self.leader('a')
+        self.count(control, 'entry-1', 200, 7)
+        self.api.answers = [DutyAnswer.accepted] * 3 + [DutyAnswer.unknown] * 99
+        self.run_for(control, duties, WINDOW_S + CLOSE_DELAY_S + 1)
+        self.api.answers = []
+        later, others = self.leader('b')
+        later.clock = control.clock
+        others.became_leader()
+        self.count(later, 'entry-1', 200, 99)
+        self.run_for(later, others, WINDOW_S)
+        reports = [call for call in self.api.calls if call[1] == 200]
+        self.assertEqual({call[2]['salon'] for call in reports}, {7})
+        self.assertEqual(reports[-1][0], 2)
+
+    def test_new_holder_waits_so_that_holders_do_not_alternate(self):
+        control, duties = self.leader('a')
+        self.run_for(control, duties, 1)
+        self.assertEqual(self.tables.duty.holder, 'a')
+        later, others = self.leader('b')
+        later.clock = control.clock
+        others.became_leader()
+        self.run_for(later, others, LEASE_S - 0.5)
+        self.assertEqual(self.tables.duty.holder, 'a')
+        self.run_for(later, others, 1)
+        self.assertEqual((self.tables.duty.holder, self.tables.duty.number), ('b', 2))
+
+    def test_refused_number_is_replaced(self):
+        control, duties = self.leader('a')
+        self.api.answers = [DutyAnswer.conflict]
+        self.run_for(control, duties, 8)
+        self.assertGreater(self.api.calls[-1][0], self.api.calls[0][0])
+
+    def test_no_call_after_leadership_was_lost(self):
+        control, duties = self.leader('a')
+        control.leadership.holds = lambda: False
+        self.run_for(control, duties, 2 * WINDOW_S)
+        self.assertEqual(self.api.calls, [])
+
+
+class TrueTimeTest(unittest.TestCase):
+    def test_clocks_that_jump_do_not_move_the_agreed_time(self):
+        """Pattern: the time of day jumps on some machines, the leader's among them."""
+        agreed = TrueTime()
+        for number in range(4):
+            agreed.observe(f'entry-{number}', 5000.0 + number / 100, 100.0)
+        before = agreed.wall(5000.0, 100.0)
+        agreed.observe('entry-0', 7401.0, 101.0)
+        self.assertAlmostEqual(agreed.wall(2601.0, 101.0), before + 1, delta=0.05)
+        self.assertAlmostEqual(agreed.error_s('entry-0', 2601.0, 101.0), 2400, delta=0.1)
+
+
+if __name__ == '__main__':
+    unittest.main()
