--- a/geraniumrail/entry/entry.py
+++ b/geraniumrail/entry/entry.py
@@ -37,6 +37,7 @@
 from geraniumrail.forwarding.dialect import Dialect, NoDialect
 from geraniumrail.forwarding.forwarder import Forwarder
 from geraniumrail.forwarding.parts import Parts
+from geraniumrail.forwarding.recorder import Recorder
 from geraniumrail.forwarding.usage_counter import UsageCounter
 from geraniumrail.links.messages import ControlUpdate, EntryInfo
 from geraniumrail.links.pool import LinkPool
@@ -124,6 +125,7 @@
                 demand=DemandCounter(),
                 clock=clock,
                 rng=rng,
+                recorder=Recorder(),
                 config=forwarded,
                 data_centre=config.data_centre,
                 region=config.region,
--- a/geraniumrail/forwarding/forwarder.py
+++ b/geraniumrail/forwarding/forwarder.py
@@ -7,6 +7,7 @@
 from geraniumrail.forwarding.admitted import admit, spread
 from geraniumrail.forwarding.inbound import Inbound
 from geraniumrail.forwarding.parts import Parts
+from geraniumrail.forwarding.recorder import CALLER_GONE, OK
 from geraniumrail.forwarding.reply import Reply
 from geraniumrail.forwarding.run import ForwardRun
 
@@ -42,9 +43,12 @@
         :param reply: the way back to the caller.
         """
         self.in_progress += 1
+        outcome = CALLER_GONE
         try:
             await self._serve(inbound, reply)
+            outcome = OK
         except GeraniumrailError as error:
+            outcome = error.type_name
             self._log_refusal(inbound, error)
             if reply.started:
                 reply.abort()
@@ -52,6 +56,7 @@
                 await reply.refuse(error)
         finally:
             self.in_progress -= 1
+            self._record(inbound, outcome)
 
     async def _serve(self, inbound: Inbound, reply: Reply) -> None:
         config = self.parts.config
@@ -70,6 +75,17 @@
                 )
         await ForwardRun(inbound, admitted, reply, self.parts).carry()
 
+    def _record(self, inbound: Inbound, outcome: str) -> None:
+        table = self.parts.view.table
+        route = table.route(inbound.host, inbound.path)
+        holder = None if inbound.api_key is None else table.organisation(inbound.api_key)
+        self.parts.recorder.ended(
+            '' if route is None else route.name,
+            '' if holder is None else holder.name,
+            outcome,
+            self.parts.clock.now() - inbound.arrived_at,
+        )
+
     def _log_refusal(self, inbound: Inbound, error: GeraniumrailError) -> None:
         log(
             events.REFUSED,
--- a/geraniumrail/forwarding/parts.py
+++ b/geraniumrail/forwarding/parts.py
@@ -12,6 +12,7 @@
 from geraniumrail.forwarding.config import ForwardingConfig
 from geraniumrail.forwarding.demand import DemandCounter
 from geraniumrail.forwarding.dialect import Dialect
+from geraniumrail.forwarding.recorder import Recorder
 from geraniumrail.forwarding.usage_counter import UsageCounter
 
 
@@ -29,6 +30,7 @@
     demand: DemandCounter
     clock: Clock
     rng: random.Random
+    recorder: Recorder
     config: ForwardingConfig
     data_centre: str
     region: str
--- a/geraniumrail/forwarding/run.py
+++ b/geraniumrail/forwarding/run.py
@@ -254,6 +254,7 @@
             self._notes.began(sent_at)
             knowledge.failed(backend.instance, now)
             self._notes.lost(backend)
+        self._parts.recorder.attempt_failed(self._admitted.service, error.type_name)
         log(
             events.ATTEMPT_FAILED,
             request=self._inbound.request_id,
--- a/geraniumrail/forwarding/run_notes.py
+++ b/geraniumrail/forwarding/run_notes.py
@@ -76,6 +76,7 @@
             now = self._parts.clock.now()
             self.first_s = now - sent_at
             self._parts.view.knowledge.read_prompt(self._unread, self.first_s)
+            self._record_first(self.first_s)
             self.began(now)
             self.observe(backend, failed=None, first_s=self.first_s)
         self._read(backend)
@@ -89,6 +90,7 @@
         """
         self.began(sent_at)
         self.first_s = self._parts.clock.now() - sent_at
+        self._record_first(self.first_s)
         self.observe(attempt.backend, failed=failed, first_s=self.first_s)
 
     def began(self, at: float) -> None:
@@ -159,6 +161,10 @@
             total_s=round(self._parts.clock.now() - self._inbound.arrived_at, 4),
         )
 
+    def _record_first(self, seconds: float) -> None:
+        recorder = self._parts.recorder
+        recorder.first_event(self._admitted.service, self._admitted.route.name, seconds)
+
     def _read(self, backend: Backend) -> None:
         """The prompt was read, or never will be."""
         self._parts.view.knowledge.prefilling(backend.instance, -self._unread)
--- a/geraniumrail/forwarding/testing.py
+++ b/geraniumrail/forwarding/testing.py
@@ -24,6 +24,7 @@
 from geraniumrail.forwarding.forwarder import Forwarder
 from geraniumrail.forwarding.inbound import Inbound
 from geraniumrail.forwarding.parts import Parts
+from geraniumrail.forwarding.recorder import Recorder
 from geraniumrail.forwarding.usage_counter import UsageCounter
 from geraniumrail.links.messages import ControlUpdate
 from geraniumrail.routing.knowledge import Knowledge
@@ -241,6 +242,7 @@
         demand=DemandCounter(),
         clock=clock,
         rng=random.Random(1),
+        recorder=Recorder(),
         config=ForwardingConfig(),
         data_centre='shah-alam',
         region='klang-valley',
--- a/geraniumrail/metrics/catalogue.py
+++ b/geraniumrail/metrics/catalogue.py
@@ -39,6 +39,14 @@
         buckets=BETWEEN_TOKENS_BUCKETS,
         about='mean time between the tokens of one attempt',
     ),
+    Spec(
+        name='geraniumrail.answer',
+        kind='histogram',
+        unit='s',
+        labels=('route', 'outcome'),
+        buckets=FIRST_TOKEN_BUCKETS,
+        about='time from the arrival of a forwarded request to the end of its answer',
+    ),
     Spec(
         name='geraniumrail.queue_depth',
         kind='gauge',
--- a/geraniumrail/metrics/instruments.py
+++ b/geraniumrail/metrics/instruments.py
@@ -21,6 +21,7 @@
     tokens: Counter
     first_token: Histogram
     between_tokens: Histogram
+    answer: Histogram
     queue_depth: Gauge
     shed: Counter
     retries: Counter
