--- a/geraniumrail/callers/events.py
+++ b/geraniumrail/callers/events.py
@@ -26,3 +26,8 @@
     'callers.caller_gone',
     'A caller closed the connection before the answer was complete.',
 )
+HANDSHAKE_REFUSED = Event.define(
+    904,
+    'callers.handshake_refused',
+    'A connection was refused because its TLS handshake failed.',
+)
--- a/geraniumrail/callers/server.py
+++ b/geraniumrail/callers/server.py
@@ -1,9 +1,11 @@
 """Runs an aiohttp application on an address with the limits of the settings file."""
 
+import asyncio
 import ssl
 
 from aiohttp import web
 
+from geraniumrail.callers import events
 from geraniumrail.callers.auth import KEY_RING
 from geraniumrail.callers.bodies import BODY_TIMEOUT_S
 from geraniumrail.callers.connection import ConnectionRunner
@@ -11,6 +13,7 @@
 from geraniumrail.config.key_ring import KeyRing
 from geraniumrail.config.limits import LimitsConfig
 from geraniumrail.config.listen import ListenConfig
+from geraniumrail.core.events import log
 
 LINE_BYTES = 8190
 IDLE_CONNECTION_S = 75.0
@@ -18,6 +21,19 @@
 REFUSED_BODY_S = 2.0
 
 
+def log_refused_connection(loop: asyncio.AbstractEventLoop, context: dict[str, object]) -> None:
+    """Writes one line for a handshake that failed, as it does whenever a stranger connects.
+
+    :param loop: the event loop.
+    :param context: what it met.
+    """
+    error = context.get('exception')
+    if isinstance(error, ssl.SSLError):
+        log(events.HANDSHAKE_REFUSED, reason=str(error))
+    else:
+        loop.default_exception_handler(context)
+
+
 class HttpServer:
     """One listening address."""
 
@@ -55,6 +71,7 @@
 
     async def start(self) -> None:
         """Listens."""
+        asyncio.get_running_loop().set_exception_handler(log_refused_connection)
         await self._runner.setup()
         self._site = web.TCPSite(
             self._runner,
--- a/geraniumrail/callers/server_test.py
+++ b/geraniumrail/callers/server_test.py
@@ -4,11 +4,13 @@
 import ssl
 import tempfile
 import unittest
+from unittest import mock
 
 import aiohttp
 import aiohttp.web
 import trustme
 
+from geraniumrail.callers import events, server
 from geraniumrail.callers.failures import json_response
 from geraniumrail.callers.server import HttpServer
 from geraniumrail.config.key_ring import KeyRing
@@ -48,6 +50,18 @@
         with self.assertRaises(aiohttp.ClientError):
             await self.session.get(f'http://{self.address}/healthz')
 
+    async def test_refused_handshake_is_one_line(self):
+        """It is expected whenever a stranger connects, and printed a traceback."""
+        with (
+            mock.patch.object(server, 'log') as logged,
+            self.assertNoLogs('asyncio', 'ERROR'),
+            self.assertRaises(aiohttp.ClientError),
+        ):
+            await self.session.get(f'http://{self.address}/healthz')
+        self.assertEqual(
+            [call.args[0] for call in logged.call_args_list], [events.HANDSHAKE_REFUSED]
+        )
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/geraniumrail/rollout/move_controller.py
+++ b/geraniumrail/rollout/move_controller.py
@@ -20,7 +20,6 @@
 _ALPHA = 0.005  # chance of taking a good move back, for each signal
 _END_LOG_E = math.log(1 / _ALPHA)
 _HOLD_LOG_E = _END_LOG_E * 0.7  # under a lower one, one good move in ten would be held
-_MIN_DWELL_S = 5
 _MIN_FULL_SAMPLES = 20
 _PROVEN_EXCESS = 0.02  # share of errors on a route, above which the version is watched for longer
 _LONGEST_WATCH = 3  # times the watch period
@@ -190,7 +189,7 @@
         if self._signs_of_fault(evidence):
             return self._hold(evidence)
         self._held = False
-        if now - self._step_at < _MIN_DWELL_S or self.step.share >= self.order.full_share:
+        if now - self._step_at < self.order.dwell_s or self.step.share >= self.order.full_share:
             return None
         share = next_share(self._sequential, self.order, self.step.share, now)
         return None if share is None else self._make_step(share, 'evidence')
--- a/geraniumrail/rollout/move_order.py
+++ b/geraniumrail/rollout/move_order.py
@@ -3,6 +3,9 @@
 import dataclasses
 
 _MAX_CANARY_SHARE = 0.2
+_MAX_DWELL_S = 5
+# Of the time to the deadline; three or four steps lead to the full share.
+_DWELL_PART = 1 / 12
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -31,6 +34,11 @@
         """
         return 1 - self.unproven_share
 
+    @property
+    def dwell_s(self) -> float:
+        """Least seconds under one share; a short move could not end in time otherwise."""
+        return min(_MAX_DWELL_S, (self.deadline - self.started_at) * _DWELL_PART)
+
     @property
     def watch_duration_s(self) -> float:
         """Seconds to watch the version under the full share before the move is done."""
