--- a/geraniumrail/control/duties_test.py
+++ b/geraniumrail/control/duties_test.py
@@ -77,7 +77,7 @@
             asyncio.run(duties.run_once())
 
     def count(self, control, entry, window, number):
-        started = Started(window=window, organisation='salon', count=number)
+        started = Started(window=window, counts={'salon': number})
         control.publisher.ledger.observe(entry, [started])
 
     def test_window_is_reported_once_with_the_counts_of_all_entries(self):
--- a/geraniumrail/control/follower_session.py
+++ b/geraniumrail/control/follower_session.py
@@ -33,6 +33,7 @@
         self._revision = first.info.applied_revision
         self._registry_version = first.registry_version
         self._sent_deployment = first.deployment_version
+        self._sent_members: tuple[str, ...] = ()
         self._sent_moves: tuple[Move, ...] | None = None
         self._sent_entries: tuple[EntryInfo, ...] | None = None
 
@@ -81,7 +82,7 @@
             assigned=self._assigned(tables),
             deployment_version=tables.deployment.version,
             deployment=self._deployment(tables),
-            members=known.members,
+            members=self._members(known),
             wall_error_s=known.wall_error_s,
             window_s=known.window_s,
         )
@@ -89,6 +90,12 @@
         self._registry_version = difference.version
         return update
 
+    def _members(self, facts: GroupFacts) -> tuple[str, ...]:
+        if facts.members == self._sent_members:
+            return ()
+        self._sent_members = facts.members
+        return facts.members
+
     def _deployment(self, tables: Tables) -> Deployment | None:
         held = tables.deployment
         if held.version <= self._sent_deployment:
--- a/geraniumrail/control/usage_ledger.py
+++ b/geraniumrail/control/usage_ledger.py
@@ -26,8 +26,9 @@
         """
         for each in started:
             by_source = self._counts.setdefault(each.window, {})
-            key = (entry, each.organisation)
-            by_source[key] = max(by_source.get(key, 0), each.count)
+            for organisation, count in each.counts.items():
+                key = (entry, organisation)
+                by_source[key] = max(by_source.get(key, 0), count)
         surplus = max(0, len(self._counts) - KEPT_WINDOWS)
         for window in sorted(self._counts)[:surplus]:
             self._counts.pop(window)
--- a/geraniumrail/entry/follower.py
+++ b/geraniumrail/entry/follower.py
@@ -20,7 +20,7 @@
 # A few entries report more often, so that they notice a lost leader well within their lease; many
 # would take too much of the leader's processor.
 LONGEST_INTERVAL_S = 1.0
-SHORTEST_INTERVAL_S = 0.4
+SHORTEST_INTERVAL_S = 0.5
 INTERVAL_FOR_EACH_ENTRY_S = 0.02
 # Every report is answered at once; a stream without answers for so many intervals is silent.
 SILENT_INTERVALS = 2
--- a/geraniumrail/entry/reporter.py
+++ b/geraniumrail/entry/reporter.py
@@ -49,7 +49,7 @@
             ),
             breakers=self.outcomes.breaker.reports(),
             deployment_version=self.view.table.version,
-            started=parts.usage.report(),
+            started=parts.usage.report(now),
             wall=self.clock.wall(),
             demand=parts.demand.take(),
         )
--- a/geraniumrail/links/messages.py
+++ b/geraniumrail/links/messages.py
@@ -66,11 +66,11 @@
 
 @record
 class Started:
-    """Requests of one organisation that began to run in one usage window, by one entry."""
+    """Requests that began to run in one usage window, at one entry."""
 
     window: int
-    organisation: str
-    count: int  # since the start of the entry, so that a report may be repeated
+    # By organisation, since the start of the entry, so that a report may be repeated.
+    counts: dict[str, int]
 
 
 @record
