--- a/geraniumrail/forwarding/testing.py
+++ b/geraniumrail/forwarding/testing.py
@@ -209,7 +209,7 @@
     return Inbound(**{**fields, **changes})
 
 
-def make_forwarder(routes, backends, *, version=1, lease_s=60, **organisation):
+def make_forwarder(routes, backends, *, version=1, lease_s=60, dialect=None, **organisation):
     """Builds a forwarder whose view has one configuration and some backend servers."""
     clock = SystemClock()
     view = ClusterView(clock, Knowledge())
@@ -235,7 +235,7 @@
         view=view,
         outcomes=Outcomes(view, clock),
         connections=Connections.from_config(ConnectionsConfig()),
-        dialect=TestDialect(),
+        dialect=dialect or TestDialect(),
         quota=Quota(),
         retries=RetryBudget(),
         usage=UsageCounter(),
