--- a/geraniumrail/control/fleet.py
+++ b/geraniumrail/control/fleet.py
@@ -1,6 +1,7 @@
 """Decides how many backend servers to order; soft state of the control leader."""
 
 import collections
+import dataclasses
 import math
 
 from geraniumrail.control import events
@@ -19,8 +20,10 @@
 # An order that was refused because nothing is to be had is made again after this time.
 REFUSED_RETRY_S = 2.0
 UNKNOWN_RETRY_S = 1.0
-# A refusal is taken to hold for this time, a little longer than the pause between orders.
-REFUSAL_LIFE_S = 3.0
+# A refusal is taken to hold for this time, longer than the pause between orders and their calls.
+REFUSAL_LIFE_S = 4.0
+# An engine that was ordered serves this long after its start time at the latest.
+START_MARGIN_S = 2.0
 # An order whose backend servers do not all serve is repeated; the same number starts no more.
 REPEAT_S = 2.0
 # A plan is made anew when demand falls below this part of what it was made for.
@@ -35,6 +38,13 @@
 _Subject = tuple[str, str, bool]
 
 
+@dataclasses.dataclass(frozen=True)
+class _Ordered:
+    count: int
+    at: float  # when it was ordered last
+    since: float  # when this number was ordered first
+
+
 class Fleet:
     """Orders on-demand and reclaimable backend servers by data centre.
 
@@ -54,7 +64,7 @@
     def became_leader(self) -> None:
         """Orders everything again: an earlier leader's orders may have been lost."""
         self._since = self._control.now()
-        self._ordered: dict[_Subject, tuple[int, float]] = {}
+        self._ordered: dict[_Subject, _Ordered] = {}
         self._retry_at: dict[_Subject, float] = {}
         self._refused_at: dict[_Subject, float] = {}
         self._had: set[tuple[str, str]] = set()  # data centres with reclaimable ones that served
@@ -95,7 +105,10 @@
         now = self._control.now()
         subject = (order.service, order.data_centre, order.reclaimable)
         if answer is DutyAnswer.accepted:
-            self._ordered[subject] = (order.count, now)
+            known = self._ordered.get(subject)
+            repeats = known is not None and known.count == order.count
+            since = known.since if known is not None and repeats else now
+            self._ordered[subject] = _Ordered(order.count, now, since)
             return
         if answer is DutyAnswer.conflict:
             self._refused_at[subject] = now
@@ -115,20 +128,37 @@
             return []
         planned = self._plan(service.name, tokens_per_s, bounds, now)
         # Before the first request nothing is needed but what is planned.
-        seen = self._demand.seen(service.name)
-        needed = math.ceil(tokens_per_s / TOKENS_PER_ENGINE_S) if seen else 0
+        needed = 0
+        if self._demand.seen(service.name):
+            needed = math.ceil(tokens_per_s / TOKENS_PER_ENGINE_S)
         refused = [
             name
             for name in scaling.price_by_data_centre
             if self._refused(service.name, name, now)
             or self._reclaimed(service.name, name, planned, serving)
         ]
-        fleet = transition(planned, serving, refused, needed, bounds)
+        held = self._held(service.name, serving, now - scaling.boot_s - START_MARGIN_S)
+        fleet = transition(planned, held, refused, needed, bounds)
         # Reclaimable ones first, since they need the time to start.
         by_kind = sorted(fleet.items(), key=lambda ordered: not ordered[0][1])
         orders = (FleetOrder(service.name, *key, count) for key, count in by_kind)
         return [order for order in orders if self._is_due(order, serving, now)]
 
+    def _held(
+        self, service: str, serving: collections.Counter[FleetKey], started_after: float
+    ) -> collections.Counter[FleetKey]:
+        """Returns the engines that serve or are starting on demand.
+
+        A start that is called off for another one is lost time.
+        """
+        held = collections.Counter(serving)
+        for (name, data_centre, reclaimable), ordered in self._ordered.items():
+            starting = ordered.since >= started_after
+            if name == service and not reclaimable and starting:
+                key = (data_centre, False)
+                held[key] = max(held[key], ordered.count)
+        return held
+
     def _refused(self, service: str, data_centre: str, now: float) -> bool:
         at = self._refused_at.get((service, data_centre, True), -math.inf)
         return now - at < REFUSAL_LIFE_S
@@ -152,9 +182,11 @@
         subject = (order.service, order.data_centre, order.reclaimable)
         if now < self._retry_at.get(subject, -math.inf):
             return False
-        count, at = self._ordered.get(subject, (None, 0))
+        known = self._ordered.get(subject)
+        if known is None or known.count != order.count:
+            return True
         missing = serving[order.data_centre, order.reclaimable] < order.count
-        return count != order.count or (missing and now - at > REPEAT_S)
+        return missing and now - known.at > REPEAT_S
 
     def _tokens_per_s(
         self, service: str, serving: collections.Counter[FleetKey], now: float
