--- a/geraniumrail/control/fleet_test.py
+++ b/geraniumrail/control/fleet_test.py
@@ -113,7 +113,7 @@
         self.assertEqual(fixed, 0)
 
     def test_starts_are_not_called_off_while_nothing_is_to_be_had(self):
-        """Pattern: data centres are reclaimed 3 s apart and none is to be had for 14 s, the dear one
+        """Pattern: data centres are reclaimed 3 s apart none is to be had for 14 s, the dear one
         first. Engines that were starting were given up for others in a cheaper place, again and
         again (inc-5455)."""
         self.run_for(10, traffic=False)
