Order reclaimable engines again where on-demand ones filled a data centre

Ruled out: refusals (the last one was at 19.3 s, before the place was full). One place is left for a reclaimable engine, and a data centre counts as reclaimed until an order is accepted. The test failed before with (9, 5) instead of (14, 0).

--- a/geraniumrail/control/fleet.py
+++ b/geraniumrail/control/fleet.py
@@ -68,6 +68,7 @@
         self._retry_at: dict[_Subject, float] = {}
         self._refused_at: dict[_Subject, float] = {}
         self._had: set[tuple[str, str]] = set()  # data centres with reclaimable ones that served
+        self._lost: set[tuple[str, str]] = set()  # of these, without one since, and none ordered
         self._first_by_service: dict[str, int] = {}
         self._planned: dict[str, dict[FleetKey, int]] = {}
         self._planned_for: dict[str, float] = {}
@@ -109,6 +110,9 @@
             repeats = known is not None and known.count == order.count
             since = known.since if known is not None and repeats else now
             self._ordered[subject] = _Ordered(order.count, now, since)
+            if order.reclaimable and order.count:
+                self._lost.discard((order.service, order.data_centre))
+                self._refused_at.pop(subject, None)
             return
         if answer is DutyAnswer.conflict:
             self._refused_at[subject] = now
@@ -170,11 +174,18 @@
         planned: dict[FleetKey, int],
         serving: collections.Counter[FleetKey],
     ) -> bool:
-        """Tells whether all reclaimable ones of a data centre are leaving or gone."""
-        key = (data_centre, True)
-        if serving[key]:
-            self._had.add((service, data_centre))
-        return planned[key] > 0 and not serving[key] and (service, data_centre) in self._had
+        """Tells whether all reclaimable ones of a data centre are leaving or gone.
+
+        It holds until an order for new ones is accepted.
+        """
+        place = (service, data_centre)
+        if serving[data_centre, True]:
+            self._had.add(place)
+            self._lost.discard(place)
+        elif place in self._had:
+            self._had.discard(place)
+            self._lost.add(place)
+        return planned[data_centre, True] > 0 and place in self._lost
 
     def _is_due(
         self, order: FleetOrder, serving: collections.Counter[FleetKey], now: float
--- a/geraniumrail/control/fleet_test.py
+++ b/geraniumrail/control/fleet_test.py
@@ -134,6 +134,20 @@
             ]
             self.assertEqual(counts, sorted(counts), f'{name}: {counts}')
 
+    def test_reclaimable_engines_return_where_the_others_filled_a_data_centre(self):
+        """Pattern: two data centres are reclaimed 6 s apart, and none is to be had for 14 s. The
+        first stayed on on-demand engines for good: these filled it, so that no reclaimable one was
+        ordered there, and without one serving it counted as reclaimed."""
+        self.run_for(10, traffic=False)
+        self.run_for(30)
+        before = self.kinds()
+        self.cloud.reclaim('cheras', 12)
+        self.run_for(6)
+        self.cloud.reclaim('petaling', 14)
+        self.run_for(14 + 2 * BOOT_S + 4)
+        self.assertEqual(self.kinds(), before)
+        self.assertEqual(before[1], 0)
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/geraniumrail/placement/fleet_plan.py
+++ b/geraniumrail/placement/fleet_plan.py
@@ -122,8 +122,9 @@
     for keeps in (True, False):
         for name in _cheapest_first(bounds):
             room = bounds.most - reclaimable[name]
-            if name not in refused:
-                # One place is left, so that reclaimable ones can begin to replace the others.
+            if planned.get((name, True), 0):
+                # One place is left: a reclaimable one is asked for there while none is to be had,
+                # and the others are replaced once it serves.
                 room = min(room, bounds.most - 1)
             if keeps or name not in refused:
                 room = min(room, serving.get((name, False), 0))
