Order fewer on-demand engines while reclaimable ones are missing

One figure, 18,000 tokens a second for an engine, was used for both. Reclaimable engines stay planned by it; stand-ins are ordered up to 30,000. The new test failed with 18,000 (5 stand-ins).

--- a/geraniumrail/control/fleet.py
+++ b/geraniumrail/control/fleet.py
@@ -31,6 +31,9 @@
 # What one engine answers within the latency target, in prompt and output tokens that the requests
 # name, cached ones included (docs/MEASUREMENTS.md, "Engines ordered").
 TOKENS_PER_ENGINE_S = 18_000.0
+# The same for engines that stand in on demand, at several times the price: they are ordered only up
+# to what keeps most answers within the target (docs/MEASUREMENTS.md, "Engines ordered").
+STAND_IN_TOKENS_PER_ENGINE_S = 30_000.0
 # Until demand is known: this multiple of what the engines that are there can answer.
 UNKNOWN_DEMAND = 1.6
 ON_DEMAND_SHARE: float = 0
@@ -134,7 +137,7 @@
         # Before the first request nothing is needed but what is planned.
         needed = 0
         if self._demand.seen(service.name):
-            needed = math.ceil(tokens_per_s / TOKENS_PER_ENGINE_S)
+            needed = math.ceil(tokens_per_s / STAND_IN_TOKENS_PER_ENGINE_S)
         refused = [
             name
             for name in scaling.price_by_data_centre
--- a/geraniumrail/control/fleet_test.py
+++ b/geraniumrail/control/fleet_test.py
@@ -5,7 +5,7 @@
 import unittest
 
 from geraniumrail.control.duty_call import DutyAnswer
-from geraniumrail.control.fleet import Fleet
+from geraniumrail.control.fleet import STAND_IN_TOKENS_PER_ENGINE_S, Fleet
 from geraniumrail.core.backend import Backend
 from geraniumrail.deployment.deployment import Deployment
 from geraniumrail.deployment.service import Scaling, ServiceSpec
@@ -134,6 +134,18 @@
             ]
             self.assertEqual(counts, sorted(counts), f'{name}: {counts}')
 
+    def test_few_stand_in_where_the_rest_holds_the_load(self):
+        """Pattern: one data centre is reclaimed under a load that the others hold, if less in
+        time; on-demand engines at five times the price were ordered for the whole difference."""
+        self.run_for(10, traffic=False)
+        self.run_for(30)
+        self.cloud.reclaim('cheras', 14)
+        self.run_for(10)
+        left, fixed = self.kinds()
+        held = (left + fixed) * STAND_IN_TOKENS_PER_ENGINE_S
+        self.assertGreaterEqual(held, TOKENS_PER_S)
+        self.assertLessEqual(fixed, 2)
+
     def test_reclaimable_engines_return_where_the_others_filled_a_data_centre(self):
         """Pattern: two data centres are reclaimed 6 s apart, and none is to be had for 14 s. The
         first stayed on on-demand engines for good: these filled it, so that no reclaimable one was
