Elect a leader before the timeout when all voters have restarted

If every voter says that it does not lead and has heard no leader since it started, no leader holds one, and the campaign need not wait. Ruled out: shorter leases (they bring elections under load).

--- a/geraniumrail/consensus/ballot.py
+++ b/geraniumrail/consensus/ballot.py
@@ -12,21 +12,33 @@
 from geraniumrail.core.events import log
 from geraniumrail.errors.base import GeraniumrailError
 
+# Tests switch it off to show what it prevents.
+UNANIMOUS = True
 
-async def campaign(context: Context) -> bool:
+
+async def campaign(context: Context, early: bool = False) -> bool:
     """Tries to win an election; returns whether this replica may lead the current term.
 
+    An early campaign comes before a lease that a leader may hold must have ended. It goes on only
+    if every voter answers that it does not lead and has heard no leader since it started: a leader
+    with a lease would be one of them.
+
     :param context: the replica.
+    :param early: whether it is one.
     """
     standing = context.standing
     transfer = context.may_take_over()
     standing.handed_over_term = 0
     started_term = context.term
-    log(events.CAMPAIGN, replica=context.replica_id, term=started_term + 1, transfer=transfer)
-    if not transfer and not await _ask(context, pre=True):
+    if not early:
+        log(events.CAMPAIGN, replica=context.replica_id, term=started_term + 1, transfer=transfer)
+    if not transfer and not await _ask(context, pre=True, early=early):
         return False
-    if context.term != started_term or (context.hears_leader() and not transfer):
+    overtaken = standing.has_heard if early else context.hears_leader() and not transfer
+    if context.term != started_term or overtaken:
         return False
+    if early:
+        log(events.CAMPAIGN, replica=context.replica_id, term=started_term + 1, early=True)
     standing.role = 'candidate'
     standing.leader_id = ''
     standing.leader_address = ''
@@ -35,12 +47,17 @@
     await context.journal.sync()
     if context.term != term:
         return False
-    won = await _ask(context, transfer=transfer)
+    won = await _ask(context, transfer=transfer, early=early)
     return won and context.term == term and standing.role == 'candidate'
 
 
-async def _ask(context: Context, pre: bool = False, transfer: bool = False) -> bool:
-    """Collects votes until a majority has granted or all have answered."""
+async def _ask(
+    context: Context, pre: bool = False, transfer: bool = False, early: bool = False
+) -> bool:
+    """Collects votes until a majority has granted or all have answered.
+
+    An early pre-vote has to be unanimous.
+    """
     journal = context.journal
     request = VoteRequest(
         group=context.config.group,
@@ -52,8 +69,10 @@
         last_term=journal.last_term,
         pre=pre,
         transfer=transfer,
+        early=early,
     )
     membership = context.membership
+    unanimous = early and pre and UNANIMOUS
     granted = frozenset((context.replica_id,))
     others = (member for member in membership.members if member.replica_id != context.replica_id)
     replies: asyncio.Queue[VoteReply] = asyncio.Queue()
@@ -64,9 +83,11 @@
     ]
     try:
         for _ in calls:
-            if membership.is_majority(granted):
+            if membership.is_majority(granted) and not unanimous:
                 break
             reply = await replies.get()
+            if unanimous and not reply.granted:
+                return False
             if reply.granted:
                 granted |= {reply.replica_id}
             elif reply.term > context.term:
--- a/geraniumrail/consensus/context.py
+++ b/geraniumrail/consensus/context.py
@@ -16,6 +16,8 @@
 
 # Of the election timeout; a campaign takes a few round trips.
 FIRST_SPREAD = 0.4
+# The same for campaigns before the first deadline, which need the answers of all voters.
+EARLY_SPREAD = 0.15
 
 
 @dataclasses.dataclass
@@ -28,6 +30,8 @@
     leader_id: str = ''
     leader_address: str = ''
     handed_over_term: int = 0  # the leader of this term has asked this replica to campaign
+    has_heard: bool = False  # whether a leader was heard since the start of this process
+    early_at: float = float('inf')  # when to try an early campaign
 
 
 @dataclasses.dataclass(frozen=True)
@@ -75,6 +79,7 @@
             standing.leader_id = leader_id
             standing.leader_address = leader_address
             standing.heard_at = self.clock.now()
+            standing.has_heard = True
             self.set_deadline()
 
     def set_deadline(self, shortest: float = 1.0) -> None:
@@ -93,6 +98,17 @@
         timeout = self.config.election_timeout_s
         earliest = max(self.clock.now(), self.standing.heard_at + timeout)
         self.standing.deadline = earliest + timeout * self.rng.uniform(0, FIRST_SPREAD)
+        self.set_early()
+
+    def set_early(self) -> None:
+        """Draws the time of the next early campaign."""
+        timeout = self.config.election_timeout_s
+        self.standing.early_at = self.clock.now() + timeout * self.rng.uniform(0, EARLY_SPREAD)
+
+    def may_campaign_early(self) -> bool:
+        """Tells whether to ask all voters if they have restarted as well."""
+        standing = self.standing
+        return not standing.has_heard and self.clock.now() >= standing.early_at
 
     def hears_leader(self) -> bool:
         """Tells whether a live leader was heard so recently that it may hold its lease."""
--- a/geraniumrail/consensus/follower.py
+++ b/geraniumrail/consensus/follower.py
@@ -170,7 +170,9 @@
             return 'belongs to no group'
         if request.term < hard.term or (voted and not request.pre):
             return 'term'
-        if context.hears_leader() and not request.transfer:
+        if request.early and (context.standing.role == 'leader' or context.standing.has_heard):
+            return 'leader was heard'
+        if context.hears_leader() and not request.transfer and not request.early:
             return 'leader is live'
         own = (journal.last_term, journal.last_index)
         return 'log is behind' if (request.last_term, request.last_index) < own else ''
--- a/geraniumrail/consensus/messages.py
+++ b/geraniumrail/consensus/messages.py
@@ -40,6 +40,7 @@
     last_term: int
     pre: bool = False
     transfer: bool = False  # the leader has asked the sender to campaign
+    early: bool = False  # all voters seem to have restarted, so that no leader holds a lease
 
 
 @record
--- a/geraniumrail/consensus/replica_test.py
+++ b/geraniumrail/consensus/replica_test.py
@@ -5,6 +5,7 @@
 import unittest
 from unittest import mock
 
+from geraniumrail.consensus.config import ReplicaConfig
 from geraniumrail.consensus.context import Context
 from geraniumrail.consensus.entry import Entry, HardState, Stored
 from geraniumrail.consensus.leadership import may_commit
@@ -243,6 +244,30 @@
         await cluster.start('b')
         self.assertEqual((await self.vote('b')).refused, 'leader is live')
 
+    async def test_common_restart_elects_before_the_timeout(self):
+        """Pattern: all replicas are killed at once; callers wait until there is a leader."""
+        cluster = await self.create()
+        for name in 'abc':
+            await cluster.crash(name)
+        cluster.early = True
+        began = cluster.clock.now()
+        for name in 'abc':
+            await cluster.start(name)
+        await cluster.until(lambda: cluster.leader() is not None)
+        self.assertLess(cluster.clock.now() - began, ReplicaConfig.election_timeout_s)
+
+    async def test_one_restarted_replica_leaves_the_leader_alone(self):
+        cluster = await self.create()
+        before, term = cluster.leader(), cluster.replicas_by_name['a'].status().term
+        other = next(name for name in 'abc' if name != before)
+        await cluster.crash(other)
+        cluster.early = True
+        await cluster.start(other)
+        self.assertEqual((await self.vote(before, early=True)).refused, 'leader was heard')
+        await cluster.clock.advance(5)
+        self.assertEqual(cluster.leader(), before)
+        self.assertEqual(cluster.replicas_by_name['a'].status().term, term)
+
     async def test_candidate_with_a_shorter_log_gets_no_vote(self):
         await self.create()
         reply = await self.vote('a', last_index=1, last_term=1, transfer=True)
--- a/geraniumrail/consensus/runner.py
+++ b/geraniumrail/consensus/runner.py
@@ -81,10 +81,13 @@
         while standing.role != 'failed':
             due = context.may_take_over() or context.clock.now() >= standing.deadline
             voter = context.replica_id in context.membership.voter_ids()
-            if due and voter and await campaign(context):
+            early = not due and context.may_campaign_early()
+            if (due or early) and voter and await campaign(context, early=early):
                 await self._lead()
             elif due:
                 context.set_deadline(shortest=0.2)
+            elif early:
+                context.set_early()
             await context.pause()
 
     async def _lead(self) -> None:
--- a/geraniumrail/consensus/schedule_test.py
+++ b/geraniumrail/consensus/schedule_test.py
@@ -8,12 +8,14 @@
 import unittest
 from unittest import mock
 
+from geraniumrail.consensus import ballot
 from geraniumrail.consensus.follower import Follower
 from geraniumrail.consensus.journal import Journal
 from geraniumrail.consensus.leadership import Leadership
 from geraniumrail.consensus.testing import run_schedule
 
 SEEDS = range(1, 31)
+EARLY_SEEDS = range(101, 131)
 LONGEST_SEARCH = 60  # seeds
 DURATION_S = 20  # simulated
 
@@ -39,6 +41,12 @@
     return '' if refused == 'log is behind' else refused
 
 
+def ignore_live_leader(follower, request):
+    """Replaces `Follower._vote_refusal`."""
+    refused = vote_refusal(follower, request)
+    return '' if refused == 'leader was heard' else refused
+
+
 vote_refusal = Follower._vote_refusal
 anything_is_durable = property(lambda journal: journal.last_index, lambda journal, index: None)
 
@@ -54,6 +62,21 @@
         self.assertGreater(sum(one.acknowledged for one in reports), 1000)
         self.assertGreater(sum(one.terms for one in reports), 2 * len(reports))
 
+    def test_early_campaigns_keep_leases_apart(self):
+        """Replicas that restart together elect a leader before an old lease must have ended."""
+        reports = [run_schedule(seed, DURATION_S, early=True) for seed in EARLY_SEEDS]
+        violations = {one.seed: one.violations for one in reports if one.violations}
+        self.assertEqual(violations, {})
+
+    def test_early_vote_for_a_live_leader_is_noticed(self):
+        self.assert_noticed(
+            151,
+            'hold a lease',
+            mock.patch.object(Follower, '_vote_refusal', ignore_live_leader),
+            mock.patch.object(ballot, 'UNANIMOUS', new=False),
+            early=True,
+        )
+
     def test_same_seed_gives_the_same_report(self):
         """A failure that can't be repeated can't be explained."""
         self.assertEqual(run_schedule(5, DURATION_S), run_schedule(5, DURATION_S))
@@ -95,13 +118,13 @@
             mock.patch.object(Follower, '_mismatch', ignore_previous_entry),
         )
 
-    def assert_noticed(self, first_seed, violation, *patches):
+    def assert_noticed(self, first_seed, violation, *patches, early=False):
         """Searches seeds, from one that is known to do, until the violation is reported."""
         with contextlib.ExitStack() as stack:
             for patch in patches:
                 stack.enter_context(patch)
             for seed in itertools.islice(itertools.count(first_seed), LONGEST_SEARCH):
-                if any(violation in found for found in run_schedule(seed).violations):
+                if any(violation in found for found in run_schedule(seed, early=early).violations):
                     return
         self.fail(f'no seed has reported: {violation}')
 
--- a/geraniumrail/consensus/testing.py
+++ b/geraniumrail/consensus/testing.py
@@ -235,6 +235,7 @@
         self.clock = IdleClock(100)
         self.network = Network(self.clock, self.rng)
         self.settings = settings
+        self.early = False  # whether replicas tell since when they run
         self.skew = 0.0  # share by which the clocks of replicas started from now on may be off
         self.disks_by_name: dict[str, Disk] = {}
         self.machines_by_name: dict[str, ListMachine] = {}
@@ -269,6 +270,7 @@
             machine,
             clock,
             random.Random(self.rng.random()),
+            clock.now() if self.early else None,
         )
         self.machines_by_name[name] = machine
         self.replicas_by_name[name] = replica
@@ -635,7 +637,9 @@
                 self.report.transfers += 1
 
 
-async def run_schedule_async(seed: int, duration_s: float = 30) -> ScheduleReport:
+async def run_schedule_async(
+    seed: int, duration_s: float = 30, early: bool = False
+) -> ScheduleReport:
     """Runs one schedule of failures; the report is the same for the same seed."""
     report = ScheduleReport(seed)
     cluster = await Cluster.create(
@@ -651,6 +655,7 @@
         election_timeout_s=1.0,
         call_timeout_s=0.5,
     )
+    cluster.early = early
     await cluster.start('d')
     await cluster.add('d')
     cluster.skew = 0.08
@@ -659,6 +664,6 @@
     return report
 
 
-def run_schedule(seed: int, duration_s: float = 30) -> ScheduleReport:
+def run_schedule(seed: int, duration_s: float = 30, early: bool = False) -> ScheduleReport:
     """Runs one schedule of failures in an event loop of its own."""
-    return asyncio.run(run_schedule_async(seed, duration_s))
+    return asyncio.run(run_schedule_async(seed, duration_s, early))
