Answer entries when an election is over, and note the engines that serve in the log

Ruled out: engines that were lost (all were serving). An entry that comes during an election waits for its end, and the engines that serve are noted in the log: an entry that knows none gets the notes with a short lease. An entry that went on gets none, since it may have seen an engine leave. The tests failed before: sent away at once; no engine but the announced ones.

--- /dev/null
+++ b/geraniumrail/control/backend_notes_test.py
@@ -0,0 +1,159 @@
+"""Guards entries that restart together with control: they must not crowd the first engines."""
+
+import asyncio
+import types
+import unittest
+
+from geraniumrail.control.backend_notes import SETTLE_S, BackendNotes
+from geraniumrail.control.publisher import NOTES_S, Publisher
+from geraniumrail.core import codec
+from geraniumrail.core.backend import Backend
+from geraniumrail.core.load_report import LoadReport
+from geraniumrail.core.manual_clock import ManualClock
+from geraniumrail.entry.cluster_view import ClusterView
+from geraniumrail.links.messages import ControlUpdate, EntryInfo, EntryReport
+from geraniumrail.routing.knowledge import Knowledge
+from geraniumrail.state.machine import Machine
+
+INFO = EntryInfo(entry='e', instance='e', address='', peer_address='', data_centre='', region='')
+
+
+def engine(name, **fields):
+    return Backend(
+        instance=name,
+        service='model-bench',
+        address='10.0.0.1:80',
+        data_centre='cheras',
+        region='klang-valley',
+        version='v1',
+        **{'sequence': 5, 'load': LoadReport(running=9, slots=64), **fields},
+    )
+
+
+class Control:
+    """A leader whose log commits at once; the machine outlives it."""
+
+    def __init__(self, machine, clock):
+        self.machine = machine
+        self.clock = clock
+        self.written = []
+        self.proposer = types.SimpleNamespace(propose=self.propose)
+        leadership = types.SimpleNamespace(require=lambda: 1, is_settled=lambda: True)
+        self.publisher = Publisher(machine, leadership, clock)
+        self.publisher.became_leader(1)
+        self.notes = BackendNotes(self)
+
+    def now(self):
+        return self.clock.now()
+
+    async def propose(self, command):
+        self.written.append(command)
+        return self.machine.apply(len(self.written), codec.encode(command))
+
+    async def run_notes(self):
+        await self.notes.run_once()
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+
+    async def first_update(self, registry_version=-1):
+        async def reports():
+            yield EntryReport(sequence=1, info=INFO, registry_version=registry_version)
+            await asyncio.Event().wait()
+
+        updates = self.publisher.follow(reports())
+        update = await anext(updates)
+        await updates.aclose()
+        return update
+
+
+class BackendNotesTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.clock = ManualClock(100)
+        self.machine = Machine()
+        self.leader = Control(self.machine, self.clock)
+        for name in ('a', 'b'):
+            self.leader.publisher.announced(engine(name))
+        await self.leader.run_notes()
+
+    def restart(self):
+        """All processes restart: the machine is restored, everything else is new."""
+        machine = Machine()
+        machine.restore(self.machine.snapshot())
+        self.machine = machine
+        self.leader = Control(machine, self.clock)
+
+    async def names(self, **fields):
+        update = await self.leader.first_update(**fields)
+        return {note.instance for note in update.noted}
+
+    async def test_restarted_entry_gets_the_engines_of_before(self):
+        """Pattern: all processes are killed; announcements come over the next 1.2 s, and the
+        engines that were heard of first got the work of all."""
+        self.restart()
+        self.leader.publisher.announced(engine('b', sequence=6))
+        self.assertEqual(await self.names(), {'a'})
+
+    async def test_entry_that_went_on_gets_no_notes(self):
+        """An engine that it has seen leave must not come back to it."""
+        self.restart()
+        self.assertEqual(await self.names(registry_version=7), set())
+
+    async def test_engine_that_leaves_is_not_noted(self):
+        self.leader.publisher.announced(engine('a', sequence=6, state='leaving'))
+        self.leader.publisher.withdrawn('b', 0)
+        await self.leader.run_notes()
+        self.assertEqual(self.machine.tables.noted_by_instance, {})
+        self.restart()
+        self.leader.publisher.withdrawn('a', 0)
+        self.assertEqual(await self.names(), set())
+
+    async def test_notes_are_removed_after_the_announcements(self):
+        self.restart()
+        await self.leader.run_notes()
+        self.assertEqual(set(self.machine.tables.noted_by_instance), {'a', 'b'})
+        await self.clock.advance(SETTLE_S)
+        await self.leader.run_notes()
+        self.assertEqual(set(self.machine.tables.noted_by_instance), set())
+
+    async def test_unchanged_engines_are_written_once(self):
+        self.leader.publisher.announced(engine('a', sequence=6))
+        await self.leader.run_notes()
+        self.assertEqual(len(self.leader.written), 1)
+
+    async def test_later_leader_sends_none(self):
+        self.restart()
+        await self.clock.advance(NOTES_S)
+        self.assertEqual(await self.names(), set())
+
+
+class NotedViewTest(unittest.TestCase):
+    def setUp(self):
+        self.clock = ManualClock(100)
+        self.view = ClusterView(self.clock, Knowledge())
+
+    def take(self, **fields):
+        self.view.take(ControlUpdate(term=1, answers=1, lease_s=4, revision=0, **fields), 100)
+
+    def candidates(self):
+        return [each.instance for each in self.view.candidates('model-bench')]
+
+    def test_note_serves_until_its_lease_ends(self):
+        self.take(noted=(engine('a', sequence=0, lease_s=1.0),))
+        self.assertEqual(self.candidates(), ['a'])
+        asyncio.run(self.clock.advance(1.1))
+        self.assertEqual(self.candidates(), [])
+
+    def test_announcement_replaces_the_note(self):
+        self.take(noted=(engine('a', sequence=0, lease_s=1.0),))
+        self.take(backends=(engine('a', sequence=1),))
+        asyncio.run(self.clock.advance(1.1))
+        self.assertEqual(self.candidates(), ['a'])
+
+    def test_note_replaces_nothing_that_is_known(self):
+        self.take(backends=(engine('a', state='leaving'),))
+        self.take(noted=(engine('a', sequence=0, lease_s=1.0),))
+        self.assertEqual(self.candidates(), [])
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/geraniumrail/control/follower_session.py
+++ b/geraniumrail/control/follower_session.py
@@ -7,6 +7,7 @@
 from geraniumrail.control.group_facts import GroupFacts
 from geraniumrail.control.registry import Registry
 from geraniumrail.control.usage_shares import UsageShares
+from geraniumrail.core.backend import Backend
 from geraniumrail.deployment.deployment import Deployment
 from geraniumrail.links.messages import ControlUpdate, EntryInfo, EntryReport
 from geraniumrail.settings.node import Node
@@ -32,6 +33,7 @@
         self._answers = first.sequence
         self._revision = first.info.applied_revision
         self._registry_version = first.registry_version
+        self.is_new = first.registry_version < 0  # the entry knows no backend server
         self._sent_deployment = first.deployment_version
         self._sent_members: tuple[str, ...] = ()
         self._sent_moves: tuple[Move, ...] | None = None
@@ -53,6 +55,7 @@
         leases: EntryLeases,
         usage: UsageShares,
         facts: GroupFacts | None = None,
+        noted: tuple[Backend, ...] = (),
     ) -> ControlUpdate:
         """Builds the next update and remembers what it holds.
 
@@ -61,6 +64,7 @@
         :param leases: entries with a lease.
         :param usage: use of the organisations.
         :param facts: members and time.
+        :param noted: backend servers that have not announced themselves yet.
         """
         known = facts or GroupFacts()
         difference = registry.since(self._registry_version, self.info)
@@ -76,6 +80,7 @@
             backends=difference.backends,
             loads=difference.loads,
             gone=difference.gone,
+            noted=noted,
             entries=self._entries(leases, tables),
             share=usage.share(self.info.entry),
             drained=tuple(tables.drains_by_target),
@@ -88,6 +93,7 @@
         )
         self._revision = tables.tree.revision
         self._registry_version = difference.version
+        self.is_new = False
         return update
 
     def _members(self, facts: GroupFacts) -> tuple[str, ...]:
--- a/geraniumrail/control/leadership.py
+++ b/geraniumrail/control/leadership.py
@@ -23,6 +23,10 @@
         """Tells whether this process may act as the leader now."""
         return self.elected() and self._replica.status().term == self._office_term
 
+    def is_settled(self) -> bool:
+        """Tells whether this process may act as the leader, or knows which other one leads."""
+        return self.holds() or (bool(self._replica.status().leader) and not self.elected())
+
     async def take_office(self) -> None:
         """Waits until the local state holds everything that earlier leaders acknowledged.
 
--- a/geraniumrail/control/publisher.py
+++ b/geraniumrail/control/publisher.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 from collections.abc import AsyncIterator, Callable
 
 from geraniumrail.control.entry_leases import EntryLeases
@@ -24,6 +25,13 @@
 # often than this, so that a wave of announcements becomes a few updates.
 MIN_UPDATE_INTERVAL_S = 0.05
 VERSION_BITS = 32  # of registry versions within one term
+# An entry that comes during an election is answered when it is over: looking again through all
+# members takes it longer. Shorter than the silence after which an entry gives a stream up.
+ELECTION_WAIT_S = 0.8
+ELECTION_POLL_S = 0.03
+# A new leader sends notes to entries that know no backend server for this time, after which each
+# has announced itself (every 1.2 s); then they serve no purpose.
+NOTES_S = 1.6
 
 PUBLISHED = (
     commands.ChangeSettings,
@@ -66,6 +74,7 @@
         self._leadership = leadership
         self._clock = clock
         self._sessions_by_entry: dict[str, FollowerSession] = {}
+        self._led_since = clock.now()
         machine.listen(self._applied)
 
     def became_leader(self, term: int) -> None:
@@ -73,6 +82,7 @@
 
         :param term: the new term.
         """
+        self._led_since = self._clock.now()
         self.registry = Registry(term << VERSION_BITS)
         self.usage = UsageShares()
         self.ledger = UsageLedger()
@@ -117,6 +127,7 @@
         :param reports: the entry's reports.
         :raises NotLeaderError: if this process may not act as leader.
         """
+        await self._wait_for_election()
         term = self._leadership.require()
         first = await anext(reports)
         session = FollowerSession(first, term)
@@ -133,6 +144,11 @@
             reader.cancel()
             self._forget(session)
 
+    async def _wait_for_election(self) -> None:
+        end = self._clock.now() + ELECTION_WAIT_S
+        while not self._leadership.is_settled() and self._clock.now() < end:
+            await self._clock.sleep(ELECTION_POLL_S)
+
     def _forget(self, session: FollowerSession) -> None:
         if self._sessions_by_entry.get(session.info.entry) is session:
             self._sessions_by_entry.pop(session.info.entry)
@@ -154,6 +170,18 @@
             self.leases,
             self.usage,
             self._facts(session.info.entry),
+            self._noted() if session.is_new else (),
+        )
+
+    def _noted(self) -> tuple[Backend, ...]:
+        left_s = self._led_since + NOTES_S - self._clock.now()
+        if left_s <= 0:
+            return ()
+        known = self.registry.known_by_instance
+        return tuple(
+            dataclasses.replace(note, lease_s=left_s)
+            for instance, note in self._machine.tables.noted_by_instance.items()
+            if instance not in known and not self.registry.has_left(instance)
         )
 
     def _facts(self, entry: str) -> GroupFacts:
--- a/geraniumrail/control/publisher_test.py
+++ b/geraniumrail/control/publisher_test.py
@@ -1,5 +1,6 @@
 """Guards entries against a stream that outlives the leadership that opened it."""
 
+import asyncio
 import types
 import unittest
 
@@ -9,27 +10,67 @@
 from geraniumrail.links.messages import EntryInfo, EntryReport
 from geraniumrail.state.machine import Machine
 
+ELECTED_AT = 0.4
+INFO = EntryInfo(entry='e', instance='e', address='', peer_address='', data_centre='', region='')
+
+
+class SlowClock(ManualClock):
+    """Time passes only while somebody sleeps."""
+
+    def __init__(self):
+        super().__init__(0)
+
+    async def sleep(self, seconds):
+        self._now += seconds
+
+
+async def one_report():
+    yield EntryReport(sequence=1, info=INFO)
+    await asyncio.Event().wait()
+
 
 class PublisherTest(unittest.IsolatedAsyncioTestCase):
     async def test_stream_ends_with_its_leadership(self):
         """A later leadership sent differences against a registry that the entry never got."""
         term = [1]
-        leadership = types.SimpleNamespace(require=lambda: term[0])
+        leadership = types.SimpleNamespace(require=lambda: term[0], is_settled=lambda: True)
         publisher = Publisher(Machine(), leadership, ManualClock())
-        info = EntryInfo(
-            entry='e', instance='e', address='', peer_address='', data_centre='', region=''
-        )
 
         async def reports():
-            yield EntryReport(sequence=1, info=info)
+            yield EntryReport(sequence=1, info=INFO)
             term[0] = 2
-            yield EntryReport(sequence=2, info=info)
+            yield EntryReport(sequence=2, info=INFO)
 
         updates = publisher.follow(reports())
         with self.assertRaises(NotLeaderError):
             async for update in updates:
                 self.assertEqual(update.term, 1)
 
+    async def test_entry_is_answered_when_the_election_is_over(self):
+        """Pattern: after a common restart entries come before there is a leader; each was sent
+        away and looked through all members again."""
+        clock = SlowClock()
+        leadership = types.SimpleNamespace(
+            require=lambda: 1, is_settled=lambda: clock.now() >= ELECTED_AT
+        )
+        publisher = Publisher(Machine(), leadership, clock)
+        updates = publisher.follow(one_report())
+        self.assertEqual((await anext(updates)).term, 1)
+        self.assertLess(clock.now(), ELECTED_AT + 0.1)
+        await updates.aclose()
+
+    async def test_entry_is_sent_away_from_an_election_that_takes_long(self):
+        clock = SlowClock()
+
+        def refuse():
+            raise NotLeaderError(leader=None)
+
+        leadership = types.SimpleNamespace(require=refuse, is_settled=lambda: False)
+        updates = Publisher(Machine(), leadership, clock).follow(one_report())
+        with self.assertRaises(NotLeaderError):
+            await anext(updates)
+        self.assertLess(clock.now(), 1.2)
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/geraniumrail/control/registry.py
+++ b/geraniumrail/control/registry.py
@@ -127,6 +127,15 @@
         self._remove(instance)
         return True
 
+    def has_left(self, instance: str) -> bool:
+        """Tells whether a backend server has said that it leaves, or has left.
+
+        :param instance: the backend server.
+        """
+        known = self.known_by_instance.get(instance)
+        leaves = known is not None and known.backend.state != 'serving'
+        return leaves or instance in self._withdrawn_by_instance
+
     def _remove(self, instance: str) -> None:
         self.version += 1
         gone = self.known_by_instance.pop(instance)
--- a/geraniumrail/entry/cluster_view.py
+++ b/geraniumrail/entry/cluster_view.py
@@ -212,6 +212,12 @@
             self._confirm_until = self._clock.now() + CONFIRM_S
         self.observe(update.backends)
         now = self._clock.now()
+        for note in update.noted:
+            if note.instance not in self.backends_by_instance:
+                # Its lease is short: until it has announced itself, or is gone.
+                self.backends_by_instance[note.instance] = note
+                self.knowledge.observe(note, now)
+                self._unconfirmed.add(note.instance)
         for row in update.loads:
             known = self.backends_by_instance.get(row.i)
             if known is not None and known.sequence < row.s:
--- a/geraniumrail/fairness/quota.py
+++ b/geraniumrail/fairness/quota.py
@@ -7,7 +7,7 @@
 from geraniumrail.fairness.entry_share import EntryShare
 
 # Part of a limit that is divided evenly; the rest follows recent demand. Callers choose an entry at
-# random, so that most of the difference in recent demand is chance (docs/MEASUREMENTS.md, "Limits").
+# random, so most of the difference in recent demand is chance (docs/MEASUREMENTS.md, "Limits").
 EVEN_PART = 0.7
 # Until control has told the parts; it does so within a second of the first report.
 UNKNOWN_PART = 0.3
--- a/geraniumrail/links/messages.py
+++ b/geraniumrail/links/messages.py
@@ -114,6 +114,7 @@
     backends: tuple[Backend, ...] = ()
     loads: tuple[LoadRow, ...] = ()
     gone: tuple[str, ...] = ()
+    noted: tuple[Backend, ...] = ()  # served under an earlier leader, not announced to this one
     entries: tuple[EntryInfo, ...] = ()
     share: EntryShare = EntryShare(entries=1, share_by_organisation={})
     drained: tuple[str, ...] = ()
--- a/geraniumrail/state/apply_operations.py
+++ b/geraniumrail/state/apply_operations.py
@@ -1,4 +1,4 @@
-"""Commands of operations: drains and order numbers."""
+"""Commands of operations: drains, order numbers and notes of backend servers."""
 
 import itertools
 
@@ -39,3 +39,11 @@
         for order_id in list(itertools.islice(tables.orders_by_id, surplus)):
             tables.orders_by_id.pop(order_id)
     return results.OrderIssued(number=tables.last_order)
+
+
+@apply.register
+def _note(command: commands.NoteBackends, tables: Tables) -> object:
+    for instance in command.removed:
+        tables.noted_by_instance.pop(instance, None)
+    tables.noted_by_instance.update({each.instance: each for each in command.added})
+    return results.BackendsNoted(count=len(tables.noted_by_instance))
--- a/geraniumrail/state/results.py
+++ b/geraniumrail/state/results.py
@@ -88,3 +88,10 @@
     window: int
     counts: dict[str, int]
     sent: bool
+
+
+@record
+class BackendsNoted:
+    """How many backend servers are noted."""
+
+    count: int
--- a/geraniumrail/state/tables.py
+++ b/geraniumrail/state/tables.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from geraniumrail.core.backend import Backend
 from geraniumrail.core.codec import record
 from geraniumrail.core.refused import Refused
 from geraniumrail.deployment.deployment import Deployment
@@ -49,6 +50,7 @@
     deployment: Deployment = Deployment()
     duty: DutyHeld = DutyHeld(holder='', number=0)
     windows_by_number: dict[int, WindowClosed] = dataclasses.field(default_factory=dict)
+    noted_by_instance: dict[str, Backend] = dataclasses.field(default_factory=dict)
 
     def last_move(self, service: str) -> Move | None:
         """Returns the move of a service that was started last, or None.
@@ -82,6 +84,7 @@
     deployment: Deployment = Deployment()
     duty: DutyHeld = DutyHeld(holder='', number=0)
     windows: tuple[WindowClosed, ...] = ()
+    noted: tuple[Backend, ...] = ()
 
     @classmethod
     def from_tables(cls, tables: Tables) -> 'TablesImage':
@@ -101,6 +104,7 @@
             deployment=tables.deployment,
             duty=tables.duty,
             windows=tuple(tables.windows_by_number.values()),
+            noted=tuple(tables.noted_by_instance.values()),
         )
 
     def to_tables(self) -> Tables:
@@ -120,4 +124,5 @@
             deployment=self.deployment,
             duty=self.duty,
             windows_by_number={each.window: each for each in self.windows},
+            noted_by_instance={each.instance: each for each in self.noted},
         )
