Load HTTP of the control processes after the election

Failed try: without the module site (option -S), no difference (leases 13.95 s and 13.98 s). The bound of quota_test is kept.

--- a/geraniumrail/control/backend_notes.py
+++ b/geraniumrail/control/backend_notes.py
@@ -9,7 +9,7 @@
 from geraniumrail.core.events import log
 from geraniumrail.core.load_report import LoadReport
 from geraniumrail.errors.base import GeraniumrailError
-from geraniumrail.state import commands
+from geraniumrail.state.note_backends import NoteBackends
 
 # A new leader has heard of every backend server after this time; announcements come every 1.2 s.
 SETTLE_S = 3.0
@@ -43,7 +43,7 @@
         if command is not None:
             self._writing = asyncio.create_task(self._write(command), name=self.name)
 
-    def _difference(self) -> commands.NoteBackends | None:
+    def _difference(self) -> NoteBackends | None:
         registry = self._control.publisher.registry
         noted = self._control.machine.tables.noted_by_instance
         serving = {
@@ -60,9 +60,9 @@
         ]
         if not added and not removed:
             return None
-        return commands.NoteBackends(added=tuple(added[:MOST_ADDED]), removed=tuple(removed))
+        return NoteBackends(added=tuple(added[:MOST_ADDED]), removed=tuple(removed))
 
-    async def _write(self, command: commands.NoteBackends) -> None:
+    async def _write(self, command: NoteBackends) -> None:
         try:
             await self._control.proposer.propose(command)
         except GeraniumrailError as error:
--- a/geraniumrail/control/leadership.py
+++ b/geraniumrail/control/leadership.py
@@ -1,8 +1,11 @@
 """Whether this process may act as the leader of the control group."""
 
 from geraniumrail.consensus.replica import Replica
+from geraniumrail.core.clock import Clock
 from geraniumrail.errors.consensus import NotLeaderError
 
+POLL_S = 0.03  # an election takes a few round trips of a millisecond and a sync
+
 
 class Leadership:
     """A leader acts only after it has taken office: its state then holds all earlier writes."""
@@ -27,6 +30,16 @@
         """Tells whether this process may act as the leader, or knows which other one leads."""
         return self.holds() or (bool(self._replica.status().leader) and not self.elected())
 
+    async def settle(self, clock: Clock, limit_s: float) -> None:
+        """Waits for the end of an election.
+
+        :param clock: time.
+        :param limit_s: limit in seconds.
+        """
+        end = clock.now() + limit_s
+        while not self.is_settled() and clock.now() < end:
+            await clock.sleep(POLL_S)
+
     async def take_office(self) -> None:
         """Waits until the local state holds everything that earlier leaders acknowledged.
 
--- a/geraniumrail/control/publisher.py
+++ b/geraniumrail/control/publisher.py
@@ -28,7 +28,6 @@
 # An entry that comes during an election is answered when it is over: looking again through all
 # members takes it longer. Shorter than the silence after which an entry gives a stream up.
 ELECTION_WAIT_S = 0.8
-ELECTION_POLL_S = 0.03
 # A new leader sends notes to entries that know no backend server for this time, after which each
 # has announced itself (every 1.2 s); then they serve no purpose.
 NOTES_S = 1.6
@@ -127,7 +126,7 @@
         :param reports: the entry's reports.
         :raises NotLeaderError: if this process may not act as leader.
         """
-        await self._wait_for_election()
+        await self._leadership.settle(self._clock, ELECTION_WAIT_S)
         term = self._leadership.require()
         first = await anext(reports)
         session = FollowerSession(first, term)
@@ -144,11 +143,6 @@
             reader.cancel()
             self._forget(session)
 
-    async def _wait_for_election(self) -> None:
-        end = self._clock.now() + ELECTION_WAIT_S
-        while not self._leadership.is_settled() and self._clock.now() < end:
-            await self._clock.sleep(ELECTION_POLL_S)
-
     def _forget(self, session: FollowerSession) -> None:
         if self._sessions_by_entry.get(session.info.entry) is session:
             self._sessions_by_entry.pop(session.info.entry)
--- a/geraniumrail/fairness/quota.py
+++ b/geraniumrail/fairness/quota.py
@@ -12,7 +12,7 @@
 # Until control has told the parts; it does so within a second of the first report.
 UNKNOWN_PART = 0.3
 # A restarted entry must not admit a whole bucket again; the rest fills at the rate of the limit.
-START_PART = 0.5
+START_PART = 0.8
 
 
 @dataclasses.dataclass
--- a/geraniumrail/state/apply_operations.py
+++ b/geraniumrail/state/apply_operations.py
@@ -4,6 +4,7 @@
 
 from geraniumrail.state import commands, results
 from geraniumrail.state.apply import apply
+from geraniumrail.state.note_backends import NoteBackends
 from geraniumrail.state.tables import OrderEntry, Tables
 
 MAX_ORDERS = 1000  # kept for resends
@@ -42,7 +43,7 @@
 
 
 @apply.register
-def _note(command: commands.NoteBackends, tables: Tables) -> object:
+def _note(command: NoteBackends, tables: Tables) -> object:
     for instance in command.removed:
         tables.noted_by_instance.pop(instance, None)
     tables.noted_by_instance.update({each.instance: each for each in command.added})
--- a/geraniumrail/state/commands.py
+++ b/geraniumrail/state/commands.py
@@ -1,6 +1,5 @@
 """Commands of the replicated state machine; `at` is wall seconds of the proposer."""
 
-from geraniumrail.core.backend import Backend
 from geraniumrail.core.codec import record
 from geraniumrail.deployment.deployment import Deployment
 from geraniumrail.state.booking_key import BookingKey
@@ -161,11 +160,3 @@
     """Records that the report of a usage window was accepted."""
 
     window: int
-
-
-@record
-class NoteBackends:
-    """Notes which backend servers serve: a hint for entries that start with a new leader."""
-
-    added: tuple[Backend, ...] = ()  # without load
-    removed: tuple[str, ...] = ()
