Wait for the counts of an entry that is cut off before a usage window is fixed

Ruled out: clocks (the other windows are exact). The leader waits up to 2 s before a report is due for entries that have not reported since the end of the window, unless they leave or their instance has started anew. The test failed before (reported after 2.2 s).

--- a/geraniumrail/control/duties.py
+++ b/geraniumrail/control/duties.py
@@ -10,6 +10,10 @@
 # Reports of the entries arrive every second; a window is closed after the last ones.
 CLOSE_DELAY_S = 2.2
 RETRY_S = 0.5
+# A report of an entry that was sent before the end of a window arrives within this time.
+REPORT_DELAY_S = 0.3
+# What is left for the call and a repeat when the leader has waited for an entry that is cut off.
+CALLS_S = 2.0
 # Windows that ended before this leader knew the entries' counts are left to the earlier leader's
 # log; the counts of these are repeated by the entries.
 RECENT_WINDOWS = 3
@@ -32,6 +36,7 @@
         window_s: float,
         lease_s: float,
         fleet: Fleet | None,
+        late_s: float = 0,
     ) -> None:
         """Connects the parts.
 
@@ -41,6 +46,7 @@
         :param window_s: length of a usage window; 0: usage is not reported.
         :param lease_s: time within which holders must not alternate.
         :param fleet: decides the orders; None: nothing is ordered.
+        :param late_s: time after the end of a window in which its report is due.
         """
         self._control = control
         self._target = target
@@ -48,6 +54,7 @@
         self._window_s = window_s
         self._lease_s = lease_s
         self._fleet = fleet
+        self._wait_s = late_s - CALLS_S
         self._call: DutyCall | None = None
         self._since = control.now()
         self._retry_at: float = 0
@@ -91,7 +98,7 @@
         for window in range(closing - RECENT_WINDOWS, closing):
             fixed = tables.windows_by_number.get(window)
             if fixed is None:
-                if window not in self._known_windows(closing):
+                if window not in self._known_windows(closing) or self._is_waited_for(window):
                     continue
                 names = (each.name for each in tables.deployment.organisations)
                 counts = self._control.publisher.ledger.counts(window, names)
@@ -107,6 +114,12 @@
         newest = closing - 1
         return range(newest - RECENT_WINDOWS, closing) if led_s > CLOSE_DELAY_S else range(0)
 
+    def _is_waited_for(self, window: int) -> bool:
+        """Tells whether an entry that is cut off may still report its counts in time."""
+        ended_s = self._control.true_wall() - (window + 1) * self._window_s
+        since = self._control.now() - ended_s + REPORT_DELAY_S
+        return ended_s < self._wait_s and not self._control.publisher.ledger.is_complete(since)
+
     async def _send(self, call: DutyCall, window: int, counts: dict[str, int]) -> bool:
         if not self._may_act():
             return False
--- a/geraniumrail/control/duties_test.py
+++ b/geraniumrail/control/duties_test.py
@@ -11,7 +11,7 @@
 from geraniumrail.control.usage_ledger import UsageLedger
 from geraniumrail.deployment.deployment import Deployment
 from geraniumrail.deployment.organisation import Organisation
-from geraniumrail.links.messages import Started
+from geraniumrail.links.messages import EntryInfo, Started
 from geraniumrail.state import (
     apply_deployment,  # noqa: F401  registers the commands
     commands,
@@ -21,6 +21,7 @@
 
 WINDOW_S = 5
 LEASE_S = 3
+LATE_S = 10
 
 
 class Api:
@@ -67,7 +68,7 @@
 
     def leader(self, holder):
         control = Control(self.tables)
-        duties = Duties(control, self.api, holder, WINDOW_S, LEASE_S, None)
+        duties = Duties(control, self.api, holder, WINDOW_S, LEASE_S, None, LATE_S)
         duties.became_leader()
         return control, duties
 
@@ -89,6 +90,47 @@
         reports = [call for call in self.api.calls if call[1] == 200]
         self.assertEqual(reports, [(1, 200, {'salon': 10, 'idle': 0})])
 
+    def hear(self, control, entry, instance, at, state='serving'):
+        info = EntryInfo(
+            entry=entry,
+            instance=instance,
+            address='',
+            peer_address='',
+            data_centre='',
+            region='',
+            state=state,
+        )
+        control.publisher.ledger.heard(info, at)
+
+    def test_window_waits_for_an_entry_that_is_cut_off(self):
+        """Pattern: an entry serves for some seconds after it was cut off, and reports its counts
+        when it is back; the window was closed without them."""
+        control, duties = self.leader('a')
+        self.count(control, 'entry-1', 200, 7)
+        self.hear(control, 'entry-1', 'one', 1099)
+        self.hear(control, 'entry-2', 'two', 1003)
+        self.run_for(control, duties, WINDOW_S + 7)
+        self.assertEqual([call for call in self.api.calls if call[1] == 200], [])
+        self.count(control, 'entry-2', 200, 4)
+        self.hear(control, 'entry-2', 'two', control.clock)
+        self.run_for(control, duties, 0.5)
+        reports = [call for call in self.api.calls if call[1] == 200]
+        self.assertEqual(reports, [(1, 200, {'salon': 11, 'idle': 0})])
+
+    def test_window_is_reported_in_time_without_an_entry_that_is_lost(self):
+        control, duties = self.leader('a')
+        self.hear(control, 'entry-2', 'two', 1003)
+        self.run_for(control, duties, WINDOW_S + LATE_S - 1)
+        self.assertEqual(len([call for call in self.api.calls if call[1] == 200]), 1)
+
+    def test_window_does_not_wait_for_an_earlier_start_of_an_entry(self):
+        control, duties = self.leader('a')
+        self.hear(control, 'entry-2.first', 'two', 1003)
+        self.hear(control, 'entry-2.second', 'two', 1099)
+        self.hear(control, 'entry-3', 'three', 1003, state='leaving')
+        self.run_for(control, duties, WINDOW_S + CLOSE_DELAY_S + 0.5)
+        self.assertEqual(len([call for call in self.api.calls if call[1] == 200]), 1)
+
     def test_report_without_an_answer_is_repeated_exactly(self):
         """It may be carried out later: other counts under one window would contradict it."""
         control, duties = self.leader('a')
--- a/geraniumrail/control/publisher.py
+++ b/geraniumrail/control/publisher.py
@@ -203,6 +203,7 @@
         self.usage.observe(report.info.entry, report.usage)
         self.true_time.observe(report.info.entry, report.wall, now)
         self.ledger.observe(report.info.entry, report.started)
+        self.ledger.heard(report.info, now)
         changed = self.registry.observe(report.announces, now)
         session.reported(report)
         for sink in self.sinks:
--- a/geraniumrail/control/usage_ledger.py
+++ b/geraniumrail/control/usage_ledger.py
@@ -3,7 +3,7 @@
 import collections
 from collections.abc import Iterable
 
-from geraniumrail.links.messages import Started
+from geraniumrail.links.messages import EntryInfo, Started
 
 # Windows for which counts are kept; reports name the last few.
 KEPT_WINDOWS = 24
@@ -17,6 +17,7 @@
     def __init__(self) -> None:
         """Starts empty."""
         self._counts: dict[int, _Counts] = {}
+        self._heard_by_entry: dict[str, tuple[str, float]] = {}  # instance, and when
 
     def observe(self, entry: str, started: Iterable[Started]) -> None:
         """Takes the counts of one entry.
@@ -33,6 +34,24 @@
         for window in sorted(self._counts)[:surplus]:
             self._counts.pop(window)
 
+    def heard(self, info: EntryInfo, now: float) -> None:
+        """Notes that an entry has reported; an earlier start of its instance never will again.
+
+        :param info: the entry.
+        :param now: monotonic seconds.
+        """
+        others = self._heard_by_entry.items()
+        self._heard_by_entry = {entry: kept for entry, kept in others if kept[0] != info.instance}
+        if info.state == 'serving':
+            self._heard_by_entry[info.entry] = (info.instance, now)
+
+    def is_complete(self, since: float) -> bool:
+        """Tells whether all entries have reported since a moment.
+
+        :param since: monotonic seconds.
+        """
+        return all(at >= since for _, at in self._heard_by_entry.values())
+
     def counts(self, window: int, organisations: Iterable[str]) -> dict[str, int]:
         """Returns the counts of one window, zeros included.
 
