Keep the engines that stand in through a change of leader

It now orders on-demand engines of a data centre only after an answer to its first order of reclaimable ones.

--- a/geraniumrail/control/fleet.py
+++ b/geraniumrail/control/fleet.py
@@ -149,7 +149,11 @@
         # Reclaimable ones first, since they need the time to start.
         by_kind = sorted(fleet.items(), key=lambda ordered: not ordered[0][1])
         orders = (FleetOrder(service.name, *key, count) for key, count in by_kind)
-        return [order for order in orders if self._is_due(order, serving, now)]
+        return [
+            order
+            for order in orders
+            if self._is_due(order, serving, now) and not self._is_too_early(order, planned)
+        ]
 
     def _held(
         self, service: str, serving: collections.Counter[FleetKey], started_after: float
@@ -190,6 +194,17 @@
             self._lost.add(place)
         return planned[data_centre, True] > 0 and place in self._lost
 
+    def _is_too_early(self, order: FleetOrder, planned: dict[FleetKey, int]) -> bool:
+        """Tells whether a new leader does not know yet what on-demand engines stand in for.
+
+        They would be called off, and ordered again when reclaimable ones are refused.
+        """
+        subject = (order.service, order.data_centre, True)
+        answered = subject in self._ordered or subject in self._refused_at
+        took_over = self._control.machine.tables.duty.number > 1
+        stands_in = not order.reclaimable and planned[order.data_centre, True] > 0
+        return took_over and stands_in and not answered
+
     def _is_due(
         self, order: FleetOrder, serving: collections.Counter[FleetKey], now: float
     ) -> bool:
--- a/geraniumrail/control/fleet_test.py
+++ b/geraniumrail/control/fleet_test.py
@@ -67,11 +67,13 @@
             price_by_data_centre=dict(zip(NAMES, (0.85, 1.2, 1.0), strict=True)),
         )
         deployment = Deployment(version=1, services=(ServiceSpec(name=SERVICE, scaling=scaling),))
-        tables = types.SimpleNamespace(deployment=deployment, duty=DutyHeld(holder='a', number=1))
+        self.tables = types.SimpleNamespace(
+            deployment=deployment, duty=DutyHeld(holder='a', number=1)
+        )
         registry = types.SimpleNamespace(known_by_instance=self.known)
         control = types.SimpleNamespace(
             now=lambda: self.cloud.now,
-            machine=types.SimpleNamespace(tables=tables),
+            machine=types.SimpleNamespace(tables=self.tables),
             publisher=types.SimpleNamespace(registry=registry, sinks=[]),
         )
         self.fleet = Fleet(control)
@@ -134,6 +136,29 @@
             ]
             self.assertEqual(counts, sorted(counts), f'{name}: {counts}')
 
+    def test_new_leader_keeps_the_engines_that_stand_in(self):
+        """Pattern: the leader is lost while a data centre is reclaimed and none is to be had. The
+        new one called off the on-demand engines, and ordered them again after the refusal."""
+        self.run_for(10, traffic=False)
+        self.run_for(30)
+        self.cloud.reclaim('cheras', 20)
+        self.run_for(3)
+        self.cloud.reclaim('petaling', 20)
+        self.run_for(7)
+        _, fixed = self.kinds()
+        self.tables.duty = DutyHeld(holder='b', number=2)
+        self.fleet.became_leader()
+        began = self.cloud.now
+        self.run_for(8)
+        counts = [
+            count
+            for at, place, kind, count in self.cloud.history
+            if at > began and place in {'cheras', 'petaling'} and not kind
+        ]
+        self.assertGreater(fixed, 0)
+        self.assertNotIn(0, counts)
+        self.assertGreaterEqual(self.kinds()[1], fixed)
+
     def test_few_stand_in_where_the_rest_holds_the_load(self):
         """Pattern: one data centre is reclaimed under a load that the others hold, if less in
         time; on-demand engines at five times the price were ordered for the whole difference."""
