--- a/geraniumrail/entry/follower.py
+++ b/geraniumrail/entry/follower.py
@@ -75,12 +75,15 @@
 
     async def run(self) -> None:
         """Follows until cancelled."""
+        hinted = False
         while True:
             address = self._finder.address
+            was_hinted, hinted = hinted, False
             try:
                 await self._follow(address)
             except NotLeaderError as error:
                 self._finder.hint(error.fields.get('leader'))
+                hinted = not was_hinted and error.fields.get('leader') == self._finder.address
             except (LinkError, TimeoutError) as error:
                 self._finder.skip(address)
                 log(events.CONTROL_LOST, address=address, reason=str(error) or 'silent')
@@ -88,6 +91,8 @@
                 self._finder.skip(address)
                 log(events.CONTROL_LOST, address=address, reason=str(error))
             self._view.end_lease()
+            if hinted:
+                continue  # two members that name each other are asked after a pause
             await self._clock.sleep(RECONNECT_DELAY_S * (0.5 + random.random()))
 
     async def _follow(self, address: str) -> None:
