Send each shared document to the engines that have read it

Homes follow the last shared part now, and a home counts as holding all shared parts. The test failed before (mean of readers of a document above 2.5).

--- a/geraniumrail/forwarding/run.py
+++ b/geraniumrail/forwarding/run.py
@@ -216,7 +216,8 @@
         }
         if inbound.prompt_tokens is None:
             return PlainRequest(**common)
-        shared = inbound.prefixes[0] if len(inbound.parts) > 1 else ''
+        # The last part belongs to the request or its session.
+        shared = inbound.prefixes[:-1]
         instances = [each.instance for each in self._candidates()]
         sizes = tuple(itertools.accumulate(part.tokens for part in inbound.parts))
         return LanguageRequest(
@@ -225,7 +226,8 @@
             prefixes=inbound.prefixes,
             prefix_tokens=sizes,
             prompt_tokens=inbound.prompt_tokens,
-            homes=homes_of(shared, instances),
+            homes=homes_of(shared[-1] if shared else '', instances),
+            shared_prefixes=len(shared),
             expected_answer_tokens=inbound.output_tokens,
         )
 
--- a/geraniumrail/routing/homes_test.py
+++ b/geraniumrail/routing/homes_test.py
@@ -1,6 +1,9 @@
 """Guards prompts that are shared by callers of different entries: pattern of one popular manual."""
 
+import collections
+import dataclasses
 import random
+import statistics
 import unittest
 
 from geraniumrail.core.backend import Backend
@@ -44,6 +47,10 @@
     )
 
 
+def rng_of(number):
+    return random.Random(number)
+
+
 class HomesTest(unittest.TestCase):
     def test_entries_agree(self):
         shuffled = INSTANCES[::-1]
@@ -68,6 +75,29 @@
             )
         self.assertLessEqual(len(chosen), 2)
 
+    def test_entries_send_each_document_to_the_engines_that_have_read_it(self):
+        """Pattern: many documents with one introduction; only the introduction decided the homes,
+        so that each entry had its own engines read each document."""
+        entries = [
+            (Knowledge(prefill_tokens_per_s=40_000), random.Random(each)) for each in range(4)
+        ]
+        readers = collections.defaultdict(set)
+        for number in range(400):
+            document = f'manual/{number % 40}'
+            knowledge, rng = entries[rng_of(number).randrange(4)]
+            wanted = dataclasses.replace(
+                request(number, 'manual'),
+                prefixes=('manual', document, f'{document}/{number}'),
+                prefix_tokens=(2500, 6300, 9190),
+                homes=homes_of(document, INSTANCES),
+                shared_prefixes=2,
+            )
+            found = choose(BACKENDS, wanted, knowledge, rng, number / 8).backend
+            knowledge.sent(found.instance, 9190, wanted.prefixes, number / 8)
+            knowledge.finished(found.instance, 9190, number / 8)
+            readers[document].add(found.instance)
+        self.assertLess(statistics.mean(map(len, readers.values())), 2.5)
+
     def test_burst_of_one_prefix_spreads(self):
         """Pattern: one key gets much of the traffic; prompts that are yet to be read count."""
         knowledge = Knowledge(prefill_tokens_per_s=40_000)
--- a/geraniumrail/routing/request.py
+++ b/geraniumrail/routing/request.py
@@ -26,7 +26,8 @@
     block_tokens: int = 64
     prefix_tokens: tuple[int, ...] = ()  # of each prefix, where they are no whole blocks
     prompt_tokens: int = 0
-    homes: tuple[str, ...] = ()  # instances where all entries send this prefix, best first
+    homes: tuple[str, ...] = ()  # instances where all entries send the shared parts, best first
+    shared_prefixes: int = 1  # leading ones that other requests may share
     expected_answer_tokens: int = 0
 
 
--- a/geraniumrail/routing/score.py
+++ b/geraniumrail/routing/score.py
@@ -59,11 +59,11 @@
     )
     waiting = max(0, estimate.requests + 1 - estimate.slots)
     cached, worth = knowledge.hints.cached_prefix(backend.instance, request.prefixes, now)
-    if not cached and backend.instance in request.homes:
-        cached, worth = 1, HOME_WORTH
-    sizes = request.prefix_tokens
-    cached_tokens = sizes[cached - 1] if sizes and cached else cached * request.block_tokens
-    uncached_tokens = max(0, request.prompt_tokens - cached_tokens * worth)
+    cached_tokens = _tokens_of(request, cached) * worth
+    if backend.instance in request.homes:
+        shared_tokens = _tokens_of(request, request.shared_prefixes)
+        cached_tokens = max(cached_tokens, shared_tokens * HOME_WORTH)
+    uncached_tokens = max(0, request.prompt_tokens - cached_tokens)
     uncached_tokens += knowledge.pending_tokens(backend.instance)
     adapter_missing = request.adapter and request.adapter not in backend.adapters
     amounts = {
@@ -78,6 +78,12 @@
     return tuple(itertools.starmap(ScorePart, amounts.items()))
 
 
+def _tokens_of(request: LanguageRequest, prefixes: int) -> int:
+    """Returns the prompt tokens that a number of leading prefixes covers."""
+    sizes = request.prefix_tokens
+    return sizes[prefixes - 1] if sizes and prefixes else prefixes * request.block_tokens
+
+
 @score.register
 def _plain(
     request: PlainRequest,
