--- a/geraniumrail/fairness/quota.py
+++ b/geraniumrail/fairness/quota.py
@@ -5,6 +5,7 @@
 
 from geraniumrail.deployment.organisation import Organisation
 from geraniumrail.fairness.entry_share import EntryShare
+from geraniumrail.fairness.slack import Slack
 
 # Part of a limit that is divided evenly; the rest follows recent demand. Callers choose an entry at
 # random, so most of the difference in recent demand is chance (docs/MEASUREMENTS.md, "Limits").
@@ -29,18 +30,18 @@
     """
 
     def __init__(
-        self, headroom: float = 0, slack: float = 0, started_at: float = -math.inf
+        self, headroom: float = 0, slack: Slack | None = None, started_at: float = -math.inf
     ) -> None:
         """Starts with an even part.
 
         What is divided unevenly would otherwise refuse requests that are within the limit.
 
         :param headroom: part by which a limit may be exceeded.
-        :param slack: tokens that all entries together may admit at once beyond the burst.
+        :param slack: by which limits in tokens may be exceeded by all entries together.
         :param started_at: when this entry started, seconds; its buckets fill from then on.
         """
         self._headroom = headroom
-        self._slack = slack
+        self._slack = slack or Slack()
         self._started_at = started_at
         self._share: EntryShare | None = None
         self._levels: dict[str, _Level] = {}
@@ -80,7 +81,8 @@
         rate = organisation.rate_per_s * scale
         full = organisation.burst * scale
         if organisation.in_tokens:
-            full += self._slack * part
+            full += self._slack.burst * part
+            rate += self._slack.rate_per_s * part
         # A single request above the burst can be served from a full bucket.
         full = max(full, 1)
         level = self._levels.get(name)
