Let a new leader wait for the entries that reported to the one before

Ruled out: counts lost by the entry (it did not restart). The instances whose entries report are noted with each window that is fixed. The test failed before (5 instead of 9).

--- a/geraniumrail/control/duties.py
+++ b/geraniumrail/control/duties.py
@@ -103,7 +103,11 @@
                 names = (each.name for each in tables.deployment.organisations)
                 counts = self._control.publisher.ledger.counts(window, names)
                 fixed = await self._control.proposer.propose(
-                    commands.CloseWindow(window=window, counts=counts)
+                    commands.CloseWindow(
+                        window=window,
+                        counts=counts,
+                        instances=self._control.publisher.ledger.instances(),
+                    )
                 )
             if not fixed.sent and not await self._send(call, fixed.window, fixed.counts):
                 return
@@ -118,7 +122,9 @@
         """Tells whether an entry that is cut off may still report its counts in time."""
         ended_s = self._control.true_wall() - (window + 1) * self._window_s
         since = self._control.now() - ended_s + REPORT_DELAY_S
-        return ended_s < self._wait_s and not self._control.publisher.ledger.is_complete(since)
+        expected = self._control.machine.tables.reporting_instances
+        ledger = self._control.publisher.ledger
+        return ended_s < self._wait_s and not ledger.is_complete(since, expected)
 
     async def _send(self, call: DutyCall, window: int, counts: dict[str, int]) -> bool:
         if not self._may_act():
--- a/geraniumrail/control/duties_test.py
+++ b/geraniumrail/control/duties_test.py
@@ -117,6 +117,26 @@
         reports = [call for call in self.api.calls if call[1] == 200]
         self.assertEqual(reports, [(1, 200, {'salon': 11, 'idle': 0})])
 
+    def test_new_leader_waits_for_an_entry_that_it_has_not_heard(self):
+        """Pattern: an entry is cut off, and the leader is lost; the new one did not know that it
+        existed and fixed the window without its counts (inc-3f74)."""
+        control, duties = self.leader('a')
+        for entry, instance in (('entry-1', 'one'), ('entry-2', 'two')):
+            self.hear(control, entry, instance, 1099)
+        self.run_for(control, duties, WINDOW_S + CLOSE_DELAY_S + 1)
+        later, others = self.leader('b')
+        later.clock = control.clock
+        others.became_leader()
+        self.count(later, 'entry-1', 201, 5)
+        self.hear(later, 'entry-1', 'one', 1099)
+        self.run_for(later, others, WINDOW_S + 2)
+        self.assertEqual([call for call in self.api.calls if call[1] == 201], [])
+        self.count(later, 'entry-2', 201, 4)
+        self.hear(later, 'entry-2', 'two', 1099)
+        self.run_for(later, others, 0.5)
+        reports = [call for call in self.api.calls if call[1] == 201]
+        self.assertEqual(reports, [(2, 201, {'salon': 9, 'idle': 0})])
+
     def test_window_is_reported_in_time_without_an_entry_that_is_lost(self):
         control, duties = self.leader('a')
         self.hear(control, 'entry-2', 'two', 1003)
--- a/geraniumrail/control/usage_ledger.py
+++ b/geraniumrail/control/usage_ledger.py
@@ -18,6 +18,7 @@
         """Starts empty."""
         self._counts: dict[int, _Counts] = {}
         self._heard_by_entry: dict[str, tuple[str, float]] = {}  # instance, and when
+        self._seen_instances: set[str] = set()  # also those that have left since
 
     def observe(self, entry: str, started: Iterable[Started]) -> None:
         """Takes the counts of one entry.
@@ -40,17 +41,24 @@
         :param info: the entry.
         :param now: monotonic seconds.
         """
+        self._seen_instances.add(info.instance)
         others = self._heard_by_entry.items()
         self._heard_by_entry = {entry: kept for entry, kept in others if kept[0] != info.instance}
         if info.state == 'serving':
             self._heard_by_entry[info.entry] = (info.instance, now)
 
-    def is_complete(self, since: float) -> bool:
+    def instances(self) -> tuple[str, ...]:
+        """Returns the instances whose entries report."""
+        return tuple(sorted({instance for instance, _ in self._heard_by_entry.values()}))
+
+    def is_complete(self, since: float, instances: Iterable[str] = ()) -> bool:
         """Tells whether all entries have reported since a moment.
 
         :param since: monotonic seconds.
+        :param instances: whose entries reported to an earlier leader.
         """
-        return all(at >= since for _, at in self._heard_by_entry.values())
+        heard = all(at >= since for _, at in self._heard_by_entry.values())
+        return heard and self._seen_instances.issuperset(instances)
 
     def counts(self, window: int, organisations: Iterable[str]) -> dict[str, int]:
         """Returns the counts of one window, zeros included.
--- a/geraniumrail/state/apply_deployment.py
+++ b/geraniumrail/state/apply_deployment.py
@@ -30,6 +30,7 @@
     if fixed is None:
         fixed = results.WindowClosed(window=command.window, counts=command.counts, sent=False)
         tables.windows_by_number[command.window] = fixed
+        tables.reporting_instances = command.instances
         surplus = max(0, len(tables.windows_by_number) - MAX_WINDOWS)
         for window in sorted(tables.windows_by_number)[:surplus]:
             tables.windows_by_number.pop(window)
--- a/geraniumrail/state/commands.py
+++ b/geraniumrail/state/commands.py
@@ -153,6 +153,7 @@
 
     window: int
     counts: dict[str, int]
+    instances: tuple[str, ...] = ()  # whose entries report; a later leader waits for them
 
 
 @record
--- a/geraniumrail/state/tables.py
+++ b/geraniumrail/state/tables.py
@@ -51,6 +51,7 @@
     duty: DutyHeld = DutyHeld(holder='', number=0)
     windows_by_number: dict[int, WindowClosed] = dataclasses.field(default_factory=dict)
     noted_by_instance: dict[str, Backend] = dataclasses.field(default_factory=dict)
+    reporting_instances: tuple[str, ...] = ()  # when the last usage window was fixed
 
     def last_move(self, service: str) -> Move | None:
         """Returns the move of a service that was started last, or None.
@@ -85,6 +86,7 @@
     duty: DutyHeld = DutyHeld(holder='', number=0)
     windows: tuple[WindowClosed, ...] = ()
     noted: tuple[Backend, ...] = ()
+    reporting_instances: tuple[str, ...] = ()
 
     @classmethod
     def from_tables(cls, tables: Tables) -> 'TablesImage':
@@ -105,6 +107,7 @@
             duty=tables.duty,
             windows=tuple(tables.windows_by_number.values()),
             noted=tuple(tables.noted_by_instance.values()),
+            reporting_instances=tables.reporting_instances,
         )
 
     def to_tables(self) -> Tables:
@@ -125,4 +128,5 @@
             duty=self.duty,
             windows_by_number={each.window: each for each in self.windows},
             noted_by_instance={each.instance: each for each in self.noted},
+            reporting_instances=self.reporting_instances,
         )
