--- a/geraniumrail/control/duties.py
+++ b/geraniumrail/control/duties.py
@@ -12,6 +12,9 @@
 RETRY_S = 0.5
 # A report of an entry that was sent before the end of a window arrives within this time.
 REPORT_DELAY_S = 0.3
+# How long a new leader waits for entries that it has never heard: a few windows, since one that was
+# removed for good would delay each report.
+EARLIER_S = 20.0
 # What is left for the call and a repeat when the leader has waited for an entry that is cut off.
 CALLS_S = 2.0
 # Windows that ended before this leader knew the entries' counts are left to the earlier leader's
@@ -106,7 +109,7 @@
                     commands.CloseWindow(
                         window=window,
                         counts=counts,
-                        instances=self._control.publisher.ledger.instances(),
+                        instances=self._reporting_instances(),
                     )
                 )
             if not fixed.sent and not await self._send(call, fixed.window, fixed.counts):
@@ -118,6 +121,14 @@
         newest = closing - 1
         return range(newest - RECENT_WINDOWS, closing) if led_s > CLOSE_DELAY_S else range(0)
 
+    def _reporting_instances(self) -> tuple[str, ...]:
+        """Returns the instances to wait for, at first those of the earlier leader as well."""
+        heard = self._control.publisher.ledger.instances()
+        if self._control.now() - self._since > EARLIER_S:
+            return heard
+        earlier = self._control.machine.tables.reporting_instances
+        return tuple(sorted({*heard, *earlier}))
+
     def _is_waited_for(self, window: int) -> bool:
         """Tells whether an entry that is cut off may still report its counts in time."""
         ended_s = self._control.true_wall() - (window + 1) * self._window_s
--- a/geraniumrail/control/duties_test.py
+++ b/geraniumrail/control/duties_test.py
@@ -137,6 +137,24 @@
         reports = [call for call in self.api.calls if call[1] == 201]
         self.assertEqual(reports, [(2, 201, {'salon': 9, 'idle': 0})])
 
+    def test_new_leader_waits_again_in_the_next_window(self):
+        """The entry came back too late for the first window, and in time for the second."""
+        control, duties = self.leader('a')
+        for entry, instance in (('entry-1', 'one'), ('entry-2', 'two')):
+            self.hear(control, entry, instance, 1099)
+        self.run_for(control, duties, WINDOW_S + CLOSE_DELAY_S + 1)
+        later, others = self.leader('b')
+        later.clock = control.clock
+        others.became_leader()
+        self.hear(later, 'entry-1', 'one', 1099)
+        self.run_for(later, others, WINDOW_S + LATE_S - 1)
+        self.assertEqual([call[1] for call in self.api.calls if call[1] > 200], [201])
+        self.count(later, 'entry-2', 202, 4)
+        self.hear(later, 'entry-2', 'two', 1099)
+        self.run_for(later, others, 0.5)
+        reports = [call for call in self.api.calls if call[1] == 202]
+        self.assertEqual([call[2]['salon'] for call in reports], [4])
+
     def test_window_is_reported_in_time_without_an_entry_that_is_lost(self):
         control, duties = self.leader('a')
         self.hear(control, 'entry-2', 'two', 1003)
