--- a/geraniumrail/control/backend_notes.py
+++ b/geraniumrail/control/backend_notes.py
@@ -13,7 +13,7 @@
 
 # A new leader has heard of every backend server after this time; announcements come every 1.2 s.
 SETTLE_S = 3.0
-# In one command; a record takes about 250 bytes, and a command at most 1 MiB.
+# In one command; a record takes about 340 bytes, and a command at most 1 MiB.
 MOST_ADDED = 1000
 
 
