--- a/geraniumrail/control/publisher_test.py
+++ b/geraniumrail/control/publisher_test.py
@@ -77,6 +77,16 @@
             await anext(updates)
         self.assertLess(clock.now(), 1.2)
 
+    async def test_entry_is_given_out_after_it_has_taken_an_update(self):
+        """Pattern: callers get the address of an entry that has just started, reach it before its
+        first update, and are refused since it has no lease yet."""
+        publisher = Publisher(Machine(), FakeLeadership(lambda: 1), SlowClock())
+        publisher.became_leader(1)
+        updates = publisher.follow(one_report())
+        first = await anext(updates)
+        self.assertEqual([each.entry for each in first.entries], [])
+        await updates.aclose()
+
 
 if __name__ == '__main__':
     unittest.main()
