--- a/geraniumrail/control/duties_test.py
+++ b/geraniumrail/control/duties_test.py
@@ -102,6 +102,17 @@
         )
         control.publisher.ledger.heard(info, at)
 
+    def leader_after_two_entries(self):
+        """Returns a leader that follows one to which two entries reported."""
+        control, duties = self.leader('a')
+        for entry, instance in (('entry-1', 'one'), ('entry-2', 'two')):
+            self.hear(control, entry, instance, 1099)
+        self.run_for(control, duties, WINDOW_S + CLOSE_DELAY_S + 1)
+        later, others = self.leader('b')
+        later.clock = control.clock
+        others.became_leader()
+        return later, others
+
     def test_window_waits_for_an_entry_that_is_cut_off(self):
         """Pattern: an entry serves for some seconds after it was cut off, and reports its counts
         when it is back; the window was closed without them."""
@@ -120,13 +131,7 @@
     def test_new_leader_waits_for_an_entry_that_it_has_not_heard(self):
         """Pattern: an entry is cut off, and the leader is lost; the new one did not know that it
         existed and fixed the window without its counts (inc-3f74)."""
-        control, duties = self.leader('a')
-        for entry, instance in (('entry-1', 'one'), ('entry-2', 'two')):
-            self.hear(control, entry, instance, 1099)
-        self.run_for(control, duties, WINDOW_S + CLOSE_DELAY_S + 1)
-        later, others = self.leader('b')
-        later.clock = control.clock
-        others.became_leader()
+        later, others = self.leader_after_two_entries()
         self.count(later, 'entry-1', 201, 5)
         self.hear(later, 'entry-1', 'one', 1099)
         self.run_for(later, others, WINDOW_S + 2)
@@ -139,13 +144,7 @@
 
     def test_new_leader_waits_again_in_the_next_window(self):
         """The entry came back too late for the first window, and in time for the second."""
-        control, duties = self.leader('a')
-        for entry, instance in (('entry-1', 'one'), ('entry-2', 'two')):
-            self.hear(control, entry, instance, 1099)
-        self.run_for(control, duties, WINDOW_S + CLOSE_DELAY_S + 1)
-        later, others = self.leader('b')
-        later.clock = control.clock
-        others.became_leader()
+        later, others = self.leader_after_two_entries()
         self.hear(later, 'entry-1', 'one', 1099)
         self.run_for(later, others, WINDOW_S + LATE_S - 1)
         self.assertEqual([call[1] for call in self.api.calls if call[1] > 200], [201])
