Give out an entry once it has reported that it may serve

Cause: the leader listed an entry from its first report on, before the entry had taken an update. Callers reached it without a lease and got 503.

--- a/geraniumrail/bench/control_slopes.py
+++ b/geraniumrail/bench/control_slopes.py
@@ -78,6 +78,7 @@
             info=info,
             registry_version=self.view.registry_version,
             announces=self.announces.take_pending(),
+            holds_lease=self.view.holds_lease(),
         )
 
 
--- a/geraniumrail/control/entry_leases.py
+++ b/geraniumrail/control/entry_leases.py
@@ -21,6 +21,7 @@
 
     info: EntryInfo
     expires_at: float
+    taken: bool  # the entry has reported that it may serve
 
 
 class EntryLeases:
@@ -43,19 +44,20 @@
         self._leader_since = now
         self._changes += 1
 
-    def renew(self, info: EntryInfo, now: float) -> None:
+    def renew(self, info: EntryInfo, now: float, taken: bool) -> None:
         """Records a report.
 
         :param info: the entry.
         :param now: monotonic seconds.
+        :param taken: whether the entry says that it may serve.
         """
         known = self.leases_by_entry.get(info.entry)
         if known is None:
-            log(events.ENTRY_JOINED, entry=info.entry, address=info.address)
-        if known is None or known.info.state != info.state:
+            log(events.ENTRY_JOINED, entry=info.entry, address=info.address, taken=taken)
+        if known is None or (known.info.state, known.taken) != (info.state, taken):
             self._changes += 1
         expires_at = now + LEASE_S + LEASE_MARGIN_S
-        self.leases_by_entry[info.entry] = EntryLease(info, expires_at)
+        self.leases_by_entry[info.entry] = EntryLease(info, expires_at, taken)
 
     def expire(self, now: float) -> tuple[str, ...]:
         """Removes and returns the entries whose lease ran out.
@@ -115,11 +117,13 @@
     def serving(self, drained: Iterable[str] = ()) -> tuple[EntryInfo, ...]:
         """Returns the entries that take new work.
 
+        An entry that has just started has reported, but refuses until it has taken an update.
+
         :param drained: instances that operators are draining.
         """
         skipped = frozenset(drained)
         return tuple(
-            info
-            for info in self.infos()
-            if info.state == 'serving' and info.instance not in skipped
+            lease.info
+            for lease in self.leases_by_entry.values()
+            if lease.taken and lease.info.state == 'serving' and lease.info.instance not in skipped
         )
--- a/geraniumrail/control/publisher.py
+++ b/geraniumrail/control/publisher.py
@@ -197,9 +197,9 @@
 
     def _take(self, report: EntryReport, session: FollowerSession) -> None:
         now = self._clock.now()
-        known = report.info.entry in self.leases.leases_by_entry
+        known = self.leases.leases_by_entry.get(report.info.entry)
         left = session.info.state != report.info.state
-        self.leases.renew(report.info, now)
+        self.leases.renew(report.info, now, report.holds_lease)
         self.usage.observe(report.info.entry, report.usage)
         self.true_time.observe(report.info.entry, report.wall, now)
         self.ledger.observe(report.info.entry, report.started)
@@ -208,7 +208,7 @@
         session.reported(report)
         for sink in self.sinks:
             sink.observe(report, now)
-        if changed or left or not known:
+        if changed or left or known is None or known.taken != report.holds_lease:
             self.wake_all()
 
     def _applied(self, command: object, answer: object) -> None:
--- a/geraniumrail/control/publisher_test.py
+++ b/geraniumrail/control/publisher_test.py
@@ -87,6 +87,24 @@
         self.assertEqual([each.entry for each in first.entries], [])
         await updates.aclose()
 
+    async def test_entry_that_lost_its_lease_is_not_given_out(self):
+        """Pattern: a frozen entry wakes, reports with a lease that ran out, and callers come."""
+        publisher = Publisher(Machine(), FakeLeadership(lambda: 1), SlowClock())
+        publisher.became_leader(1)
+        held = []
+
+        async def reports():
+            for sequence, holds_lease in enumerate((True, False, True), 1):
+                yield EntryReport(sequence=sequence, info=INFO, holds_lease=holds_lease)
+                held.append(bool(publisher.leases.public()))
+            await asyncio.Event().wait()
+
+        updates = publisher.follow(reports())
+        while len(held) < 3:
+            await anext(updates)
+        self.assertEqual(held, [True, False, True])
+        await updates.aclose()
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/geraniumrail/entry/follower.py
+++ b/geraniumrail/entry/follower.py
@@ -136,11 +136,15 @@
             for sequence, at in self._sent_at_by_sequence.items()
             if sequence >= update.answers
         }
-        before = (self._view.tree.revision, self._view.table.version)
+        before = self._served()
         if update.members:
             self._finder.learn(update.members)
         if self._view.take(update, sent_at):
             for listener in self.listeners:
                 listener(update)
-        if (self._view.tree.revision, self._view.table.version) != before:
-            self.poke()  # reports the applied revision at once
+        if self._served() != before:
+            self.poke()  # reports at once what it serves, and that it may serve
+
+    def _served(self) -> tuple[bool, int, int]:
+        view = self._view
+        return view.holds_lease(), view.tree.revision, view.table.version
--- a/geraniumrail/entry/reporter.py
+++ b/geraniumrail/entry/reporter.py
@@ -52,4 +52,5 @@
             started=parts.usage.report(now),
             wall=self.clock.wall(),
             demand=parts.demand.take(),
+            holds_lease=self.view.holds_lease(),
         )
--- a/geraniumrail/entry/testing.py
+++ b/geraniumrail/entry/testing.py
@@ -283,7 +283,7 @@
         self.up = True
 
     def update_for(self, report: EntryReport, backends: tuple[Backend, ...]):
-        self.leases.renew(report.info, self.clock.now())
+        self.leases.renew(report.info, self.clock.now(), report.holds_lease)
         self.usage.observe(report.info.entry, report.usage)
         self.registry.observe(backends, self.clock.now())
         session = FollowerSession(report, self.term)
@@ -410,7 +410,12 @@
             applied_revision=self.view.tree.revision,
         )
         version = self.view.registry_version
-        report = EntryReport(sequence=sequence, info=info, registry_version=version)
+        report = EntryReport(
+            sequence=sequence,
+            info=info,
+            registry_version=version,
+            holds_lease=self.view.holds_lease(),
+        )
         await asyncio.sleep(self.links.rng.uniform(0, 0.03))
         if self.links.lost() or not self.leader.up:
             await asyncio.Event().wait()
--- a/geraniumrail/links/messages.py
+++ b/geraniumrail/links/messages.py
@@ -97,6 +97,7 @@
     started: tuple[Started, ...] = ()
     wall: float = 0  # time of day at the entry when it sent the report
     demand: tuple[ServiceDemand, ...] = ()
+    holds_lease: bool = False  # the entry has taken an update, and may serve
 
 
 @record
--- a/geraniumrail/testing/daemons.py
+++ b/geraniumrail/testing/daemons.py
@@ -259,6 +259,7 @@
                 applied_revision=self.view.tree.revision,
             ),
             registry_version=self.view.registry_version,
+            holds_lease=self.view.holds_lease(),
         )
 
 
