--- a/geraniumrail/control/events.py
+++ b/geraniumrail/control/events.py
@@ -86,6 +86,12 @@
     'control.fleet_planned',
     'The numbers of backend servers that a service should have were planned.',
 )
+LIST_REPEATED = Event.define(
+    1422,
+    'control.list_repeated',
+    'No leader told the entries that serve; callers get the last list.',
+    logging.WARNING,
+)
 BACKEND_WITHDRAWN = Event.define(
     1421,
     'control.backend_withdrawn',
