Lend a part of each limit from the leader, so that long prompts pass at any number of entries

Cause: each entry admitted against its part of a limit. Divided over 77 entries the bucket of a small organisation holds 1,100 tokens, and a long prompt costs 9,200; it was refused until that bucket was full. Ruled out: larger parts (all entries together exceed the limit); counts that travel with the reports (a second old, and the slack of a window is used up in half a second of a flood); a gRPC call for each request (1 to 2 ms of the leader's processor). An entry takes what its own part lacks by a datagram; a question is repeated under its number and carried out once.

--- /dev/null
+++ b/geraniumrail/entry/borrower_test.py
@@ -0,0 +1,59 @@
+"""Guards requests that need a part of a limit against a leader that is lost or just elected."""
+
+import unittest
+
+from geraniumrail.core.manual_clock import ManualClock
+from geraniumrail.entry.borrower import Borrower
+from geraniumrail.entry.leader_finder import LeaderFinder
+from geraniumrail.errors.link import LinkError
+from geraniumrail.links.requests import LimitTaken
+
+NOT_LEADING = LimitTaken(leads=False)
+
+
+class SteppingClock(ManualClock):
+    """Time passes only while somebody sleeps."""
+
+    async def sleep(self, seconds):
+        self._now += seconds
+
+
+class FakeDatagrams:
+    """Gives prepared answers; the last one again and again."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.asked = 0
+
+    async def ask(self, address, question, timeout_s, tries):
+        self.asked += 1
+        answer = self.answers.pop(0) if len(self.answers) > 1 else self.answers[0]
+        if answer is None:
+            raise LinkError(address=address, reason='silent')
+        return answer
+
+
+async def borrow(*answers, limit_s=1.0):
+    datagrams = FakeDatagrams(*answers)
+    borrower = Borrower(datagrams, LeaderFinder(('127.0.0.1:1',)), SteppingClock())
+    return await borrower.borrow('salon', 9_200, limit_s), datagrams.asked
+
+
+class BorrowerTest(unittest.IsolatedAsyncioTestCase):
+    async def test_taken(self):
+        self.assertEqual(await borrow(LimitTaken()), (0, 1))
+
+    async def test_refusal_is_not_repeated(self):
+        self.assertEqual(await borrow(LimitTaken(wait_s=0.3)), (0.3, 1))
+
+    async def test_request_waits_for_an_election(self):
+        """Pattern: the leader is killed; long prompts were refused until another one led."""
+        self.assertEqual(await borrow(None, NOT_LEADING, NOT_LEADING, LimitTaken()), (0, 4))
+
+    async def test_request_does_not_wait_for_long(self):
+        with self.assertRaises(LinkError):
+            await borrow(NOT_LEADING)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/geraniumrail/entry/entry.py
+++ b/geraniumrail/entry/entry.py
@@ -18,6 +18,7 @@
 from geraniumrail.entry import events
 from geraniumrail.entry.announces import Announces
 from geraniumrail.entry.bookings import Bookings
+from geraniumrail.entry.borrower import Borrower
 from geraniumrail.entry.cluster_view import ClusterView
 from geraniumrail.entry.completion_call import CompletionCall
 from geraniumrail.entry.completion_run import CompletionRun
@@ -36,9 +37,11 @@
 from geraniumrail.forwarding.demand import DemandCounter
 from geraniumrail.forwarding.dialect import Dialect, NoDialect
 from geraniumrail.forwarding.forwarder import Forwarder
+from geraniumrail.forwarding.lends import NoLender
 from geraniumrail.forwarding.parts import Parts
 from geraniumrail.forwarding.recorder import Recorder
 from geraniumrail.forwarding.usage_counter import UsageCounter
+from geraniumrail.links.datagrams import Datagrams
 from geraniumrail.links.messages import ControlUpdate, EntryInfo
 from geraniumrail.links.pool import LinkPool
 from geraniumrail.links.server import LinkServer
@@ -62,6 +65,7 @@
         rng: random.Random,
         dialect: Dialect | None = None,
         forwarding: ForwardingConfig | None = None,
+        datagrams: Datagrams | None = None,
     ) -> None:
         """Connects the parts.
 
@@ -71,6 +75,7 @@
         :param rng: source of routing draws.
         :param dialect: of the backend servers to which requests are forwarded.
         :param forwarding: settings of the requests that are forwarded.
+        :param datagrams: for questions about limits; None: limits are divided as a whole.
         """
         self.entry_id = new_id(config.instance)
         self.view = ClusterView(clock, Knowledge())
@@ -119,7 +124,13 @@
                 outcomes=self._outcomes,
                 connections=self._connections,
                 dialect=dialect or NoDialect(),
-                quota=Quota(forwarded.quota_headroom, forwarded.quota_slack, clock.now()),
+                quota=Quota(
+                    forwarded.quota_headroom,
+                    forwarded.quota_slack,
+                    clock.now(),
+                    has_ledger=datagrams is not None,
+                ),
+                lender=NoLender() if datagrams is None else Borrower(datagrams, finder, clock),
                 retries=self._completions.retries,
                 usage=UsageCounter(),
                 demand=DemandCounter(),
@@ -169,6 +180,7 @@
         rng: random.Random,
         dialect: Dialect | None = None,
         forwarding: ForwardingConfig | None = None,
+        datagrams: Datagrams | None = None,
     ) -> 'Entry':
         """Creates the entry role of a settings file.
 
@@ -178,8 +190,9 @@
         :param rng: source of routing draws.
         :param dialect: of the backend servers to which requests are forwarded.
         :param forwarding: settings of the requests that are forwarded.
+        :param datagrams: for questions about limits; None: limits are divided as a whole.
         """
-        return cls(config, links, clock, rng, dialect, forwarding)
+        return cls(config, links, clock, rng, dialect, forwarding, datagrams)
 
     def register(self, server: LinkServer) -> None:
         """Handles the records that other entries send.
--- a/geraniumrail/fairness/quota.py
+++ b/geraniumrail/fairness/quota.py
@@ -5,8 +5,11 @@
 
 from geraniumrail.deployment.organisation import Organisation
 from geraniumrail.fairness.entry_share import EntryShare
+from geraniumrail.fairness.limit_ledger import LENT_PART
 from geraniumrail.fairness.slack import Slack
 
+# Part by which a limit is exceeded; below the excess of 0.1 that is tolerated.
+QUOTA_HEADROOM = 0.05
 # Part of a limit that is divided evenly; the rest follows recent demand. Callers choose an entry at
 # random, so most of the difference in recent demand is chance (docs/MEASUREMENTS.md, "Limits").
 EVEN_PART = 0.7
@@ -14,23 +17,40 @@
 UNKNOWN_PART = 0.3
 # A restarted entry must not admit a whole bucket again; the rest fills at the rate of the limit.
 START_PART = 0.8
+# After a refusal by the ledger no request of the organisation is asked for again for so long at
+# most; a limit that is raised, or a new leader, takes effect within this time.
+LONGEST_PAUSE_S = 0.5
 
 
 @dataclasses.dataclass
 class _Level:
     left: float
     filled_at: float
+    paused_until: float = -math.inf
+
+
+@dataclasses.dataclass(frozen=True)
+class Claim:
+    """What an entry's own part of a limit gives to one request."""
+
+    wait_s: float = 0  # until the request may be tried again; 0: it is not refused
+    lacking: float = 0  # what must be taken from the ledger before it is admitted
 
 
 class Quota:
     """Token buckets of one entry.
 
-    Invariant: the parts of all entries add up to at most the whole limit, as far as the leader's
-    last shares agree.
+    Invariant: the parts of all entries, and of the ledger if there is one, add up to at most the
+    whole limit, as far as the leader's last shares agree.
     """
 
     def __init__(
-        self, headroom: float = 0, slack: Slack | None = None, started_at: float = -math.inf
+        self,
+        headroom: float = 0,
+        slack: Slack | None = None,
+        started_at: float = -math.inf,
+        *,
+        has_ledger: bool = False,
     ) -> None:
         """Starts with an even part.
 
@@ -39,7 +59,10 @@
         :param headroom: part by which a limit may be exceeded.
         :param slack: by which limits in tokens may be exceeded by all entries together.
         :param started_at: when this entry started, seconds; its buckets fill from then on.
+        :param has_ledger: the leader holds a part of each limit in a ledger.
         """
+        self._divided = 1 - LENT_PART if has_ledger else 1.0
+        self._has_ledger = has_ledger
         self._headroom = headroom
         self._slack = slack or Slack()
         self._started_at = started_at
@@ -60,13 +83,13 @@
         :param organisation: name.
         """
         if self._share is None:
-            return UNKNOWN_PART
+            return UNKNOWN_PART * self._divided
         even = 1 / max(1, self._share.entries)
         recent = self._share.share_by_organisation.get(organisation, even)
-        return EVEN_PART * even + (1 - EVEN_PART) * recent
+        return (EVEN_PART * even + (1 - EVEN_PART) * recent) * self._divided
 
-    def take(self, organisation: Organisation, cost: float, now: float) -> float:
-        """Takes a request into account; returns 0, or seconds to wait if the limit is exceeded.
+    def claim(self, organisation: Organisation, cost: float, now: float) -> Claim:
+        """Takes a request into account.
 
         :param organisation: whose request it is.
         :param cost: what it counts.
@@ -75,7 +98,7 @@
         name = organisation.name
         self._demand[name] = self._demand.get(name, 0) + cost
         if organisation.rate_per_s <= 0:
-            return 0
+            return Claim()
         part = self.part(name)
         scale = part * (1 + self._headroom)
         rate = organisation.rate_per_s * scale
@@ -91,11 +114,34 @@
             self._levels[name] = level
         level.left = min(full, level.left + rate * max(0, now - level.filled_at))
         level.filled_at = now
+        if self._has_ledger:
+            return _claim_with_ledger(level, cost, now)
         needed = min(cost, full)
         if level.left >= needed:
             level.left -= cost
-            return 0
-        return (needed - level.left) / max(rate, 1e-9)
+            return Claim()
+        return Claim(wait_s=(needed - level.left) / max(rate, 1e-9))
+
+    def take(self, organisation: Organisation, cost: float, now: float) -> float:
+        """Claims a request without a ledger; returns 0, or seconds until it may be tried again.
+
+        :param organisation: whose request it is.
+        :param cost: what it counts.
+        :param now: seconds.
+        """
+        return self.claim(organisation, cost, now).wait_s
+
+    def refused(self, organisation: str, kept: float, wait_s: float, now: float) -> None:
+        """Takes back a claim that the ledger did not complete.
+
+        :param organisation: whose request it was.
+        :param kept: what the claim had taken from this entry's part.
+        :param wait_s: seconds until the ledger has something left again.
+        :param now: seconds.
+        """
+        level = self._levels[organisation]
+        level.left += kept
+        level.paused_until = now + min(wait_s, LONGEST_PAUSE_S)
 
     def left(self, organisation: str) -> float:
         """Returns what this entry may still admit, as of the last request.
@@ -110,3 +156,12 @@
         demand = self._demand
         self._demand = {}
         return demand
+
+
+def _claim_with_ledger(level: _Level, cost: float, now: float) -> Claim:
+    taken = min(cost, max(0, level.left))
+    lacking = cost - taken
+    if lacking > 0 and now < level.paused_until:
+        return Claim(wait_s=level.paused_until - now)
+    level.left -= taken
+    return Claim(lacking=lacking)
--- a/geraniumrail/forwarding/admitted.py
+++ b/geraniumrail/forwarding/admitted.py
@@ -3,13 +3,11 @@
 import dataclasses
 import random
 
-from geraniumrail.core.events import log
 from geraniumrail.deployment.organisation import Organisation
 from geraniumrail.deployment.route import Route
 from geraniumrail.deployment.route_table import RouteTable
 from geraniumrail.errors.deployment import UnknownRouteError
-from geraniumrail.errors.request import NotRunError, OverloadedError, UnauthorizedError
-from geraniumrail.forwarding import events
+from geraniumrail.errors.request import NotRunError, UnauthorizedError
 from geraniumrail.forwarding.inbound import Inbound
 from geraniumrail.forwarding.parts import Parts
 
@@ -27,6 +25,7 @@
     organisation: str
     priority: int
     ends_at: float  # seconds of this process's clock; the answer is due then
+    holder: Organisation | None = None  # whose limit the request counts towards
 
 
 def admit(inbound: Inbound, parts: Parts) -> Admitted:
@@ -37,7 +36,6 @@
     :raises NotRunError: if this entry may not serve now.
     :raises UnknownRouteError: if no route matches.
     :raises UnauthorizedError: if the key is not known.
-    :raises OverloadedError: if the organisation is above its limit.
     """
     view = parts.view
     table = view.table
@@ -51,9 +49,6 @@
         raise UnknownRouteError(host=inbound.host, path=inbound.path)
     organisation = _organisation(inbound, route, table)
     service = draw_service(route, parts.rng)
-    if organisation is not None:
-        _check_quota(inbound, organisation, parts)
-    parts.demand.asked(service, inbound.tokens or 0)
     limit_s = min(route.timeout_s, inbound.deadline_s or route.timeout_s)
     urgent = route.priority
     if organisation is not None and organisation.priority is not None:
@@ -64,6 +59,7 @@
         organisation='' if organisation is None else organisation.name,
         priority=urgent,
         ends_at=inbound.arrived_at + limit_s,
+        holder=organisation,
     )
 
 
@@ -95,23 +91,3 @@
     if organisation is None:
         raise UnauthorizedError
     return organisation
-
-
-def _check_quota(inbound: Inbound, organisation: Organisation, parts: Parts) -> None:
-    cost = organisation.cost(inbound.tokens)
-    wait_s = parts.quota.take(organisation, cost, parts.clock.now())
-    if wait_s > 0:
-        log(
-            events.LIMIT_EXCEEDED,
-            request=inbound.request_id,
-            organisation=organisation.name,
-            config=parts.view.table.version,
-            cost=cost,
-            left=round(parts.quota.left(organisation.name)),
-            part=round(parts.quota.part(organisation.name), 3),
-            wait_s=round(wait_s, 3),
-        )
-        raise OverloadedError(
-            reason='limit of the organisation',
-            retry_after_s=spread(max(wait_s, 0.05), parts.rng),
-        )
--- a/geraniumrail/forwarding/config.py
+++ b/geraniumrail/forwarding/config.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from geraniumrail.backends.connections import ConnectionsConfig
+from geraniumrail.fairness.quota import QUOTA_HEADROOM
 from geraniumrail.fairness.slack import Slack
 
 
@@ -11,7 +12,7 @@
     """Bounds that hold over all entries together are divided by the number of entries."""
 
     retry_share: float = 0.18  # repeats for each request; below the ratio of 0.2 that is allowed
-    quota_headroom: float = 0.05  # part of a limit; below the excess of 0.1 that is tolerated
+    quota_headroom: float = QUOTA_HEADROOM
     quota_slack: Slack = Slack()  # of all entries together
     drain_s: float = 6.0  # how long requests are served after a planned stop has begun
     new_streams_s: float = 2.5  # how long a new stream is taken after that
--- a/geraniumrail/forwarding/forwarder.py
+++ b/geraniumrail/forwarding/forwarder.py
@@ -6,6 +6,7 @@
 from geraniumrail.forwarding import events
 from geraniumrail.forwarding.admitted import admit, spread
 from geraniumrail.forwarding.inbound import Inbound
+from geraniumrail.forwarding.limit_check import check_limit
 from geraniumrail.forwarding.parts import Parts
 from geraniumrail.forwarding.recorder import CALLER_GONE, OK
 from geraniumrail.forwarding.reply import Reply
@@ -67,6 +68,8 @@
             limit_s = min(limit_s, inbound.deadline_s * config.lease_wait_part)
         await self.parts.view.wait_for_lease(limit_s, config.lease_lost_s)
         admitted = admit(inbound, self.parts)
+        await check_limit(inbound, admitted, self.parts)
+        self.parts.demand.asked(admitted.service, inbound.tokens or 0)
         if self._leaving_since is not None:
             gone_s = self.parts.clock.now() - self._leaving_since
             streams = gone_s > self.parts.config.new_streams_s and admitted.route.gap_s > 0
--- /dev/null
+++ b/geraniumrail/forwarding/limit_check.py
@@ -0,0 +1,69 @@
+"""Checks the limit of an organisation over all entries."""
+
+from geraniumrail.core.events import log
+from geraniumrail.deployment.organisation import Organisation
+from geraniumrail.errors.link import LinkError
+from geraniumrail.errors.request import NotRunError, OverloadedError
+from geraniumrail.forwarding import events
+from geraniumrail.forwarding.admitted import Admitted, spread
+from geraniumrail.forwarding.inbound import Inbound
+from geraniumrail.forwarding.parts import Parts
+
+SHORTEST_RETRY_S = 0.05
+# Callers come back so long after no leader could be asked; an election is over by then.
+NO_LEADER_RETRY_S = 0.6
+
+
+async def check_limit(inbound: Inbound, admitted: Admitted, parts: Parts) -> None:
+    """Takes a request into account.
+
+    :param inbound: the request.
+    :param admitted: how it is forwarded.
+    :param parts: of the entry.
+    :raises OverloadedError: if the organisation is above its limit.
+    :raises NotRunError: if no leader could be asked.
+    """
+    organisation = admitted.holder
+    if organisation is None:
+        return
+    cost = organisation.cost(inbound.tokens)
+    claim = parts.quota.claim(organisation, cost, parts.clock.now())
+    wait_s = claim.wait_s
+    if claim.lacking > 0:
+        left_s = admitted.ends_at - parts.clock.now()
+        limit_s = min(parts.config.lease_wait_s, left_s * parts.config.lease_wait_part)
+        wait_s = await _borrow(organisation, claim.lacking, limit_s, parts)
+        if wait_s > 0:
+            kept = cost - claim.lacking
+            parts.quota.refused(organisation.name, kept, wait_s, parts.clock.now())
+    if wait_s > 0:
+        raise _refused(inbound, organisation, parts, wait_s)
+
+
+async def _borrow(organisation: Organisation, cost: float, limit_s: float, parts: Parts) -> float:
+    try:
+        return await parts.lender.borrow(organisation.name, cost, limit_s)
+    except LinkError as error:
+        raise NotRunError(
+            reason=f'the limit of the organisation is not known: {error}',
+            retry_after_s=spread(NO_LEADER_RETRY_S, parts.rng),
+        ) from error
+
+
+def _refused(
+    inbound: Inbound, organisation: Organisation, parts: Parts, wait_s: float
+) -> OverloadedError:
+    log(
+        events.LIMIT_EXCEEDED,
+        request=inbound.request_id,
+        organisation=organisation.name,
+        config=parts.view.table.version,
+        cost=organisation.cost(inbound.tokens),
+        left=round(parts.quota.left(organisation.name)),
+        part=round(parts.quota.part(organisation.name), 3),
+        wait_s=round(wait_s, 3),
+    )
+    return OverloadedError(
+        reason='limit of the organisation',
+        retry_after_s=spread(max(wait_s, SHORTEST_RETRY_S), parts.rng),
+    )
--- /dev/null
+++ b/geraniumrail/forwarding/limit_check_test.py
@@ -0,0 +1,75 @@
+"""Guards what callers are told when the leader lends, refuses or is not there."""
+
+import dataclasses
+import unittest
+
+from geraniumrail.errors.link import LinkError
+from geraniumrail.fairness.quota import Quota
+from geraniumrail.forwarding.forwarder import Forwarder
+from geraniumrail.forwarding.testing import Reply, StandIn, head, inbound, make_forwarder, route
+
+OK = [head('req-1', body=b'found')]
+LIMIT = {'rate_per_s': 100, 'burst': 100, 'in_tokens': True, 'plain_tokens': 60}
+
+
+class FakeLender:
+    """Answers all questions alike."""
+
+    def __init__(self, wait_s):
+        self.wait_s = wait_s
+        self.costs = []
+
+    async def borrow(self, organisation, cost, limit_s):
+        self.costs.append(cost)
+        if self.wait_s is None:
+            raise LinkError(address='', reason='no leader lends')
+        return self.wait_s
+
+
+class LimitCheckTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.server = await StandIn('i-1', *(OK for _ in range(4))).start()
+        self.addAsyncCleanup(self.server.stop)
+
+    async def serve(self, wait_s, times=1):
+        plain = make_forwarder([route()], [self.server.backend()], **LIMIT)
+        self.lender = FakeLender(wait_s)
+        parts = dataclasses.replace(
+            plain.parts, quota=Quota(started_at=plain.parts.clock.now(), has_ledger=True)
+        )
+        parts = dataclasses.replace(parts, lender=self.lender)
+        forwarder = Forwarder(parts)
+        self.addAsyncCleanup(parts.connections.close)
+        replies = []
+        for _ in range(times):
+            reply = Reply()
+            await forwarder.serve(inbound(parts.clock), reply)
+            replies.append(reply)
+        return replies
+
+    async def test_what_the_entry_lacks_is_lent(self):
+        (reply,) = await self.serve(0)
+        self.assertEqual((reply.status, reply.content), (200, b'found'))
+        self.assertEqual(len(self.lender.costs), 1)
+        self.assertLess(self.lender.costs[0], 60)
+
+    async def test_refusal_names_when_to_come_back_and_nothing_ran(self):
+        (reply,) = await self.serve(0.4)
+        self.assertEqual(reply.status, 429)
+        self.assertGreater(reply.error.fields['retry_after_s'], 0.1)
+        self.assertEqual(self.server.requests, [])
+
+    async def test_refused_organisation_is_not_asked_for_again_at_once(self):
+        replies = await self.serve(0.4, times=3)
+        self.assertEqual([reply.status for reply in replies], [429] * 3)
+        self.assertEqual(len(self.lender.costs), 1)
+
+    async def test_no_leader(self):
+        """An entry that can't tell whether the limit is exceeded does not say that it is."""
+        (reply,) = await self.serve(None)
+        self.assertEqual(reply.status, 503)
+        self.assertEqual(self.server.requests, [])
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/geraniumrail/forwarding/testing.py
+++ b/geraniumrail/forwarding/testing.py
@@ -23,6 +23,7 @@
 from geraniumrail.forwarding.dialect import Head
 from geraniumrail.forwarding.forwarder import Forwarder
 from geraniumrail.forwarding.inbound import Inbound
+from geraniumrail.forwarding.lends import NoLender
 from geraniumrail.forwarding.parts import Parts
 from geraniumrail.forwarding.recorder import Recorder
 from geraniumrail.forwarding.usage_counter import UsageCounter
@@ -237,6 +238,7 @@
         connections=Connections.from_config(ConnectionsConfig()),
         dialect=dialect or TestDialect(),
         quota=Quota(),
+        lender=NoLender(),
         retries=RetryBudget(),
         usage=UsageCounter(),
         demand=DemandCounter(),
--- a/geraniumrail/links/requests.py
+++ b/geraniumrail/links/requests.py
@@ -69,6 +69,22 @@
     entries: tuple[EntryInfo, ...]
 
 
+@record
+class TakeLimit:
+    """Asks the leader for a part of an organisation's limit."""
+
+    organisation: str
+    cost: float
+
+
+@record
+class LimitTaken:
+    """What became of it."""
+
+    wait_s: float = 0  # until something is left again; 0: it was taken
+    leads: bool = True  # False: nothing was taken, since the asked member does not lead
+
+
 @record
 class Join:
     """Asks the leader to take a replica into the group."""
