Break off answers that have no end

Cause, shown by endless_test before the change (7 of 11 failed): a plain body was read without a limit, the beginning of an event was held without a limit, and aiohttp reads chunk extensions and answers of 1xx for ever; the entry held the connection until the time of the request was up. Header lines, trailers and bytes that are no answer were already refused by the HTTP library. Each connection now counts the bytes of one answer (32 MiB) and its interim answers (8); an event may have 1 MiB. What was unreadable is quoted in the log with at most 300 characters; a block of 64 KiB was quoted whole. After the change all 11 pass, with the tests of forwarding and the clients.

--- a/geraniumrail/backends/guarded_handler.py
+++ b/geraniumrail/backends/guarded_handler.py
@@ -1,6 +1,7 @@
 """A connection to a backend server that is reused only if nothing is amiss."""
 
 import asyncio
+from typing import Any
 
 from aiohttp import ClientPayloadError
 from aiohttp.client_proto import ResponseHandler
@@ -8,6 +9,13 @@
 # Closes idle connections before the backend server does: a request that crosses its close may
 # have run. The part leaves room for the way of the request and of the close.
 USED_PART_OF_IDLE = 0.6
+# Bytes of one answer with all that belongs to it, also chunk extensions and trailers, which no
+# other limit counts. Twice the longest body that the clients of plain services accept; a backend
+# server in trouble may send without end.
+MAX_ANSWER_BYTES = 32 * 1024 * 1024
+# Answers with a status of 1xx before the final one; the HTTP library reads on for ever.
+MAX_INTERIM_ANSWERS = 8
+_INTERIM = range(100, 200)
 
 
 class IdleLimits:
@@ -50,6 +58,28 @@
         self._limits = limits
         self._address = ''
         self._received_at = loop.time()
+        self._answer_bytes = 0
+        self._interim_answers = 0
+
+    def set_response_params(self, **params: Any) -> None:
+        """Starts to count: a request is about to be sent.
+
+        :param params: of the HTTP library.
+        """
+        self._answer_bytes = 0
+        self._interim_answers = 0
+        super().set_response_params(**params)
+
+    def feed_data(self, data: Any, size: int = 0) -> None:
+        """Counts the heads that are not of the final answer.
+
+        :param data: head and body of an answer.
+        :param size: of the HTTP library.
+        """
+        self._interim_answers += data[0].code in _INTERIM
+        if self._interim_answers > MAX_INTERIM_ANSWERS:
+            self._break_off('too many interim answers')
+        super().feed_data(data, size)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Notes the address.
@@ -61,13 +91,25 @@
         super().connection_made(transport)
 
     def data_received(self, data: bytes) -> None:
-        """Notes when the last bytes came.
+        """Notes when the last bytes came, and breaks off an answer that has no end.
 
         :param data: the bytes.
         """
         self._received_at = self._loop.time()
+        self._answer_bytes += len(data)
+        if self._answer_bytes > MAX_ANSWER_BYTES:
+            self._break_off(f'more than {MAX_ANSWER_BYTES} bytes')
+            return
         super().data_received(data)
 
+    def _break_off(self, reason: str) -> None:
+        failure = ClientPayloadError(f'the answer was broken off: {reason}')
+        if self._payload is not None and not self._payload.is_eof():
+            self._payload.set_exception(failure)
+        self.set_exception(failure)
+        if self.transport is not None:
+            self.transport.abort()
+
     def is_connected(self) -> bool:
         """Tells whether a request may be sent on this connection.
 
--- a/geraniumrail/forwarding/attempt.py
+++ b/geraniumrail/forwarding/attempt.py
@@ -20,6 +20,7 @@
 from geraniumrail.forwarding.dialect import Dialect, Head, Sending
 from geraniumrail.forwarding.inbound import Headers, Inbound
 
+MAX_REASON = 300  # characters of a reason in a line of the log
 _SUCCESS = range(200, 300)
 _FAILURES = (ClientError, HttpProcessingError, OSError, ResendError, ValueError)
 
@@ -144,7 +145,8 @@
 
     def _typed(self, error: Exception) -> NotSentError | ConnectionLostError:
         kind = ConnectionLostError if self.exchange.connected else NotSentError
-        return kind(backend=self.backend.instance, reason=repr(error))
+        # The HTTP library quotes what it could not read, up to a whole block of it.
+        return kind(backend=self.backend.instance, reason=repr(error)[:MAX_REASON])
 
 
 async def has_ended(backend: Backend, timeout_s: float) -> bool:
--- a/geraniumrail/forwarding/event_splitter.py
+++ b/geraniumrail/forwarding/event_splitter.py
@@ -1,9 +1,15 @@
 """Cuts a stream into whole events."""
 
+# Far above any event; a backend server whose event does not end must not fill the memory.
+MAX_EVENT_BYTES = 1024 * 1024
 _SEPARATOR = b'\n\n'
 _ID = b'id:'
 
 
+class EventTooLongError(ValueError):
+    """An event does not end."""
+
+
 class EventSplitter:
     """Holds back the beginning of an event until its end has arrived.
 
@@ -32,10 +38,13 @@
         """Returns the whole events that have arrived.
 
         :param content: next part of the stream.
+        :raises EventTooLongError: if the event that has begun is too long.
         """
         held = self._held + content
         end = held.rfind(_SEPARATOR)
         if end < 0:
+            if len(held) > MAX_EVENT_BYTES:
+                raise EventTooLongError(f'more than {MAX_EVENT_BYTES} bytes without an end')
             self._held = held
             return b''
         end += len(_SEPARATOR)
--- a/geraniumrail/forwarding/run.py
+++ b/geraniumrail/forwarding/run.py
@@ -17,7 +17,7 @@
 from geraniumrail.forwarding.admitted import Admitted, spread
 from geraniumrail.forwarding.attempt import Attempt, has_ended
 from geraniumrail.forwarding.dialect import Sending
-from geraniumrail.forwarding.event_splitter import EventSplitter
+from geraniumrail.forwarding.event_splitter import EventSplitter, EventTooLongError
 from geraniumrail.forwarding.inbound import Inbound
 from geraniumrail.forwarding.parts import Parts
 from geraniumrail.forwarding.reply import Reply
@@ -132,7 +132,7 @@
     async def _relay(self, attempt: Attempt, sent_at: float) -> None:
         self._splitter.restart()
         async for part in attempt.parts():
-            whole = self._splitter.feed(part)
+            whole = self._feed(attempt, part)
             if not whole:
                 continue
             self._notes.first_event(attempt.backend, sent_at)
@@ -148,6 +148,13 @@
         self._notes.observe(attempt.backend, failed=False)
         self._log_end(attempt)
 
+    def _feed(self, attempt: Attempt, part: bytes) -> bytes:
+        try:
+            return self._splitter.feed(part)
+        except EventTooLongError as error:
+            backend = attempt.backend.instance
+            raise BackendError(backend=backend, reason=str(error)) from error
+
     async def _prepare_next(self, failure: BackendError) -> None:
         """Returns if another attempt may be made.
 
