Let a resumable stream go on elsewhere when it stands still

Cause: a stream was given up only by a lost connection or by the time of its route; an engine that stalled, or sent bytes without ending an event, held it. Progress now counts in whole events. A stream that may go on elsewhere does so after four of the longest pauses of its route (one second at least); the time that the caller takes to read does not count. forwarder_test.test_stream_that_stands_still_goes_on_elsewhere failed before and passes; slow streams and slow callers are not cut (two tests).

--- a/geraniumrail/forwarding/config.py
+++ b/geraniumrail/forwarding/config.py
@@ -23,4 +23,7 @@
     lease_wait_part: float = 0.3  # of the time that the caller has
     lease_lost_s: float = 3.0  # no request waits when the lease was lost longer ago
     connections: ConnectionsConfig = ConnectionsConfig()
+    # A stream that stands still is not given up before this time: an engine that runs short of
+    # memory reads a prompt again, which takes up to half a second.
+    least_stall_s: float = 1.0
     connect_attempts: int = 3  # backend servers to which no connection could be made
--- a/geraniumrail/forwarding/endless_test.py
+++ b/geraniumrail/forwarding/endless_test.py
@@ -1,6 +1,6 @@
 """Guards entries against backend servers that send bytes without end.
 
-Each server sends until its connection is closed. The entry must close it and answer within a bounded
+Each server sends until its connection is closed. The entry must close it and answer after a bounded
 number of bytes, not when the time of the request is up.
 """
 
--- a/geraniumrail/forwarding/forwarder_test.py
+++ b/geraniumrail/forwarding/forwarder_test.py
@@ -153,6 +153,39 @@
         asked = [line for stand in stands for lines in stand.requests for line in lines]
         self.assertIn('X-Last-Event: 1', asked)
 
+    async def test_stream_that_stands_still_goes_on_elsewhere(self):
+        """Pattern: a stalled engine sends a byte now and then, and never ends an event."""
+        drip = [step for _ in range(200) for step in (chunk(b':'), 0.05)]
+        first = [head('req-1') + chunk(event(1)), *drip]
+        second = [head('req-1') + chunk(event(2)) + END]
+        _, reply = await self.two(first, second, self.route)
+        self.assertEqual((reply.content, reply.ended), (event(1) + event(2), 'whole'))
+
+    async def test_slow_stream_is_not_cut(self):
+        """Pattern: each pause is longer than an answer on time has, but events keep coming."""
+        pauses = [step for number in range(2, 6) for step in (0.6, chunk(event(number)))]
+        first = [head('req-1') + chunk(event(1)), *pauses, END]
+        stands, reply = await self.two(first, [HANG], self.route)
+        self.assertEqual((reply.content.count(b'piece'), reply.ended), (5, 'whole'))
+        self.assertEqual(sum(len(stand.requests) for stand in stands), 1)
+
+    async def test_slow_caller_does_not_cut_its_stream(self):
+        """Pattern: a caller that reads slowly holds up the entry, not the engine."""
+        script = [head('req-1') + chunk(event(1)), 0.05, chunk(event(2)) + END]
+        (stand,) = await self.started(StandIn('i-1', script))
+        forwarder = testing.make_forwarder([self.route], [stand.backend()])
+        self.addAsyncCleanup(forwarder.parts.connections.close)
+        reply = testing.Reply()
+        write = reply.write
+
+        async def write_slowly(content):
+            await asyncio.sleep(1.3)
+            await write(content)
+
+        reply.write = write_slowly
+        await forwarder.serve(testing.inbound(forwarder.parts.clock), reply)
+        self.assertEqual((reply.content, reply.ended), (event(1) + event(2), 'whole'))
+
     async def test_stream_that_may_not_be_resumed_is_broken_off(self):
         route = testing.route(kind='stream', gap_s=0.2)
         _, reply = await self.one(head('req-1') + chunk(event(1)), 0.05, RESET, route=route)
--- a/geraniumrail/forwarding/run.py
+++ b/geraniumrail/forwarding/run.py
@@ -29,6 +29,9 @@
 
 # A refusal because the backend servers are full or gone; the next ones serve within this time.
 FULL_RETRY_S = 0.4
+# A stream without an event for so many of the longest pauses of its route goes on elsewhere; its
+# caller waits for twice as many.
+STALLED_GAPS = 4
 _SERVER_ERROR = 500
 _OK = 200
 
@@ -131,14 +134,26 @@
 
     async def _relay(self, attempt: Attempt, sent_at: float) -> None:
         self._splitter.restart()
-        async for part in attempt.parts():
-            whole = self._feed(attempt, part)
-            if not whole:
-                continue
-            self._notes.first_event(attempt.backend, sent_at)
-            if not self._reply.started:
-                await self._reply.start(attempt.status, attempt.headers)
-            await self._reply.write(whole)
+        stall_s = self._stall_s()
+        try:
+            async with asyncio.timeout(None) as stall:
+                async for part in attempt.parts():
+                    whole = self._feed(attempt, part)
+                    if not whole:
+                        continue
+                    stall.reschedule(None)  # a slow caller is no stall
+                    self._notes.first_event(attempt.backend, sent_at)
+                    if not self._reply.started:
+                        await self._reply.start(attempt.status, attempt.headers)
+                    await self._reply.write(whole)
+                    if stall_s is not None:
+                        stall.reschedule(asyncio.get_running_loop().time() + stall_s)
+        except TimeoutError:
+            if not stall.expired():
+                raise
+            raise BackendError(
+                backend=attempt.backend.instance, reason=f'no whole event for {stall_s} s'
+            ) from None
         if self._splitter.rest or not self._reply.started:
             raise BackendError(
                 backend=attempt.backend.instance,
@@ -148,6 +163,17 @@
         self._notes.observe(attempt.backend, failed=False)
         self._log_end(attempt)
 
+    def _stall_s(self) -> float | None:
+        """Returns how long a stream may be without a whole event, or None for no limit.
+
+        Bytes alone are no progress. A stream that may not go on elsewhere is left to its caller,
+        who leaves, and to the time of its route.
+        """
+        route = self._admitted.route
+        if not route.repeatable or self._sent >= route.attempts:
+            return None
+        return max(self._parts.config.least_stall_s, STALLED_GAPS * route.gap_s)
+
     def _feed(self, attempt: Attempt, part: bytes) -> bytes:
         try:
             return self._splitter.feed(part)
