--- a/geraniumrail/forwarding/run.py
+++ b/geraniumrail/forwarding/run.py
@@ -134,9 +134,9 @@
 
     async def _relay(self, attempt: Attempt, sent_at: float) -> None:
         self._splitter.restart()
-        stall_s = self._stall_s()
+        stall_s, stall = self._stall_s(), asyncio.timeout(None)
         try:
-            async with asyncio.timeout(None) as stall:
+            async with stall:
                 async for part in attempt.parts():
                     whole = self._feed(attempt, part)
                     if not whole:
