Keep the parts of limits within the whole after a change of leader

Cause, by reading: a new leader hears of the entries one by one and told the first that it was the only one, the second that it was one of two; the parts of 77 entries came to 4.9 times each limit for about a second (computed with the new rule off). With a ledger a change of leader also left only a fifth of each limit to 4 entries. An entry believes a lower number of entries after 6 s, longer than a lease, and does not use recent demand as long. The ledger holds two fifths with up to 4 entries and four fifths from 12 on, so that few entries carry the usual demand while there is no leader. Two tests; the first fails with the rule off.

Also in this commit: homes of prompts are taken from all engines, not from the part of them whose load the entry gets. With 78 engines and 20 entries one document was read at 6 or 7 engines, now at 1 or 2 (choice_test, model).

--- a/geraniumrail/control/lender.py
+++ b/geraniumrail/control/lender.py
@@ -51,7 +51,9 @@
         if organisation is None:
             # The entry serves a configuration that is newer or older than the leader's.
             return LimitTaken(leads=False)
-        return LimitTaken(wait_s=self._ledger.take(organisation, asked.cost, self._control.now()))
+        entries = self._control.publisher.usage.entries
+        now = self._control.now()
+        return LimitTaken(wait_s=self._ledger.take(organisation, asked.cost, now, entries))
 
     def _index(self, deployment: Deployment) -> None:
         if deployment.version != self._version:
--- a/geraniumrail/control/registry.py
+++ b/geraniumrail/control/registry.py
@@ -263,7 +263,7 @@
     # The reader gets no renewals of it either, so its lease ends only by the leader's word.
     return dataclasses.replace(
         backend,
-        load=LoadReport(),
+        load=LoadReport(slots=backend.load.slots),
         cache_events=(),
         lease_s=UNRENEWED_LEASE_S,
         load_known=False,
--- a/geraniumrail/control/usage_shares.py
+++ b/geraniumrail/control/usage_shares.py
@@ -17,6 +17,11 @@
         self._demand_by_entry: dict[str, dict[str, float]] = {}
         self._totals: collections.Counter[str] = collections.Counter()
 
+    @property
+    def entries(self) -> int:
+        """Number of entries that have reported."""
+        return max(1, len(self._demand_by_entry))
+
     def observe(self, entry: str, usage: tuple[Usage, ...]) -> None:
         """Adds the demand of one report interval.
 
@@ -47,7 +52,7 @@
         # The stream of a forgotten entry may still be open.
         mine = self._demand_by_entry.get(entry, {})
         return EntryShare(
-            entries=max(1, len(self._demand_by_entry)),
+            entries=self.entries,
             share_by_organisation={
                 name: min(1.0, mine.get(name, 0) / total)
                 for name, total in self._totals.items()
--- a/geraniumrail/entry/cluster_view.py
+++ b/geraniumrail/entry/cluster_view.py
@@ -144,19 +144,26 @@
             self._unconfirmed.discard(backend.instance)
             self.knowledge.observe(backend, now)
 
-    def candidates(self, service: str) -> list[Backend]:
+    def usable(self, service: str) -> list[Backend]:
         """Returns the backend servers of a service that may get new work.
 
         :param service: name of the service.
         """
         now = self._clock.now()
-        usable = [
+        return [
             backend
             for backend in self.backends_by_instance.values()
             if backend.service == service
             and backend.instance not in self.drained
             and self.knowledge.usable(backend, now)
         ]
+
+    def candidates(self, service: str) -> list[Backend]:
+        """Returns the usable backend servers whose load this entry gets.
+
+        :param service: name of the service.
+        """
+        usable = self.usable(service)
         # A backend server without a load report looks idle to every entry that lacks it.
         return [backend for backend in usable if backend.load_known] or usable
 
--- a/geraniumrail/entry/entry.py
+++ b/geraniumrail/entry/entry.py
@@ -332,7 +332,7 @@
     def _updated(self, update: ControlUpdate) -> None:
         self._outcomes.follow_moves()
         self._completions.limits.update(update.share)
-        self.forwarder.parts.quota.update(update.share)
+        self.forwarder.parts.quota.update(update.share, self._clock.now())
         self._completions.reported(backend.instance for backend in update.backends)
         self._completions.reported(row.i for row in update.loads)
         if update.assigned:
--- a/geraniumrail/fairness/limit_ledger.py
+++ b/geraniumrail/fairness/limit_ledger.py
@@ -5,9 +5,21 @@
 from geraniumrail.deployment.organisation import Organisation
 from geraniumrail.fairness.slack import Slack
 
-# Part of each limit that the ledger holds; the rest is divided over the entries, so that most short
-# requests need no question. A long prompt costs more than the divided part of one entry holds.
-LENT_PART = 0.8
+# Part of each limit that the ledger holds; the rest is divided over the entries. With few entries
+# the divided parts hold a long prompt each, and carry the usual demand while there is no leader;
+# with many entries they hold short requests only.
+LEAST_LENT_PART = 0.4
+MOST_LENT_PART = 0.8
+# The divided rest is at most this many times the whole limit over the number of entries.
+DIVIDED_PARTS = 2.4
+
+
+def lent_part(entries: int) -> float:
+    """Returns the part of each limit that the ledger holds.
+
+    :param entries: number of entries.
+    """
+    return min(MOST_LENT_PART, max(LEAST_LENT_PART, 1 - DIVIDED_PARTS / max(1, entries)))
 
 
 @dataclasses.dataclass(frozen=True)
@@ -43,7 +55,7 @@
         self._started_at = now
         self._levels_by_organisation = {}
 
-    def take(self, organisation: Organisation, cost: float, now: float) -> float:
+    def take(self, organisation: Organisation, cost: float, now: float, entries: int = 1) -> float:
         """Takes what a request lacks; returns 0, or seconds until something is left again.
 
         A request is admitted while anything is left, whatever its size: otherwise short requests
@@ -52,10 +64,12 @@
         :param organisation: whose request it is.
         :param cost: what the entry lacks.
         :param now: seconds.
+        :param entries: number of entries that the leader knows.
         """
         if organisation.rate_per_s <= 0:
             return 0
-        rate, full = self._rate(organisation), self._full(organisation)
+        part = lent_part(entries)
+        rate, full = part * self._rate(organisation), part * self._full(organisation)
         known = self._levels_by_organisation.get(organisation.name)
         level = known or _Level(0, self._started_at)
         left = min(full, level.left + rate * max(0, now - level.filled_at))
@@ -76,8 +90,8 @@
 
     def _rate(self, organisation: Organisation) -> float:
         extra = self._slack.rate_per_s if organisation.in_tokens else 0
-        return LENT_PART * (organisation.rate_per_s * (1 + self._headroom) + extra)
+        return organisation.rate_per_s * (1 + self._headroom) + extra
 
     def _full(self, organisation: Organisation) -> float:
         extra = self._slack.burst if organisation.in_tokens else 0
-        return max(1, LENT_PART * (organisation.burst * (1 + self._headroom) + extra))
+        return max(1, organisation.burst * (1 + self._headroom) + extra)
--- a/geraniumrail/fairness/limit_ledger_test.py
+++ b/geraniumrail/fairness/limit_ledger_test.py
@@ -40,7 +40,7 @@
         wait_s = claim.wait_s
         if claim.lacking:
             self.questions += 1
-            wait_s = self.ledger.take(SMALL, claim.lacking, now)
+            wait_s = self.ledger.take(SMALL, claim.lacking, now, len(self.quotas))
             if wait_s:
                 quota.refused(SMALL.name, cost - claim.lacking, wait_s, now)
         if wait_s:
@@ -118,6 +118,25 @@
             entries.ask(rng.randrange(27), cost, at)
         self.assertLess(entries.most_in_window(), bound())
 
+    def test_parts_after_a_change_of_leader_stay_within_the_whole(self):
+        """Pattern: a new leader hears of the entries one by one. The first was told that it was the
+        only one, the second that it was one of two, and all parts came to five times the limit."""
+        for has_ledger in (True, False):
+            with self.subTest(has_ledger=has_ledger):
+                entries = Entries(77, has_ledger)
+                for known, quota in enumerate(entries.quotas, 1):
+                    alone = EntryShare(entries=known, share_by_organisation={SMALL.name: 1 / known})
+                    quota.update(alone, 3)
+                whole = sum(quota.part(SMALL.name) for quota in entries.quotas)
+                self.assertLessEqual(whole, 1 + 1e-9)
+
+    def test_lost_entries_leave_their_parts_to_the_others(self):
+        entries = Entries(8, has_ledger=False)
+        for quota in entries.quotas[:4]:
+            for now in range(1, 10):
+                quota.update(EntryShare(entries=4, share_by_organisation={}), now)
+            self.assertAlmostEqual(quota.part(SMALL.name), 1 / 4)
+
     def test_flood_through_a_common_restart_stays_within_the_bound(self):
         """Pattern: all entries and the leader are killed while an organisation floods."""
         rng = random.Random(6)
--- a/geraniumrail/fairness/quota.py
+++ b/geraniumrail/fairness/quota.py
@@ -5,7 +5,7 @@
 
 from geraniumrail.deployment.organisation import Organisation
 from geraniumrail.fairness.entry_share import EntryShare
-from geraniumrail.fairness.limit_ledger import LENT_PART
+from geraniumrail.fairness.limit_ledger import lent_part
 from geraniumrail.fairness.slack import Slack
 
 # Part by which a limit is exceeded; below the excess of 0.1 that is tolerated.
@@ -13,6 +13,9 @@
 # Part of a limit that is divided evenly; the rest follows recent demand. Callers choose an entry at
 # random, so most of the difference in recent demand is chance (docs/MEASUREMENTS.md, "Limits").
 EVEN_PART = 0.7
+# A lower number of entries is believed after this time: a new leader hears of the entries one by
+# one, and each would take the parts of those that have not reported yet. Longer than a lease.
+FEWER_ENTRIES_S = 6.0
 # Until control has told the parts; it does so within a second of the first report.
 UNKNOWN_PART = 0.3
 # A restarted entry must not admit a whole bucket again; the rest fills at the rate of the limit.
@@ -61,8 +64,8 @@
         :param started_at: when this entry started, seconds; its buckets fill from then on.
         :param has_ledger: the leader holds a part of each limit in a ledger.
         """
-        self._divided = 1 - LENT_PART if has_ledger else 1.0
         self._has_ledger = has_ledger
+        self._entries_seen: tuple[tuple[float, int], ...] = ()  # when, and how many
         self._headroom = headroom
         self._slack = slack or Slack()
         self._started_at = started_at
@@ -70,12 +73,16 @@
         self._levels: dict[str, _Level] = {}
         self._demand: dict[str, float] = {}
 
-    def update(self, share: EntryShare) -> None:
+    def update(self, share: EntryShare, now: float = 0) -> None:
         """Takes the parts that control has computed.
 
         :param share: newest parts.
+        :param now: seconds.
         """
         self._share = share
+        recent = (seen for seen in self._entries_seen if seen[0] > now - FEWER_ENTRIES_S)
+        higher = (seen for seen in recent if seen[1] > share.entries)
+        self._entries_seen = (*higher, (now, share.entries))
 
     def part(self, organisation: str) -> float:
         """Returns the part of an organisation's limit that this entry may use.
@@ -83,10 +90,16 @@
         :param organisation: name.
         """
         if self._share is None:
-            return UNKNOWN_PART * self._divided
-        even = 1 / max(1, self._share.entries)
-        recent = self._share.share_by_organisation.get(organisation, even)
-        return (EVEN_PART * even + (1 - EVEN_PART) * recent) * self._divided
+            return UNKNOWN_PART * self._divided_part(1)
+        entries = max(1, *(count for _, count in self._entries_seen))
+        even = 1 / entries
+        recent = even
+        if entries == self._share.entries:
+            recent = self._share.share_by_organisation.get(organisation, even)
+        return (EVEN_PART * even + (1 - EVEN_PART) * recent) * self._divided_part(entries)
+
+    def _divided_part(self, entries: int) -> float:
+        return 1 - lent_part(entries) if self._has_ledger else 1.0
 
     def claim(self, organisation: Organisation, cost: float, now: float) -> Claim:
         """Takes a request into account.
--- a/geraniumrail/forwarding/run.py
+++ b/geraniumrail/forwarding/run.py
@@ -232,7 +232,7 @@
         return decision.backend
 
     def _candidates(self) -> list[Backend]:
-        return self._parts.view.candidates(self._admitted.service)
+        return self._parts.view.usable(self._admitted.service)
 
     def _route_request(self) -> RouteRequest:
         inbound, parts = self._inbound, self._parts
--- a/geraniumrail/routing/choice.py
+++ b/geraniumrail/routing/choice.py
@@ -58,13 +58,18 @@
 
 
 def _draw(usable: Sequence[Backend], region: str, rng: random.Random) -> list[Backend]:
-    """Draws from the region of the entry, plus one of another region to which load can spill."""
-    near = [backend for backend in usable if backend.region == region]
+    """Draws from the region of the entry, plus one of another region to which load can spill.
+
+    One whose load is not known is left to the prompts that it has in its cache: it would look as
+    good as the mean to every entry that lacks its load.
+    """
+    known = [backend for backend in usable if backend.load_known] or usable
+    near = [backend for backend in known if backend.region == region]
     if not near:
-        return rng.sample(usable, min(SAMPLE_SIZE, len(usable)))
+        return rng.sample(known, min(SAMPLE_SIZE, len(known)))
     sample = rng.sample(near, min(SAMPLE_SIZE, len(near)))
-    if len(near) < len(usable):
-        sample.append(rng.choice([backend for backend in usable if backend.region != region]))
+    if len(near) < len(known):
+        sample.append(rng.choice([backend for backend in known if backend.region != region]))
     return sample
 
 
--- a/geraniumrail/routing/choice_test.py
+++ b/geraniumrail/routing/choice_test.py
@@ -10,6 +10,7 @@
 from geraniumrail.errors.backend import NoBackendError
 from geraniumrail.routing import Knowledge, LanguageRequest, PlainRequest, choose, log_decision
 from geraniumrail.routing.baselines import least_reported_load, round_robin
+from geraniumrail.routing.homes import homes_of
 
 PREFIXES = tuple(f'p{block}' for block in range(32))
 
@@ -150,5 +151,49 @@
         self.assertIn('E0401 routing.chosen request="r"', lines.output[0])
 
 
+class ManyEnginesTest(unittest.TestCase):
+    """Each entry gets the load of some of many engines only, each of other ones."""
+
+    def choices(self, prefix, entries=20, engines=78, known=32):
+        """Returns the engines to which the entries send one prompt, each of them once."""
+        chosen = collections.Counter()
+        names = [f'engine-{number}' for number in range(engines)]
+        for number in range(entries):
+            rng = random.Random(number)
+            subset = frozenset(rng.sample(names, known))
+            backends = [engine(name, load_known=name in subset) for name in names]
+            knowledge = Knowledge()
+            for backend in backends:
+                knowledge.observe(backend, 0)
+            asked = request(
+                prefixes=(prefix, 'own'),
+                prefix_tokens=(6300, 9190),
+                prompt_tokens=9190,
+                homes=homes_of(prefix, names),
+                shared_prefixes=1,
+            )
+            decision = choose(backends, asked, knowledge, rng, 0)
+            chosen[decision.backend.instance] += 1
+        return chosen
+
+    def test_one_prompt_goes_to_few_engines(self):
+        """Pattern: many entries, each with the load of other engines, read the same document. Each
+        chose a home among its own engines, and the document was read at most of them."""
+        for prefix in ('manual-1', 'manual-2', 'manual-3'):
+            with self.subTest(prefix=prefix):
+                self.assertLessEqual(len(self.choices(prefix)), 2)
+
+    def test_engine_of_unknown_load_is_not_drawn(self):
+        """It would look as good as the mean to each entry that lacks its load."""
+        rng, knowledge = random.Random(1), Knowledge()
+        backends = [engine(f'e{number}', load_known=number < 4) for number in range(40)]
+        for backend in backends:
+            knowledge.observe(backend, 0)
+        chosen = {
+            choose(backends, request(), knowledge, rng, 0).backend.instance for _ in range(200)
+        }
+        self.assertLessEqual(chosen, {f'e{number}' for number in range(4)})
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/geraniumrail/routing/knowledge.py
+++ b/geraniumrail/routing/knowledge.py
@@ -1,5 +1,6 @@
 """This entry's view of the backend servers."""
 
+import dataclasses
 import math
 from collections.abc import Iterator, Sequence
 
@@ -62,7 +63,11 @@
         view.arrived_at = now
         view.silent_until = now
         self.hints.observe(backend.instance, backend.cache_events, now)
-        self.observe_load(backend.instance, backend.load, now)
+        if backend.load_known:
+            self.observe_load(backend.instance, backend.load, now)
+        else:
+            # Expected to have the mean load until it answers a request of this entry.
+            view.report = dataclasses.replace(view.report, slots=backend.load.slots)
 
     def observe_load(self, backend_id: str, report: LoadReport, now: float) -> None:
         """Takes in a load report that came with an answer.
