--- a/geraniumrail/control/process_test.py
+++ b/geraniumrail/control/process_test.py
@@ -25,6 +25,7 @@
 PATHS = [f'/org-{number}' for number in range(26)]
 CHANGES = 20  # of each path
 IN_FORCE_S = 7.0
+FREEZES = 10  # of processes that are found not to lead any more
 
 
 class Recorder:
@@ -161,9 +162,8 @@
 
     async def freeze_leader(self):
         """A frozen leader comes back: its entry refuses with `not_run` until it has followed."""
-        leader = await self.deployment.leader()
+        leader = await self.frozen_leader()
         process = self.deployment.processes_by_name[leader.name]
-        process.freeze()
         await self.until_led_by_another(leader)
         await self.recorder.until_written()
         listed = await self.recorder.client.request('GET', f'{ADMIN}/entries')
@@ -171,6 +171,32 @@
         process.thaw()
         await self.until_listed(leader)
 
+    async def frozen_leader(self):
+        """Freezes a process that leads at that moment.
+
+        On a busy machine another one may be elected between the answer that names the leader and
+        the signal. The entry of the frozen process then has a lease at the new leader, which lists
+        it until the lease ends, as it should.
+        """
+        for _ in range(FREEZES):
+            leader = await self.deployment.leader()
+            if leader is None:
+                continue
+            process = self.deployment.processes_by_name[leader.name]
+            process.freeze()
+            if await self.is_followed_by_all(leader):
+                return leader
+            print(f'{leader.name} did not lead any more when it was frozen')
+            process.thaw()
+            await self.recorder.until_written()
+        raise AssertionError('no process led when it was frozen')
+
+    async def is_followed_by_all(self, leader):
+        """Tells whether all other members name a process as their leader."""
+        others = [place for place in self.deployment.places if place != leader]
+        named = [(await self.deployment.status(place))['leader'] for place in others]
+        return all(name == leader.peers for name in named)
+
     async def lose_disk_and_repair(self):
         """One voter loses its disk, is replaced by the learner, and a second voter is lost."""
         deployment, recorder = self.deployment, self.recorder
