--- a/geraniumrail/control/duty_call.py
+++ b/geraniumrail/control/duty_call.py
@@ -57,3 +57,6 @@
         :param call: holder and fencing number.
         :param fleet: what to order.
         """
+
+    async def close(self) -> None:
+        """Closes the connections."""
--- /dev/null
+++ b/geraniumrail/daemon/hosted_config.py
@@ -0,0 +1,45 @@
+"""Settings of a process that runs on somebody else's platform."""
+
+import dataclasses
+
+from geraniumrail.config.daemon import DaemonConfig
+from geraniumrail.fairness.slack import Slack
+
+# A group on small machines that are close to each other; a common restart is over in two of these.
+ELECTION_TIMEOUT_S = 1.0
+# Callers that keep an answer three times as long still leave a stopping entry within its grace.
+KEEP_FOR_S = 2.0
+# Part of the tolerated slack that is used; the rest covers entries that start with full buckets and
+# the one request by which a ledger exceeds its bucket.
+QUOTA_SLACK_PART = 0.75
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class HostedConfig:
+    """The daemon's own settings, and what the platform expects of it."""
+
+    daemon: DaemonConfig
+    usage_window_s: float = 0  # 0: usage is not reported
+    usage_late_s: float = 0  # after the end of a window; its report is due then
+    orders_backends: bool = False  # backend servers are ordered from the platform
+    duty_lease_s: float = 3  # within which two holders of a duty must not alternate
+    quota_slack: Slack = Slack()  # by which limits may be exceeded by all entries together
+    grace_s: float = 8  # between the signal to stop and the kill
+    keep_for_s: float = KEEP_FOR_S  # how long callers may keep an answer of the directory
+
+
+def voters_for(losses: int) -> int:
+    """Returns the number of voters whose majority outlives a number of losses.
+
+    :param losses: processes that may be lost at once, with their disks.
+    """
+    return 2 * losses + 1
+
+
+def usable_slack(tokens: float, window_s: float) -> Slack:
+    """Returns the slack to use of what is tolerated.
+
+    :param tokens: tolerated in each window.
+    :param window_s: its length in seconds.
+    """
+    return Slack(QUOTA_SLACK_PART * tokens, window_s)
--- a/platform/adapter/program.py
+++ b/geraniumrail/daemon/hosted_daemon.py
@@ -1,30 +1,25 @@
-"""Runs the roles of the platform's settings file until the signal to stop."""
+"""Runs the roles of a process on somebody else's platform until the signal to stop."""
 
 import asyncio
-import gc
-import logging
-import os
-import pathlib
 import random
 import signal
 from typing import Any
 
-from absl import flags
-from absl import logging as absl_logging
-
-from adapter.settings import PATH_VARIABLE, Settings
 from geraniumrail.core.clock import SystemClock
 from geraniumrail.core.events import log
-from geraniumrail.core.log_writer import LogWriter
 from geraniumrail.daemon import events
+from geraniumrail.daemon.hosted_adapter import Front, HostedAdapter
+from geraniumrail.daemon.hosted_config import HostedConfig
 from geraniumrail.errors.base import GeraniumrailError
 from geraniumrail.links.datagrams import Datagrams
 from geraniumrail.links.pool import LinkPool
 from geraniumrail.links.server import LinkServer
 
 WATCH_INTERVAL_S = 2.0
+# Loading the exporter takes long, so the roles serve before it.
 METRICS_DELAY_S = 3.0
-# Engines are a few milliseconds away; one that does not answer for so long is cut off or lost.
+# Backend servers are a few milliseconds away; one that does not answer for so long is cut off or
+# lost.
 CONNECT_TIMEOUT_S = 0.5
 USER_TIMEOUT_MS = 1500
 # Callers keep an answer of the directory for at most this multiple of its time.
@@ -35,35 +30,31 @@
 ELECTION_WAIT_S = 0.6
 # The entries get their lease within this time after an election.
 FIRST_UPDATES_S = 0.3
-SCALE_DUTY = 'autoscale'
-USAGE_DUTY = 'usage_report'
 
 
-class Program:
-    """One process."""
+class HostedDaemon:
+    """One process; imports the code of a role only if the role is configured."""
 
-    def __init__(self, settings: Settings, started_at: float) -> None:
+    def __init__(self, config: HostedConfig, adapter: HostedAdapter, started_at: float) -> None:
         """Builds the roles; an event loop must be running.
 
-        :param settings: of the process.
+        :param config: settings of the process.
+        :param adapter: of the platform.
         :param started_at: when the process began, seconds of its clock.
         """
+        self._config = config
+        self._adapter = adapter
         self._started_at = started_at
-        self._settings = settings
         self._clock = SystemClock()
         self._links = LinkPool()
-        self._link_server = LinkServer(settings.daemon.peers.listen)
-        self._datagrams = Datagrams(settings.daemon.peers.listen)
+        self._link_server = LinkServer(config.daemon.peers.listen)
+        self._datagrams = Datagrams(config.daemon.peers.listen)
+        self._fronts: list[Front] = []
+        self._target: Any = None
         self._metrics: Any = None
-        self._control: Any = None
-        self._entry: Any = None
-        self._fronts: list[Any] = []
-        self._cloud: Any = None
         self._gauges: asyncio.Task[None] | None = None
-        if settings.control:
-            self._build_control()
-        if settings.daemon.callers is not None:
-            self._build_entry()
+        self._control = None if config.daemon.operators is None else self._build_control()
+        self._entry = None if config.daemon.callers is None else self._build_entry()
 
     async def run(self) -> None:
         """Serves until SIGTERM, then stops without cutting off a request."""
@@ -76,9 +67,9 @@
         watcher = asyncio.create_task(self._watch())
         await stop.wait()
         watcher.cancel()
-        log(events.STOPPING, instance=self._settings.daemon.instance)
+        log(events.STOPPING, instance=self._config.daemon.instance)
         await self._stop()
-        log(events.STOPPED, instance=self._settings.daemon.instance)
+        log(events.STOPPED, instance=self._config.daemon.instance)
 
     async def _start(self) -> None:
         await self._link_server.start()
@@ -95,18 +86,17 @@
         self._gauges = asyncio.create_task(self._show_metrics(), name='metrics')
         log(
             events.STARTED,
-            instance=self._settings.daemon.instance,
-            roles=sorted(self._settings.daemon.roles),
-            data_centre=self._settings.daemon.data_centre,
+            instance=self._config.daemon.instance,
+            roles=sorted(self._config.daemon.roles),
+            data_centre=self._config.daemon.data_centre,
         )
 
     async def _show_metrics(self) -> None:
-        """Loading the exporter takes long, so the roles serve before it."""
         await asyncio.sleep(METRICS_DELAY_S)
         from geraniumrail.daemon.gauges import Gauges
         from geraniumrail.metrics.metrics import Metrics
 
-        self._metrics = Metrics.from_config(self._settings.daemon)
+        self._metrics = Metrics.from_config(self._config.daemon)
         await self._metrics.start()
         if self._entry is not None:
             self._entry.forwarder.parts.recorder.instruments = self._metrics.instruments
@@ -123,8 +113,8 @@
             await self._entry.stop()
         if self._control is not None:
             await self._control.stop()
-        if self._cloud is not None:
-            await self._cloud.close()
+        if self._target is not None:
+            await self._target.close()
         if self._gauges is not None:
             self._gauges.cancel()
         if self._metrics is not None:
@@ -137,83 +127,71 @@
         """Serves until nobody has this address any more and nothing is in progress."""
         self._entry.leave()
         began = self._clock.now()
-        last = self._settings.grace_s - EXIT_MARGIN_S
-        kept_s = min(last, KEPT_TIMES * self._settings.ttl_s)
+        last = self._config.grace_s - EXIT_MARGIN_S
+        kept_s = min(last, KEPT_TIMES * self._config.keep_for_s)
         while (spent_s := self._clock.now() - began) < last:
             if spent_s >= kept_s and not self._entry.in_progress:
                 return
             await asyncio.sleep(STEP_S)
 
-    def _build_control(self) -> None:
+    def _build_control(self) -> Any:
         from geraniumrail.control.backend_notes import BackendNotes
         from geraniumrail.control.control import Control
         from geraniumrail.control.lender import Lender
         from geraniumrail.fairness.limit_ledger import LimitLedger
         from geraniumrail.fairness.quota import QUOTA_HEADROOM
 
-        settings = self._settings
         control = Control.from_config(
-            settings.daemon,
+            self._config.daemon,
             self._links,
             self._clock,
             random.Random(),
-            self._usage_window_s(),
+            self._config.usage_window_s,
             self._started_at,
         )
         control.register(self._link_server)
         control.jobs.append(BackendNotes(control))
-        lender = Lender(control, LimitLedger(QUOTA_HEADROOM, settings.quota_slack))
+        lender = Lender(control, LimitLedger(QUOTA_HEADROOM, self._config.quota_slack))
         lender.register(self._datagrams)
         control.jobs.append(lender)
-        self._control = control
+        return control
 
     def _add_control_front(self) -> None:
         """Adds what speaks HTTP: loading it takes longer than an election among the members."""
-        from adapter.control import ControlFront
         from geraniumrail.control.access import ControlAccess
         from geraniumrail.control.duties import Duties
+        from geraniumrail.control.fleet import Fleet
 
-        settings, control = self._settings, self._control
+        config, control = self._config, self._control
         access = ControlAccess(control, self._links, random.Random())
         access.register(self._link_server)
-        if settings.cloud and settings.duties:
-            from adapter.cloud import CloudApi
-            from geraniumrail.control.fleet import Fleet
-
-            self._cloud = CloudApi(settings.cloud)
-            fleet = Fleet(control) if SCALE_DUTY in settings.duties else None
-            holder = settings.daemon.instance
+        self._target = self._adapter.duty_target()
+        if self._target is not None:
             duties = Duties(
                 control,
-                self._cloud,
-                holder,
-                self._usage_window_s(),
-                settings.lease_s,
-                fleet,
-                settings.usage_late_s,
+                self._target,
+                config.daemon.instance,
+                config.usage_window_s,
+                config.duty_lease_s,
+                Fleet(control) if config.orders_backends else None,
+                config.usage_late_s,
             )
             control.jobs.append(duties)
-        self._fronts.append(ControlFront(control, access, settings, settings.regions))
+        self._fronts.append(self._adapter.control_front(control, access))
 
-    def _usage_window_s(self) -> float:
-        return self._settings.window_s if USAGE_DUTY in self._settings.duties else 0
-
-    def _build_entry(self) -> None:
-        from adapter.dialect import EngineDialect
-        from adapter.front import Front
+    def _build_entry(self) -> Any:
         from geraniumrail.backends.connections import ConnectionsConfig
         from geraniumrail.entry.entry import Entry
         from geraniumrail.forwarding.config import ForwardingConfig
 
-        settings = self._settings
         entry = Entry.from_config(
-            settings.daemon,
+            self._config.daemon,
             self._links,
             self._clock,
             random.Random(),
-            EngineDialect(),
+            self._adapter.dialect(),
             ForwardingConfig(
-                quota_slack=settings.quota_slack,
+                quota_slack=self._config.quota_slack,
                 connections=ConnectionsConfig(
                     connect_timeout_s=CONNECT_TIMEOUT_S, user_timeout_ms=USER_TIMEOUT_MS
                 ),
@@ -221,14 +199,13 @@
             self._datagrams,
         )
         entry.register(self._link_server)
-        self._entry = entry
-        callers = settings.daemon.callers.listen
-        self._fronts.append(Front(entry, callers, settings.readiness, self._clock))
+        self._fronts.append(self._adapter.caller_front(entry))
+        return entry
 
     def _reload(self) -> None:
         """Takes over other seeds; addresses do not change while a process runs."""
         try:
-            changed = Settings.from_environment()
+            changed = self._adapter.reread()
         except GeraniumrailError as error:
             log(events.RELOAD_REFUSED, reason=str(error))
             return
@@ -240,38 +217,10 @@
 
     async def _watch(self) -> None:
         """Notices a changed file without a signal."""
-        path = pathlib.Path(os.environ[PATH_VARIABLE])
-        seen = _stamp(path)
+        seen = self._adapter.stamp()
         while True:
             await asyncio.sleep(WATCH_INTERVAL_S)
-            found = _stamp(path)
+            found = self._adapter.stamp()
             if found != seen:
                 seen = found
                 self._reload()
-
-
-def _stamp(path: pathlib.Path) -> tuple[float, int]:
-    try:
-        found = path.stat()
-    except OSError:
-        return (0, 0)
-    return (found.st_mtime, found.st_size)
-
-
-async def run(settings: Settings, started_at: float) -> None:
-    """Runs one process.
-
-    :param settings: of the process.
-    :param started_at: when the process began, seconds of its clock.
-    """
-    flags.FLAGS.mark_as_parsed()  # absl warns before each line that its flags are not parsed
-    root = logging.getLogger()
-    root.handlers = [LogWriter()]
-    absl_logger = absl_logging.get_absl_logger()
-    absl_logger.handlers = []
-    absl_logger.propagate = True
-    absl_logging.set_verbosity(settings.daemon.log_level)
-    program = Program(settings, started_at)
-    gc.freeze()
-    gc.enable()
-    await program.run()
