Let background tasks and single requests outlive an unexpected error

Cause, by reading: an error of an unexpected type ended the follower or the tick of an entry, or the leader's jobs, for good, while the process went on: an entry without a lease, or a leader that expires nothing. In a request it led to the HTTP library's own 500 without the request's id. tasks.supervise starts a task again and logs the place; a job of the leader fails alone; a request is answered 502, since it may have run. Replicas still stop taking part after an unexpected error, as going on could break a promise.

--- a/geraniumrail/control/control.py
+++ b/geraniumrail/control/control.py
@@ -35,6 +35,7 @@
 from geraniumrail.links.server import LinkServer
 from geraniumrail.state import commands
 from geraniumrail.state.machine import Machine
+from geraniumrail.tasks.supervise import log_crash, supervise
 
 TICK_S = 0.2
 # Until an elected leader has taken office nobody is served.
@@ -147,9 +148,12 @@
     async def start(self) -> None:
         """Starts the replica and the leader's tasks."""
         await self.replica.start()
-        self._tasks = [asyncio.create_task(self._run(), name='control')]
+        works = {'control': self._run}
         if self._repairs:
-            self._tasks.append(asyncio.create_task(self._joiner.run(), name='joiner'))
+            works['joiner'] = self._joiner.run
+        self._tasks = [
+            asyncio.create_task(supervise(name, work), name=name) for name, work in works.items()
+        ]
 
     async def hand_over(self) -> None:
         """Hands over leadership, if this process leads."""
@@ -261,6 +265,9 @@
             await work()
         except GeraniumrailError as error:
             log(events.TASK_FAILED, task=name, reason=str(error))
+        except Exception as error:  # noqa: BLE001
+            # The other jobs of the leader go on.
+            log_crash(name, error)
 
     async def _expire(self) -> None:
         if self._clock.now() < self._expired_at + EXPIRE_INTERVAL_S:
--- a/geraniumrail/core/event_page.py
+++ b/geraniumrail/core/event_page.py
@@ -31,6 +31,7 @@
     'standins': 1600,
     'bench': 1700,
     'forwarding': 1800,
+    'tasks': 1900,
 }
 LEVEL_NAMES = {
     logging.DEBUG: 'debug',
--- a/geraniumrail/daemon/daemon.py
+++ b/geraniumrail/daemon/daemon.py
@@ -15,6 +15,7 @@
 from geraniumrail.links.server import LinkServer
 from geraniumrail.links.tls import LinkTls
 from geraniumrail.metrics.metrics import Metrics
+from geraniumrail.tasks.supervise import supervise
 
 
 class Daemon:
@@ -69,7 +70,7 @@
             await server.start()
         await self._metrics.start()
         gauges = Gauges(self._metrics.instruments, self._entry, self._control)
-        self._gauges_task = asyncio.create_task(gauges.run(), name='gauges')
+        self._gauges_task = asyncio.create_task(supervise('gauges', gauges.run), name='gauges')
         log(
             events.STARTED,
             instance=self._config.instance,
--- a/geraniumrail/daemon/hosted_daemon.py
+++ b/geraniumrail/daemon/hosted_daemon.py
@@ -14,6 +14,7 @@
 from geraniumrail.links.datagrams import Datagrams
 from geraniumrail.links.pool import LinkPool
 from geraniumrail.links.server import LinkServer
+from geraniumrail.tasks.supervise import supervise
 
 WATCH_INTERVAL_S = 2.0
 # Loading the exporter takes long, so the roles serve before it.
@@ -64,7 +65,7 @@
         loop.add_signal_handler(signal.SIGINT, stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         await self._start()
-        watcher = asyncio.create_task(self._watch())
+        watcher = asyncio.create_task(supervise('watch', self._watch))
         await stop.wait()
         watcher.cancel()
         log(events.STOPPING, instance=self._config.daemon.instance)
@@ -83,7 +84,7 @@
             self._add_control_front()
         for front in self._fronts:
             await front.start()
-        self._gauges = asyncio.create_task(self._show_metrics(), name='metrics')
+        self._gauges = asyncio.create_task(supervise('metrics', self._show_metrics))
         log(
             events.STARTED,
             instance=self._config.daemon.instance,
--- a/geraniumrail/entry/entry.py
+++ b/geraniumrail/entry/entry.py
@@ -46,6 +46,7 @@
 from geraniumrail.links.pool import LinkPool
 from geraniumrail.links.server import LinkServer
 from geraniumrail.routing.knowledge import Knowledge
+from geraniumrail.tasks.supervise import supervise
 
 RENEW_IN_S = 2.0
 TICK_S = 0.1
@@ -204,9 +205,12 @@
     async def start(self) -> None:
         """Starts the background tasks."""
         self._tasks = [
-            asyncio.create_task(self._follower.run(), name='follower'),
-            asyncio.create_task(self._tick(), name='tick'),
-            asyncio.create_task(self._notices.run(), name='leaving-notices'),
+            asyncio.create_task(supervise(name, work), name=name)
+            for name, work in (
+                ('follower', self._follower.run),
+                ('tick', self._tick),
+                ('leaving-notices', self._notices.run),
+            )
         ]
 
     async def stop(self) -> None:
--- a/geraniumrail/forwarding/forwarder.py
+++ b/geraniumrail/forwarding/forwarder.py
@@ -2,7 +2,7 @@
 
 from geraniumrail.core.events import Event, log
 from geraniumrail.errors.base import GeraniumrailError
-from geraniumrail.errors.request import NotRunError
+from geraniumrail.errors.request import NotRunError, OutcomeUnknownError
 from geraniumrail.forwarding import events
 from geraniumrail.forwarding.admitted import admit, spread
 from geraniumrail.forwarding.inbound import Inbound
@@ -11,6 +11,7 @@
 from geraniumrail.forwarding.recorder import CALLER_GONE, OK
 from geraniumrail.forwarding.reply import Reply
 from geraniumrail.forwarding.run import ForwardRun
+from geraniumrail.tasks.supervise import log_crash
 
 # Callers that come to a leaving entry are sent away for so long; other entries take them at once.
 LEAVING_RETRY_S = 0.05
@@ -53,14 +54,31 @@
             self._log_failure(
                 events.BROKEN_OFF if reply.started else events.REFUSED, inbound, error
             )
-            if reply.started:
-                reply.abort()
-            else:
-                await reply.refuse(error)
+            await self._end(reply, error)
+        except ConnectionError as error:
+            # Failures towards the backend servers are typed; this is the caller's connection.
+            log(
+                events.CALLER_LEFT,
+                request=inbound.request_id,
+                after_s=round(self.parts.clock.now() - inbound.arrived_at, 4),
+                reason=repr(error),
+            )
+        except Exception as error:  # noqa: BLE001
+            # It ends this request and no other; a backend server may have run it.
+            unknown = OutcomeUnknownError(reason='unexpected error')
+            outcome = unknown.type_name
+            log_crash('forwarding', error, request=inbound.request_id)
+            await self._end(reply, unknown)
         finally:
             self.in_progress -= 1
             self._record(inbound, outcome)
 
+    async def _end(self, reply: Reply, error: GeraniumrailError) -> None:
+        if reply.started:
+            reply.abort()
+        else:
+            await reply.refuse(error)
+
     async def _serve(self, inbound: Inbound, reply: Reply) -> None:
         config = self.parts.config
         limit_s = config.lease_wait_s
--- a/geraniumrail/forwarding/forwarder_test.py
+++ b/geraniumrail/forwarding/forwarder_test.py
@@ -123,6 +123,37 @@
         async with asyncio.timeout(LIMIT_S):
             await stand.closed.wait()
 
+    async def test_unexpected_error_ends_one_request_with_an_answer(self):
+        """Pattern: a fault of ours in one request; nobody may be told that it did not run."""
+        (stand,) = await self.started(StandIn('i-1', [head('req-1', body=b'x')]))
+        forwarder = testing.make_forwarder([testing.route()], [stand.backend()])
+
+        def fail(*fields):
+            raise KeyError('unexpected')
+
+        forwarder.parts.view.knowledge.sent = fail
+        logging.disable(logging.NOTSET)
+        with self.assertLogs(level='ERROR') as logged:
+            reply = await self.serve(forwarder)
+        self.assertEqual((reply.status, reply.ended), (502, 'refused'))
+        self.assertIn('req-1', logged.output[0])
+        self.assertEqual(forwarder.in_progress, 0)
+
+    async def test_caller_that_is_gone_when_its_answer_comes_is_no_error(self):
+        (stand,) = await self.started(StandIn('i-1', [head('req-1', body=b'x')]))
+        forwarder = testing.make_forwarder([testing.route()], [stand.backend()])
+        self.addAsyncCleanup(forwarder.parts.connections.close)
+        reply = testing.Reply()
+
+        async def answer(*fields):
+            raise ConnectionResetError('Cannot write to closing transport')
+
+        reply.answer = answer
+        logging.disable(logging.NOTSET)
+        with self.assertNoLogs(level='ERROR'):
+            await forwarder.serve(testing.inbound(forwarder.parts.clock), reply)
+        self.assertEqual(forwarder.in_progress, 0)
+
     async def test_caller_that_leaves_ends_the_work(self):
         (stand,) = await self.started(StandIn('i-1', [HANG]))
         forwarder = testing.make_forwarder([testing.route()], [stand.backend()])
--- /dev/null
+++ b/geraniumrail/tasks/__init__.py
@@ -0,0 +1,1 @@
+"""Background tasks that outlive an unexpected error."""
