--- /dev/null
+++ b/geraniumrail/callers/limited_server.py
@@ -0,0 +1,113 @@
+"""A server whose limits come from the configuration in force."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from aiohttp import web
+
+from geraniumrail.deployment.http_limits import HttpLimits
+from geraniumrail.errors.headers import HeadersTooLargeError
+from geraniumrail.errors.request import BodyTooLargeError, SlowRequestError
+
+Limits = Callable[[], HttpLimits]
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+# Of a body whose request names no time; longer than any that a caller waits.
+BODY_LIMIT_S = 30.0
+_COLON_AND_END = 4  # of a header line: `: ` and the end of the line
+
+
+class LimitedConnection(web.RequestHandler):
+    """Closed if its first request does not begin, or its headers do not end, in time.
+
+    The server's own limit of idle connections holds for the later requests.
+    """
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Waits for the first bytes.
+
+        :param transport: the connection.
+        """
+        super().connection_made(transport)
+        limit_s = self._manager.limits().idle_timeout_s
+        self._has_begun = False
+        self._first_timer = self._loop.call_later(limit_s, self._check_first)
+
+    def data_received(self, data: bytes) -> None:
+        """Waits for the end of the headers.
+
+        :param data: the bytes.
+        """
+        if not self._has_begun:
+            self._has_begun = True
+            self._first_timer.cancel()
+            limit_s = self._manager.limits().header_timeout_s
+            self._first_timer = self._loop.call_later(limit_s, self._check_first)
+        super().data_received(data)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Ends the wait.
+
+        :param exc: why the connection ended.
+        """
+        self._first_timer.cancel()
+        super().connection_lost(exc)
+
+    def _check_first(self) -> None:
+        if not self._request_count:
+            self.force_close()
+
+
+class LimitedServer(web.Server):
+    """Makes the connections of one listening address."""
+
+    def __init__(self, handler: Handler, limits: Limits, **options: object) -> None:
+        """Prepares the server.
+
+        :param handler: answers the requests.
+        :param limits: returns the limits in force.
+        :param options: as for `web.Server`.
+        """
+        super().__init__(handler, **options)
+        self.limits = limits
+
+    def __call__(self) -> LimitedConnection:
+        """Returns the protocol of a new connection."""
+        return LimitedConnection(self, loop=self._loop, **self._kwargs)
+
+
+async def read_request(
+    request: web.BaseRequest, limits: HttpLimits, limit_s: float | None
+) -> bytes:
+    """Returns the whole body.
+
+    :param request: the request.
+    :param limits: in force.
+    :param limit_s: how long the caller waits for its answer, seconds.
+    :raises HeadersTooLargeError: if the headers are larger than allowed.
+    :raises BodyTooLargeError: if the body is.
+    :raises SlowRequestError: if it does not arrive in time, however steadily it comes.
+    """
+    size = sum(len(name) + len(text) + _COLON_AND_END for name, text in request.raw_headers)
+    if size > limits.header_bytes:
+        raise HeadersTooLargeError
+    if not request.body_exists:
+        return b''
+    allowed_s = min(BODY_LIMIT_S, limit_s or BODY_LIMIT_S)
+    try:
+        async with asyncio.timeout(allowed_s):
+            return await _read_body(request, limits.body_bytes)
+    except TimeoutError as error:
+        raise SlowRequestError(limit_s=allowed_s) from error
+
+
+async def _read_body(request: web.BaseRequest, limit_bytes: int) -> bytes:
+    parts = []
+    size = 0
+    while part := await request.content.readany():
+        size += len(part)
+        if size > limit_bytes:
+            raise BodyTooLargeError(limit_bytes=limit_bytes)
+        parts.append(part)
+        await asyncio.sleep(0)  # other requests go on beside a body that is already here
+    return b''.join(parts)
--- a/geraniumrail/forwarding/forwarder.py
+++ b/geraniumrail/forwarding/forwarder.py
@@ -1,5 +1,8 @@
 """Takes requests of callers and counts those in progress."""
 
+import contextlib
+from collections.abc import Iterator
+
 from geraniumrail.core.events import Event, log
 from geraniumrail.errors.base import GeraniumrailError
 from geraniumrail.errors.request import NotRunError, OutcomeUnknownError
@@ -26,9 +29,24 @@
         :param parts: of the entry.
         """
         self.parts = parts
-        self.in_progress = 0
+        self._arriving = 0
+        self._served = 0
         self._leaving_since: float | None = None
 
+    @property
+    def in_progress(self) -> int:
+        """Number of requests that this entry works on, also those that are still arriving."""
+        return self._arriving + self._served
+
+    @contextlib.contextmanager
+    def arriving(self) -> Iterator[None]:
+        """Counts a request whose body has not been read: a planned stop must wait for it."""
+        self._arriving += 1
+        try:
+            yield
+        finally:
+            self._arriving -= 1
+
     @property
     def leaving(self) -> bool:
         """Whether a planned stop has begun."""
@@ -44,7 +62,7 @@
         :param inbound: the request.
         :param reply: the way back to the caller.
         """
-        self.in_progress += 1
+        self._served += 1
         outcome = CALLER_GONE
         try:
             await self._serve(inbound, reply)
@@ -70,7 +88,7 @@
             log_crash('forwarding', error, request=inbound.request_id)
             await self._end(reply, unknown)
         finally:
-            self.in_progress -= 1
+            self._served -= 1
             self._record(inbound, outcome)
 
     async def _end(self, reply: Reply, error: GeraniumrailError) -> None:
