Use a connection of its own for each call to the cloud

Cause: nothing in an answer of the platform's API names its call. A second answer that came late on a kept connection was taken for the answer to the next report (cloud_test failed before: conflict instead of accepted).

--- a/geraniumrail/cloud/cloud_client.py
+++ b/geraniumrail/cloud/cloud_client.py
@@ -4,7 +4,7 @@
 from typing import Any, TypeVar
 
 import msgspec
-from aiohttp import ClientError, ClientSession, ClientTimeout
+from aiohttp import ClientError, ClientSession, ClientTimeout, TCPConnector
 
 from geraniumrail.cloud.instance import CloudInstance
 from geraniumrail.cloud.notice import CloudNotice
@@ -41,7 +41,9 @@
         :param url: base URL.
         :param limit_s: limit of each call, in seconds.
         """
-        return cls(url, ClientSession(timeout=ClientTimeout(total=limit_s)))
+        # A late second answer on a kept connection would be taken for the answer to the next call.
+        connector = TCPConnector(force_close=True)
+        return cls(url, ClientSession(connector=connector, timeout=ClientTimeout(total=limit_s)))
 
     async def close(self) -> None:
         """Closes the connections."""
