Give back what a request took from its entry's part of a limit when it can't be lent the rest

Cause, by reading: while no leader answered, each long prompt took what the entry's own part held and was refused all the same, so that short requests that fit into it were refused too; a caller that left while it waited did the same. limit_check_test.test_what_could_not_be_completed_is_given_back fails without the call and passes with it.

--- a/geraniumrail/fairness/limit_ledger_test.py
+++ b/geraniumrail/fairness/limit_ledger_test.py
@@ -42,7 +42,8 @@
             self.questions += 1
             wait_s = self.ledger.take(SMALL, claim.lacking, now, len(self.quotas))
             if wait_s:
-                quota.refused(SMALL.name, cost - claim.lacking, wait_s, now)
+                quota.give_back(SMALL.name, cost - claim.lacking)
+                quota.pause(SMALL.name, wait_s, now)
         if wait_s:
             return False
         self.admitted.append((now, cost))
--- a/geraniumrail/fairness/quota.py
+++ b/geraniumrail/fairness/quota.py
@@ -37,6 +37,7 @@
     """What an entry's own part of a limit gives to one request."""
 
     wait_s: float = 0  # until the request may be tried again; 0: it is not refused
+    taken: float = 0  # from this entry's part
     lacking: float = 0  # what must be taken from the ledger before it is admitted
 
 
@@ -144,17 +145,22 @@
         """
         return self.claim(organisation, cost, now).wait_s
 
-    def refused(self, organisation: str, kept: float, wait_s: float, now: float) -> None:
+    def give_back(self, organisation: str, taken: float) -> None:
         """Takes back a claim that the ledger did not complete.
 
         :param organisation: whose request it was.
-        :param kept: what the claim had taken from this entry's part.
+        :param taken: from this entry's part.
+        """
+        self._levels[organisation].left += taken
+
+    def pause(self, organisation: str, wait_s: float, now: float) -> None:
+        """Claims nothing from the ledger for a while, since it has nothing left.
+
+        :param organisation: whose limit it is.
         :param wait_s: seconds until the ledger has something left again.
         :param now: seconds.
         """
-        level = self._levels[organisation]
-        level.left += kept
-        level.paused_until = now + min(wait_s, LONGEST_PAUSE_S)
+        self._levels[organisation].paused_until = now + min(wait_s, LONGEST_PAUSE_S)
 
     def left(self, organisation: str) -> float:
         """Returns what this entry may still admit, as of the last request.
@@ -177,4 +183,4 @@
     if lacking > 0 and now < level.paused_until:
         return Claim(wait_s=level.paused_until - now)
     level.left -= taken
-    return Claim(lacking=lacking)
+    return Claim(taken=taken, lacking=lacking)
--- a/geraniumrail/forwarding/limit_check.py
+++ b/geraniumrail/forwarding/limit_check.py
@@ -4,6 +4,7 @@
 from geraniumrail.deployment.organisation import Organisation
 from geraniumrail.errors.link import LinkError
 from geraniumrail.errors.request import NotRunError, OverloadedError
+from geraniumrail.fairness.quota import Claim
 from geraniumrail.forwarding import events
 from geraniumrail.forwarding.admitted import Admitted, spread
 from geraniumrail.forwarding.inbound import Inbound
@@ -30,24 +31,32 @@
     claim = parts.quota.claim(organisation, cost, parts.clock.now())
     wait_s = claim.wait_s
     if claim.lacking > 0:
-        left_s = admitted.ends_at - parts.clock.now()
-        limit_s = min(parts.config.lease_wait_s, left_s * parts.config.lease_wait_part)
-        wait_s = await _borrow(organisation, claim.lacking, limit_s, parts)
-        if wait_s > 0:
-            kept = cost - claim.lacking
-            parts.quota.refused(organisation.name, kept, wait_s, parts.clock.now())
+        wait_s = await _borrow(admitted, organisation, claim, parts)
     if wait_s > 0:
         raise _refused(inbound, organisation, parts, wait_s)
 
 
-async def _borrow(organisation: Organisation, cost: float, limit_s: float, parts: Parts) -> float:
+async def _borrow(
+    admitted: Admitted, organisation: Organisation, claim: Claim, parts: Parts
+) -> float:
+    left_s = admitted.ends_at - parts.clock.now()
+    limit_s = min(parts.config.lease_wait_s, left_s * parts.config.lease_wait_part)
+    lent = False
     try:
-        return await parts.lender.borrow(organisation.name, cost, limit_s)
+        wait_s = await parts.lender.borrow(organisation.name, claim.lacking, limit_s)
+        lent = wait_s <= 0
     except LinkError as error:
         raise NotRunError(
             reason=f'the limit of the organisation is not known: {error}',
             retry_after_s=spread(NO_LEADER_RETRY_S, parts.rng),
         ) from error
+    finally:
+        # Also if the caller has left: others of its organisation may use it.
+        if not lent:
+            parts.quota.give_back(organisation.name, claim.taken)
+    if not lent:
+        parts.quota.pause(organisation.name, wait_s, parts.clock.now())
+    return wait_s
 
 
 def _refused(
--- a/geraniumrail/forwarding/limit_check_test.py
+++ b/geraniumrail/forwarding/limit_check_test.py
@@ -70,6 +70,22 @@
         self.assertEqual(reply.status, 503)
         self.assertEqual(self.server.requests, [])
 
+    async def test_what_could_not_be_completed_is_given_back(self):
+        """Pattern: while there is no leader, long prompts used up the entry's own part, and short
+        requests that fit into it were refused too."""
+        plain = make_forwarder([route()], [self.server.backend()], **LIMIT)
+        now = plain.parts.clock.now()
+        quota = Quota(started_at=now, has_ledger=True)
+        parts = dataclasses.replace(plain.parts, quota=quota, lender=FakeLender(None))
+        self.addAsyncCleanup(parts.connections.close)
+        holder = parts.view.table.organisation('key-1')
+        quota.claim(holder, 0, now)
+        before = quota.left(holder.name)
+        self.assertGreater(before, 1)
+        for _ in range(5):
+            await Forwarder(parts).serve(inbound(parts.clock), Reply())
+        self.assertGreaterEqual(quota.left(holder.name), before)
+
 
 if __name__ == '__main__':
     unittest.main()
