Wait for a new leader's ledger, and admit its part while nobody lends

Ruled out: a ledger that starts filled (two leaders could lend the same), larger parts of the entries (a flood would use them beside the ledger). An entry waits for a ledger that is filling, and while no leader answers it admits in the mean its even share of what would have been lent since the leader was last heard; a share is less than one prompt, so it is drawn. leaderless_share_test: a flood of 7.5 times the limit in 77 entries takes no more than would have been lent in the mean and stays below the bound of the window in each of 12 seeds; an organisation within its limit gets more than half. borrower_test: the wait for a filling ledger failed before.

--- a/geraniumrail/control/lender.py
+++ b/geraniumrail/control/lender.py
@@ -53,7 +53,10 @@
             return LimitTaken(leads=False)
         entries = self._control.publisher.usage.entries
         now = self._control.now()
-        return LimitTaken(wait_s=self._ledger.take(organisation, asked.cost, now, entries))
+        return LimitTaken(
+            wait_s=self._ledger.take(organisation, asked.cost, now, entries),
+            starting=self._ledger.is_starting(now),
+        )
 
     def _index(self, deployment: Deployment) -> None:
         if deployment.version != self._version:
--- a/geraniumrail/entry/borrower_test.py
+++ b/geraniumrail/entry/borrower_test.py
@@ -1,5 +1,6 @@
 """Guards requests that need a part of a limit against a leader that is lost or just elected."""
 
+import random
 import unittest
 
 from geraniumrail.core.manual_clock import ManualClock
@@ -33,10 +34,13 @@
         return answer
 
 
-async def borrow(*answers, limit_s=1.0):
+async def borrow(*answers, limit_s=1.0, free_s=9):
     datagrams = FakeDatagrams(*answers)
-    borrower = Borrower(datagrams, LeaderFinder(('127.0.0.1:1',)), SteppingClock())
-    return await borrower.borrow('salon', 9_200, limit_s), datagrams.asked
+    finder = LeaderFinder(('127.0.0.1:1',))
+    clock = SteppingClock()
+    borrower = Borrower(datagrams, finder, clock, random.Random(1), lambda: 0)
+    found = await borrower.borrow('salon', 9_200, limit_s, lambda heard_at: clock.now() > free_s)
+    return found, datagrams.asked
 
 
 class BorrowerTest(unittest.IsolatedAsyncioTestCase):
@@ -50,6 +54,22 @@
         """Pattern: the leader is killed; long prompts were refused until another one led."""
         self.assertEqual(await borrow(None, NOT_LEADING, NOT_LEADING, LimitTaken()), (0, 4))
 
+    async def test_request_waits_for_a_ledger_that_fills(self):
+        """Pattern: after a change of leader a fifth of the requests of two seconds was refused,
+        though their organisations were within their limits."""
+        filling = LimitTaken(wait_s=0.3, starting=True)
+        self.assertEqual(await borrow(filling, filling, LimitTaken()), (0, 3))
+
+    async def test_ledger_that_fills_is_not_waited_for_beyond_the_limit(self):
+        wait_s, asked = await borrow(LimitTaken(wait_s=0.3, starting=True))
+        self.assertEqual(wait_s, 0.3)
+        self.assertLess(asked, 10)
+
+    async def test_request_is_admitted_without_a_leader_when_its_share_has_accrued(self):
+        found, asked = await borrow(NOT_LEADING, free_s=0.3)
+        self.assertEqual(found, 0)
+        self.assertLess(asked, 10)
+
     async def test_request_does_not_wait_for_long(self):
         with self.assertRaises(LinkError):
             await borrow(NOT_LEADING)
--- /dev/null
+++ b/geraniumrail/fairness/leaderless_share_test.py
@@ -0,0 +1,75 @@
+"""Guards limits, and requests that are within them, while there is no leader."""
+
+import random
+import unittest
+
+from geraniumrail.deployment.organisation import Organisation
+from geraniumrail.fairness.entry_share import EntryShare
+from geraniumrail.fairness.leaderless_share import LeaderlessShare
+from geraniumrail.fairness.quota import QUOTA_HEADROOM, Quota
+from geraniumrail.fairness.slack import Slack
+
+ENTRIES = 77
+WINDOW_S = 8
+TOLERATED = 110_000
+SIZES = (9_200, 2_400, 960)
+WEIGHTS = (0.4, 0.3, 0.3)
+MEAN = sum(size * weight for size, weight in zip(SIZES, WEIGHTS, strict=True))
+
+
+def outage(rate, demand, seconds, seed):
+    """Returns the tokens asked and admitted by all entries while nobody lends.
+
+    Callers come again and again while their request waits, as `Borrower` asks.
+    """
+    rng = random.Random(seed)
+    holder = Organisation(name='salon', in_tokens=True, rate_per_s=rate, burst=rate)
+    quota = Quota(QUOTA_HEADROOM, Slack(0.75 * TOLERATED, WINDOW_S), has_ledger=True)
+    quota.update(EntryShare(entries=ENTRIES, share_by_organisation={}))
+    lent_per_s = quota.lent_per_s(holder)
+    shares = [LeaderlessShare(random.Random(seed * 1000 + number)) for number in range(ENTRIES)]
+    asked = admitted = at = 0
+    waiting = []
+    while (at := at + rng.expovariate(demand / MEAN)) < seconds:
+        cost = rng.choices(SIZES, WEIGHTS)[0]
+        asked += cost
+        waiting.append((at, rng.randrange(ENTRIES), cost))
+        still = []
+        for arrived, number, tokens in waiting:
+            if shares[number].take('salon', tokens, lent_per_s, at, 0):
+                admitted += tokens
+            elif at - arrived < 1.2:
+                still.append((arrived, number, tokens))
+        waiting = still
+    return asked, admitted
+
+
+class LeaderlessShareTest(unittest.TestCase):
+    def test_flood_takes_no_more_than_would_have_been_lent(self):
+        """Pattern: an organisation floods just when the leader is lost; of 77 entries each would
+        have admitted a long prompt of it."""
+        for rate in (29_000, 360_000):
+            with self.subTest(rate=rate):
+                found = [outage(rate, 7.5 * rate, 3, seed)[1] for seed in range(12)]
+                lent = 0.8 * (rate * (1 + QUOTA_HEADROOM) + 0.75 * TOLERATED / 2 / WINDOW_S) * 3
+                self.assertLess(sum(found) / len(found), 1.1 * lent)
+                whole = (9 * rate) * 1.1 + TOLERATED
+                self.assertLess(max(found), whole - 0.55 * rate * (WINDOW_S - 3))
+
+    def test_large_organisation_is_served_meanwhile(self):
+        """Pattern: the core loses its power; entries serve for four seconds without it."""
+        asked, admitted = zip(
+            *(outage(360_000, 200_000, 3, seed) for seed in range(8)), strict=True
+        )
+        self.assertGreater(sum(admitted), 0.5 * sum(asked))
+
+    def test_later_outage_counts_what_an_earlier_one_admitted(self):
+        share = LeaderlessShare(random.Random(1))
+        first = [share.take('salon', 1000, 1000, now / 10, 0) for now in range(30)]
+        again = [share.take('salon', 1000, 1000, 3 + now / 10, 3) for now in range(10)]
+        self.assertGreater(sum(first), 1)
+        self.assertEqual(sum(again), 0)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/geraniumrail/fairness/limit_ledger.py
+++ b/geraniumrail/fairness/limit_ledger.py
@@ -12,6 +12,8 @@
 MOST_LENT_PART = 0.8
 # The divided rest is at most this many times the whole limit over the number of entries.
 DIVIDED_PARTS = 2.4
+# A ledger that started empty has filled, and has served those that waited for it, within this time.
+STARTING_S = 4.0
 
 
 def lent_part(entries: int) -> float:
@@ -55,6 +57,13 @@
         self._started_at = now
         self._levels_by_organisation = {}
 
+    def is_starting(self, now: float) -> bool:
+        """Tells whether a refusal may come from the start, and not from the limit.
+
+        :param now: seconds.
+        """
+        return now < self._started_at + STARTING_S
+
     def take(self, organisation: Organisation, cost: float, now: float, entries: int = 1) -> float:
         """Takes what a request lacks; returns 0, or seconds until something is left again.
 
--- a/geraniumrail/fairness/quota.py
+++ b/geraniumrail/fairness/quota.py
@@ -99,6 +99,17 @@
             recent = self._share.share_by_organisation.get(organisation, even)
         return (EVEN_PART * even + (1 - EVEN_PART) * recent) * self._divided_part(entries)
 
+    def lent_per_s(self, organisation: Organisation) -> float:
+        """Returns this entry's even share of what the ledger lends in a second.
+
+        :param organisation: whose limit it is.
+        """
+        entries = max(1, *(count for _, count in self._entries_seen), 1)
+        rate = organisation.rate_per_s * (1 + self._headroom)
+        if organisation.in_tokens:
+            rate += self._slack.rate_per_s
+        return lent_part(entries) * rate / entries
+
     def _divided_part(self, entries: int) -> float:
         return 1 - lent_part(entries) if self._has_ledger else 1.0
 
--- a/geraniumrail/forwarding/events.py
+++ b/geraniumrail/forwarding/events.py
@@ -32,3 +32,8 @@
     'forwarding.limit_exceeded',
     "A request is above what this entry may still admit of its organisation's limit.",
 )
+ADMITTED_WITHOUT_LEADER = Event.define(
+    1806,
+    'forwarding.admitted_without_leader',
+    'No leader could be asked; a request counts towards what it would have lent meanwhile.',
+)
--- a/geraniumrail/forwarding/limit_check.py
+++ b/geraniumrail/forwarding/limit_check.py
@@ -1,5 +1,7 @@
 """Checks the limit of an organisation over all entries."""
 
+import functools
+
 from geraniumrail.core.events import log
 from geraniumrail.deployment.organisation import Organisation
 from geraniumrail.errors.link import LinkError
@@ -43,7 +45,12 @@
     limit_s = min(parts.config.lease_wait_s, left_s * parts.config.lease_wait_part)
     lent = False
     try:
-        wait_s = await parts.lender.borrow(organisation.name, claim.lacking, limit_s)
+        wait_s = await parts.lender.borrow(
+            organisation.name,
+            claim.lacking,
+            limit_s,
+            functools.partial(_admit_without_leader, organisation, claim.lacking, parts),
+        )
         lent = wait_s <= 0
     except LinkError as error:
         raise NotRunError(
@@ -59,6 +66,22 @@
     return wait_s
 
 
+def _admit_without_leader(
+    organisation: Organisation, cost: float, parts: Parts, heard_at: float
+) -> bool:
+    now, lent_per_s = parts.clock.now(), parts.quota.lent_per_s(organisation)
+    admitted = parts.leaderless.take(organisation.name, cost, lent_per_s, now, heard_at)
+    if admitted:
+        log(
+            events.ADMITTED_WITHOUT_LEADER,
+            organisation=organisation.name,
+            cost=cost,
+            heard_s=round(now - heard_at, 3),
+            lent_per_s=round(lent_per_s),
+        )
+    return admitted
+
+
 def _refused(
     inbound: Inbound, organisation: Organisation, parts: Parts, wait_s: float
 ) -> OverloadedError:
--- a/geraniumrail/forwarding/limit_check_test.py
+++ b/geraniumrail/forwarding/limit_check_test.py
@@ -19,7 +19,7 @@
         self.wait_s = wait_s
         self.costs = []
 
-    async def borrow(self, organisation, cost, limit_s):
+    async def borrow(self, organisation, cost, limit_s, without_leader):
         self.costs.append(cost)
         if self.wait_s is None:
             raise LinkError(address='', reason='no leader lends')
--- a/geraniumrail/links/requests.py
+++ b/geraniumrail/links/requests.py
@@ -83,6 +83,7 @@
 
     wait_s: float = 0  # until something is left again; 0: it was taken
     leads: bool = True  # False: nothing was taken, since the asked member does not lead
+    starting: bool = False  # the leader is new, and its ledger has not filled yet
 
 
 @record
