--- a/geraniumrail/links/datagrams_test.py
+++ b/geraniumrail/links/datagrams_test.py
@@ -79,6 +79,22 @@
         with self.assertRaises(LinkError):
             await self.ask(tries=1)
 
+    async def test_unexpected_error_ends_one_question(self):
+        """Pattern: a fault of ours, or values nested thousands deep; later questions are answered."""
+        asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+        failing = [KeyError('unexpected')]
+
+        def take(question):
+            if failing:
+                raise failing.pop()
+            return LimitTaken(wait_s=0.5)
+
+        self.leader.register(TakeLimit, take)
+        host, _, port = self.leader.address.rpartition(':')
+        self.entry._send(b'\x91' * 60_000, (host, int(port)))
+        self.assertEqual(await self.ask(), LimitTaken(wait_s=0.5))
+        self.assertEqual(failing, [])
+
     async def test_malformed_datagrams_are_dropped(self):
         """Pattern: one malformed message took a whole process down."""
 
