--- a/geraniumrail/links/datagrams_test.py
+++ b/geraniumrail/links/datagrams_test.py
@@ -80,7 +80,7 @@
             await self.ask(tries=1)
 
     async def test_unexpected_error_ends_one_question(self):
-        """Pattern: a fault of ours, or values nested thousands deep; later questions are answered."""
+        """Pattern: a fault of ours, or values nested thousands deep; later questions go on."""
         asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
         failing = [KeyError('unexpected')]
 
