--- a/geraniumrail/fairness/leaderless_share_test.py
+++ b/geraniumrail/fairness/leaderless_share_test.py
@@ -6,6 +6,7 @@
 from geraniumrail.deployment.organisation import Organisation
 from geraniumrail.fairness.entry_share import EntryShare
 from geraniumrail.fairness.leaderless_share import LeaderlessShare
+from geraniumrail.fairness.limit_ledger_test import Entries, arrivals, bound_of
 from geraniumrail.fairness.quota import QUOTA_HEADROOM, Quota
 from geraniumrail.fairness.slack import Slack
 
@@ -44,6 +45,32 @@
     return asked, admitted
 
 
+def cut_in_a_flood(rate, cut_off, seed):
+    """Returns the most tokens admitted in a window; entries are cut off for the 4 s of a lease."""
+    rng = random.Random(seed)
+    holder = Organisation(name='salon', in_tokens=True, rate_per_s=rate, burst=rate)
+    entries = Entries(ENTRIES, holder=holder)
+    shares = [LeaderlessShare(random.Random(seed * 1000 + number)) for number in range(ENTRIES)]
+    cut_at, healed_at = 12, 16
+    for at, cost in arrivals(rng, 7.5 * rate, 10, 24):
+        number = rng.randrange(ENTRIES)
+        if number >= cut_off * ENTRIES or not cut_at <= at < healed_at:
+            entries.ask(number, cost, at)
+            continue
+        quota = entries.quotas[number]
+        claim = quota.claim(holder, cost, at)
+        lent_per_s = quota.lent_per_s(holder)
+        if claim.wait_s:
+            continue
+        if claim.lacking and not shares[number].take(
+            holder.name, claim.lacking, lent_per_s, at, cut_at
+        ):
+            quota.give_back(holder.name, claim.taken)
+            continue
+        entries.admitted.append((at, cost))
+    return entries.most_in_window()
+
+
 class LeaderlessShareTest(unittest.TestCase):
     def test_flood_takes_no_more_than_would_have_been_lent(self):
         """Pattern: an organisation floods just when the leader is lost; of 77 entries each would
@@ -70,6 +97,15 @@
         self.assertGreater(sum(first), 1)
         self.assertEqual(sum(again), 0)
 
+    def test_flood_through_a_cut_stays_within_the_bound(self):
+        """Pattern: half of the entries are cut off from a leader that goes on, in a flood: they
+        admit their share while the others use the same part of the ledger."""
+        for rate in (29_000, 360_000):
+            for cut_off in (0.1, 0.2, 0.5):
+                with self.subTest(rate=rate, cut_off=cut_off):
+                    found = [cut_in_a_flood(rate, cut_off, seed) for seed in range(4)]
+                    self.assertLess(max(found), bound_of(rate))
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/geraniumrail/fairness/limit_ledger_test.py
+++ b/geraniumrail/fairness/limit_ledger_test.py
@@ -22,7 +22,8 @@
 class Entries:
     """Entries that take what they lack from the ledger of one leader."""
 
-    def __init__(self, count, has_ledger=True, started_at=0.0):
+    def __init__(self, count, has_ledger=True, started_at=0.0, holder=SMALL):
+        self.holder = holder
         self.quotas = [
             Quota(QUOTA_HEADROOM, SLACK, started_at, has_ledger=has_ledger) for _ in range(count)
         ]
@@ -36,14 +37,14 @@
     def ask(self, number, cost, now):
         """Returns whether the entry with a number admits a request."""
         quota = self.quotas[number % len(self.quotas)]
-        claim = quota.claim(SMALL, cost, now)
+        claim = quota.claim(self.holder, cost, now)
         wait_s = claim.wait_s
         if claim.lacking:
             self.questions += 1
-            wait_s = self.ledger.take(SMALL, claim.lacking, now, len(self.quotas))
+            wait_s = self.ledger.take(self.holder, claim.lacking, now, len(self.quotas))
             if wait_s:
-                quota.give_back(SMALL.name, cost - claim.lacking)
-                quota.pause(SMALL.name, wait_s, now)
+                quota.give_back(self.holder.name, cost - claim.lacking)
+                quota.pause(self.holder.name, wait_s, now)
         if wait_s:
             return False
         self.admitted.append((now, cost))
@@ -70,8 +71,13 @@
         yield at, min(LONGEST, drawn * rng.uniform(0.6, 1.4))
 
 
+def bound_of(rate):
+    """Returns the most tokens that may be admitted in a window."""
+    return (rate * WINDOW_S + rate) * 1.1 + TOLERATED
+
+
 def bound():
-    return (RATE * WINDOW_S + RATE) * 1.1 + TOLERATED
+    return bound_of(RATE)
 
 
 def refused_part(count, seed, has_ledger=True):
