Learn the capacity of an engine from the requests that it answers

Cause: the fleet planner took 18,000 tokens a second for any engine (30,000 for a substitute).

Change: entries report what their attempts named, what had to be read, the time in the batch after that, and the observed prefill rate; the leader keeps a decaying ratio (control/engine_capacity.py). Plans use utilisations: 0.3 for reclaimable engines, 0.5 for substitutes. The first plan waits until the engines of a service had time to announce themselves.

--- a/geraniumrail/control/fleet_demand.py
+++ b/geraniumrail/control/fleet_demand.py
@@ -1,8 +1,9 @@
-"""Recent demand of each service, from the reports of the entries."""
+"""Recent demand of each service and work of its engines, from the reports of the entries."""
 
 import collections
 from collections.abc import Iterable
 
+from geraniumrail.control.engine_capacity import EngineCapacity
 from geraniumrail.links.messages import ServiceDemand
 
 # Demand is known after this time since the first request.
@@ -12,6 +13,9 @@
 PEAK_WINDOW_S = 20.0
 # Demand is averaged over this time.
 AVERAGE_WINDOW_S = 4.0
+# The capacity of an engine is averaged over this time: long enough for many prompts of each size,
+# short enough to follow caches that were lost and prompts that change.
+CAPACITY_WINDOW_S = 20.0
 
 _Samples = collections.deque[tuple[float, float]]  # (time, tokens)
 
@@ -24,6 +28,7 @@
         self._tokens_by_service: dict[str, _Samples] = {}
         self._averages_by_service: dict[str, _Samples] = {}
         self._first_request_at_by_service: dict[str, float] = {}
+        self._capacity = EngineCapacity()
 
     def observe(self, demand: Iterable[ServiceDemand], now: float) -> None:
         """Records the demand at one entry since its last report.
@@ -32,6 +37,7 @@
         :param now: monotonic seconds.
         """
         for each in demand:
+            self._capacity.observe(each, now)
             if each.tokens:
                 self._first_request_at_by_service.setdefault(each.service, now)
                 self._tokens_by_service.setdefault(each.service, collections.deque()).append(
@@ -45,6 +51,13 @@
         """
         return service in self._first_request_at_by_service
 
+    def tokens_per_engine_s(self, service: str) -> float | None:
+        """Returns what an engine that is never idle answers, or None while it is not known.
+
+        :param service: name of the service.
+        """
+        return self._capacity.tokens_per_s(service)
+
     def tokens_per_s(self, service: str, now: float) -> float | None:
         """Returns the highest recent demand in tokens per second, or None while it is not known.
 
--- a/geraniumrail/control/fleet_planner.py
+++ b/geraniumrail/control/fleet_planner.py
@@ -14,8 +14,9 @@
 from geraniumrail.placement.fleet_plan import FleetBounds, FleetKey, fleet_plan, next_fleet
 
 PLAN_INTERVAL_S = 0.5
-# After a change of leader the backend servers announce themselves again; before this time the
-# registry may lack some, and an order based on it would stop them.
+# After a change of leader, and at the first start, the backend servers announce themselves one
+# after the other. Before this time since the first of a service the registry may lack some, and an
+# order based on it would stop them.
 ANNOUNCEMENT_WAIT_S = 2.0
 # An order that was refused because no machine is available is retried after this time.
 REFUSED_RETRY_S = 2.0
@@ -29,21 +30,29 @@
 REPEAT_INTERVAL_S = 2.0
 # A new plan is made when demand falls below this part of the planned demand.
 REPLAN_DEMAND_RATIO = 0.7
-# Throughput of one engine within the latency target, in prompt and output tokens that the requests
-# name, cached ones included (docs/MEASUREMENTS.md, "Engines ordered").
-TOKENS_PER_ENGINE_S = 18_000.0
-# The same for on-demand engines that substitute for reclaimable ones at several times the price:
-# only as many are ordered as keep most answers within the target (docs/MEASUREMENTS.md, "Engines
-# ordered").
-SUBSTITUTE_TOKENS_PER_ENGINE_S = 30_000.0
-# Demand that is planned for until it is known: this multiple of the throughput of the engines that
-# serve.
-UNKNOWN_DEMAND_FACTOR = 1.6
+# Part of their time for which engines may be busy on average. Answers are late well below 1, since
+# prompts arrive in bursts and a long one delays those behind it. Reclaimable engines are cheap, so
+# more of them are kept than on-demand ones that substitute for them.
+RECLAIMABLE_UTILISATION = 0.3
+SUBSTITUTE_UTILISATION = 0.5
+# Until demand is known, the load that is planned for is this part of the engines that serve.
+UNKNOWN_UTILISATION = 0.48
 ON_DEMAND_SHARE: float = 0
 
 _OrderKey = tuple[str, str, bool]  # service, data centre, reclaimable
 
 
+@dataclasses.dataclass(frozen=True)
+class _Load:
+    tokens_per_s: float
+    tokens_per_engine_s: float  # of an engine that is never idle
+
+    @property
+    def busy_engines(self) -> float:
+        """Engines that would be busy all the time."""
+        return self.tokens_per_s / self.tokens_per_engine_s
+
+
 @dataclasses.dataclass(frozen=True)
 class _Ordered:
     count: int
@@ -70,6 +79,7 @@
     def became_leader(self) -> None:
         """Drops all state and orders everything again, since earlier orders may have been lost."""
         self._leader_since = self._control.now()
+        self._first_announced_at_by_service: dict[str, float] = {}
         self._ordered_by_key: dict[_OrderKey, _Ordered] = {}
         self._retry_at_by_key: dict[_OrderKey, float] = {}
         self._refused_at_by_key: dict[_OrderKey, float] = {}
@@ -79,7 +89,7 @@
         self._lost_reclaimable: set[tuple[str, str]] = set()
         self._initial_engines_by_service: dict[str, int] = {}
         self._plan_by_service: dict[str, dict[FleetKey, int]] = {}
-        self._planned_demand_by_service: dict[str, float] = {}
+        self._planned_load_by_service: dict[str, float] = {}  # in busy engines
         self._planned_at = -math.inf
         self._demand = FleetDemand()
 
@@ -94,17 +104,14 @@
     def due_orders(self) -> list[FleetOrder]:
         """Returns the orders that are due."""
         now = self._control.now()
-        if (
-            now - self._planned_at < PLAN_INTERVAL_S
-            or now - self._leader_since < ANNOUNCEMENT_WAIT_S
-        ):
+        if now - self._planned_at < PLAN_INTERVAL_S:
             return []
         self._planned_at = now
         deployment = self._control.machine.tables.deployment
         return [
             order
             for service in deployment.services
-            if service.scaling is not None
+            if service.scaling is not None and self._is_announced(service.name, now)
             for order in self._due_orders_of(service, service.scaling, now)
         ]
 
@@ -130,6 +137,13 @@
         delay_s = REFUSED_RETRY_S if answer is DutyAnswer.conflict else UNKNOWN_RETRY_S
         self._retry_at_by_key[key] = now + delay_s
 
+    def _is_announced(self, service: str, now: float) -> bool:
+        """Returns whether the engines of a service have had the time to announce themselves."""
+        if service not in self._first_announced_at_by_service and self._serving(service):
+            self._first_announced_at_by_service[service] = now
+        first_at = self._first_announced_at_by_service.get(service, self._leader_since)
+        return now - first_at >= ANNOUNCEMENT_WAIT_S
+
     def _due_orders_of(
         self, service: ServiceSpec, scaling: Scaling, now: float
     ) -> list[FleetOrder]:
@@ -140,14 +154,14 @@
             reclaimable_price=scaling.reclaimable_price,
             price_by_data_centre=scaling.price_by_data_centre,
         )
-        tokens_per_s = self._tokens_per_s(service.name, serving, now)
-        if tokens_per_s is None:
+        load = self._load(service.name, serving, now)
+        if load is None:
             return []
-        planned = self._plan(service.name, tokens_per_s, bounds, now)
+        planned = self._plan(service.name, load, bounds, now)
         # Before the first request no more engines are needed than are planned.
         needed = 0
         if self._demand.has_requests(service.name):
-            needed = math.ceil(tokens_per_s / SUBSTITUTE_TOKENS_PER_ENGINE_S)
+            needed = math.ceil(load.busy_engines / SUBSTITUTE_UTILISATION)
         refused = [
             name
             for name in scaling.price_by_data_centre
@@ -230,34 +244,37 @@
         missing = serving[order.data_centre, order.reclaimable] < order.count
         return missing and now - known.last_ordered_at > REPEAT_INTERVAL_S
 
-    def _tokens_per_s(
+    def _load(
         self, service: str, serving: collections.Counter[FleetKey], now: float
-    ) -> float | None:
-        """Returns the demand to plan for, or None if the orders must not change."""
-        known = self._demand.tokens_per_s(service, now)
-        if known is not None:
-            return known
+    ) -> _Load | None:
+        """Returns the load to plan for, or None if the orders must not change."""
+        demand = self._demand.tokens_per_s(service, now)
+        capacity = self._demand.tokens_per_engine_s(service)
+        if demand is not None and capacity is not None:
+            return _Load(demand, capacity)
         if self._control.machine.tables.duty.number > 1:
             return None  # an earlier leader planned the current engines
         initial = self._initial_engines_by_service.setdefault(service, serving.total())
-        return initial * TOKENS_PER_ENGINE_S * UNKNOWN_DEMAND_FACTOR
+        return _Load(initial * UNKNOWN_UTILISATION, 1)
 
     def _plan(
-        self, service: str, tokens_per_s: float, bounds: FleetBounds, now: float
+        self, service: str, load: _Load, bounds: FleetBounds, now: float
     ) -> dict[FleetKey, int]:
-        planned_demand = self._planned_demand_by_service.get(service, 0)
-        if planned_demand * REPLAN_DEMAND_RATIO <= tokens_per_s <= planned_demand:
+        planned_load = self._planned_load_by_service.get(service, 0)
+        if planned_load * REPLAN_DEMAND_RATIO <= load.busy_engines <= planned_load:
             return self._plan_by_service[service]
-        fleet = fleet_plan(service, tokens_per_s, TOKENS_PER_ENGINE_S, ON_DEMAND_SHARE, bounds, now)
+        capacity = load.tokens_per_engine_s * RECLAIMABLE_UTILISATION
+        fleet = fleet_plan(service, load.tokens_per_s, capacity, ON_DEMAND_SHARE, bounds, now)
         log(
             events.FLEET_PLANNED,
             service=service,
-            tokens_per_s=round(tokens_per_s),
+            tokens_per_s=round(load.tokens_per_s, 1),
+            tokens_per_engine_s=round(load.tokens_per_engine_s, 1),
             reclaimable={name: count for (name, kind), count in fleet.items() if kind},
             on_demand={name: count for (name, kind), count in fleet.items() if not kind},
         )
         self._plan_by_service[service] = fleet
-        self._planned_demand_by_service[service] = tokens_per_s
+        self._planned_load_by_service[service] = load.busy_engines
         return fleet
 
     def _serving(self, service: str) -> collections.Counter[FleetKey]:
--- a/geraniumrail/control/fleet_planner_test.py
+++ b/geraniumrail/control/fleet_planner_test.py
@@ -5,7 +5,7 @@
 import unittest
 
 from geraniumrail.control.duty_call import DutyAnswer
-from geraniumrail.control.fleet_planner import SUBSTITUTE_TOKENS_PER_ENGINE_S, FleetPlanner
+from geraniumrail.control.fleet_planner import SUBSTITUTE_UTILISATION, FleetPlanner
 from geraniumrail.core.backend import Backend
 from geraniumrail.deployment.deployment import Deployment
 from geraniumrail.deployment.service import Scaling, ServiceSpec
@@ -17,6 +17,7 @@
 BOOT_S = 4.0
 STEP_S = 0.25
 TOKENS_PER_S = 150_000
+TOKENS_PER_ENGINE_S = 60_000  # of an engine that is never idle
 
 
 class Cloud:
@@ -59,6 +60,7 @@
         self.addCleanup(logging.disable, logging.NOTSET)
         self.cloud = Cloud()
         self.registered = {}
+        self.tokens_per_engine_s = TOKENS_PER_ENGINE_S
         scaling = Scaling(
             least=1,
             most=6,
@@ -83,7 +85,16 @@
             self.cloud.now += STEP_S
             self.announce()
             if traffic:
-                demand = ServiceDemand(service=SERVICE, requests=9, tokens=TOKENS_PER_S * STEP_S)
+                tokens = TOKENS_PER_S * STEP_S
+                demand = ServiceDemand(
+                    service=SERVICE,
+                    requests=9,
+                    tokens=tokens,
+                    worked_tokens=tokens,
+                    read_tokens=tokens / 2,
+                    read_tokens_per_s=self.tokens_per_engine_s,
+                    batch_s=tokens / 2 / self.tokens_per_engine_s,
+                )
                 report = types.SimpleNamespace(demand=(demand,))
                 self.planner.observe(report, self.cloud.now)
             for order in self.planner.due_orders():
@@ -166,7 +177,23 @@
         self.cloud.reclaim('cheras', 14)
         self.run_for(10)
         left, on_demand = self.counts_by_kind()
-        capacity = (left + on_demand) * SUBSTITUTE_TOKENS_PER_ENGINE_S
+        capacity = (left + on_demand) * TOKENS_PER_ENGINE_S * SUBSTITUTE_UTILISATION
+        self.assertGreaterEqual(capacity, TOKENS_PER_S)
+        self.assertLessEqual(on_demand, 2)
+
+    def test_engines_that_answer_more_need_fewer_substitutes(self):
+        """Two data centres are reclaimed 6 s apart under a load that the third one carries, since
+        the engines read prompts quickly. With a fixed capacity of an engine, as many on-demand
+        ones were ordered as slow engines would need."""
+        self.tokens_per_engine_s = 4 * TOKENS_PER_ENGINE_S
+        self.run_for(10, traffic=False)
+        self.run_for(30)
+        self.cloud.reclaim('cheras', 14)
+        self.run_for(6)
+        self.cloud.reclaim('petaling', 14)
+        self.run_for(6)
+        left, on_demand = self.counts_by_kind()
+        capacity = (left + on_demand) * self.tokens_per_engine_s * SUBSTITUTE_UTILISATION
         self.assertGreaterEqual(capacity, TOKENS_PER_S)
         self.assertLessEqual(on_demand, 2)
 
--- a/geraniumrail/entry/reporter.py
+++ b/geraniumrail/entry/reporter.py
@@ -51,6 +51,6 @@
             deployment_version=self.view.table.version,
             started=parts.usage.report(now),
             wall=self.clock.wall(),
-            demand=parts.demand.take(),
+            demand=parts.demand.take(self.view.knowledge.observed_prefill_tokens_per_s),
             holds_lease=self.view.holds_lease(),
         )
--- a/geraniumrail/forwarding/run_notes.py
+++ b/geraniumrail/forwarding/run_notes.py
@@ -25,6 +25,8 @@
         self._parts = parts
         self._is_counted = False
         self._unread: float = 0  # prompt tokens that the chosen backend server has yet to read
+        self._read_tokens: float = 0  # the same, also once they were read
+        self._first_event_at: float | None = None  # of the present attempt
 
     def sent(self, backend: Backend, attempt: str) -> None:
         """Notes that an attempt is made.
@@ -37,6 +39,8 @@
         cached, worth = knowledge.hints.cached_prefix(backend.instance, inbound.prefixes, now)
         known = sum(part.tokens for part in inbound.parts[:cached]) * worth
         self._unread = max(0, (inbound.prompt_tokens or 0) - known)
+        self._read_tokens = self._unread
+        self._first_event_at = None
         knowledge.add_pending_prompt_tokens(backend.instance, self._unread)
         knowledge.record_sent(backend.instance, inbound.tokens or 1, inbound.prefixes, now)
         self._parts.outcomes.breaker.start_wait(
@@ -50,6 +54,7 @@
         :param attempt: its name.
         """
         self._read(backend)
+        self._count_work(backend)
         knowledge = self._parts.view.knowledge
         knowledge.record_finished(
             backend.instance, self._inbound.tokens or 1, self._parts.clock.now()
@@ -74,8 +79,10 @@
         :param backend: where it comes from.
         :param sent_at: when the attempt was sent.
         """
+        now = self._parts.clock.now()
+        if self._first_event_at is None:
+            self._first_event_at = now
         if self.first_s is None:
-            now = self._parts.clock.now()
             self.first_s = now - sent_at
             self._parts.view.knowledge.observe_prefill(self._unread, self.first_s)
             self._record_first(self.first_s)
@@ -167,6 +174,17 @@
         recorder = self._parts.recorder
         recorder.first_event(self._admitted.service, self._admitted.route.name, seconds)
 
+    def _count_work(self, backend: Backend) -> None:
+        """Counts the engine time of an attempt: its reading, then its slot of the batch."""
+        tokens = self._inbound.tokens
+        if self._first_event_at is None or not tokens:
+            return
+        generating_s = self._parts.clock.now() - self._first_event_at
+        slots = max(1, self._parts.view.knowledge.last_report(backend).slots)
+        self._parts.demand.worked(
+            self._admitted.service, tokens, self._read_tokens, generating_s / slots
+        )
+
     def _read(self, backend: Backend) -> None:
         """The prompt was read, or never will be."""
         self._parts.view.knowledge.add_pending_prompt_tokens(backend.instance, -self._unread)
--- a/geraniumrail/links/messages.py
+++ b/geraniumrail/links/messages.py
@@ -80,6 +80,12 @@
     service: str
     requests: int
     tokens: float  # prompt and output tokens that the requests name
+    # Of the attempts that have ended: what they named, the prompt tokens that the engine had to
+    # read, and the time for which they used the whole batch of one engine after that.
+    worked_tokens: float = 0
+    read_tokens: float = 0
+    batch_s: float = 0
+    read_tokens_per_s: float = 0  # observed prefill rate of an engine; 0: not known
 
 
 @record
--- a/geraniumrail/routing/backend_tracker.py
+++ b/geraniumrail/routing/backend_tracker.py
@@ -26,6 +26,8 @@
 # The fastest sample is used, multiplied by this factor with each further sample.
 PREFILL_RATE_DECAY = 0.998
 MAX_PREFILL_TOKENS_PER_S = 500_000.0
+# Before so many samples the initial estimate may hide the rate.
+MIN_PREFILL_SAMPLES = 20
 
 
 class BackendTracker:
@@ -49,6 +51,7 @@
         self._mean_occupancy: float = 0
         self._mean_tokens: float = 0
         self._pending_prompt_tokens: dict[str, float] = {}
+        self._prefill_samples = 0
 
     def observe(self, backend: Backend, now: float) -> None:
         """Stores an announcement if it is newer than the last one (by `freshness`).
@@ -130,9 +133,16 @@
         :param seconds: from sending the request to the first token.
         """
         if tokens >= MIN_SAMPLE_TOKENS and seconds > 0:
+            self._prefill_samples += 1
             kept = self.prefill_tokens_per_s * PREFILL_RATE_DECAY
             self.prefill_tokens_per_s = max(kept, min(MAX_PREFILL_TOKENS_PER_S, tokens / seconds))
 
+    @property
+    def observed_prefill_tokens_per_s(self) -> float:
+        """Prefill rate of the engines, or 0 while it is assumed rather than observed."""
+        known = self._prefill_samples >= MIN_PREFILL_SAMPLES
+        return self.prefill_tokens_per_s if known else 0
+
     def record_finished(self, backend_id: str, tokens: float, now: float) -> None:
         """Records that a request sent by this entry has ended.
 
