Use the whole limit of an organisation

Change: the bucket of the leader refills at the rate of the whole limit, and what the entries admit from their local buckets is reported and charged to it; silent entries count as if they used their share, also of the central part. The bucket refills by rate and burst of a window; its capacity is what is tolerated beyond (fairness/bucket_size.py).

--- a/geraniumrail/control/central_limits.py
+++ b/geraniumrail/control/central_limits.py
@@ -1,13 +1,22 @@
 """Answers the entries' requests for tokens from the central buckets."""
 
+import math
+
 from geraniumrail.control.control import Control
 from geraniumrail.control.leader_job import LeaderJob
 from geraniumrail.deployment.deployment import Deployment
 from geraniumrail.deployment.organisation import Organisation
-from geraniumrail.fairness.central_buckets import CentralBuckets
+from geraniumrail.fairness.central_buckets import CentralBuckets, Reporting
 from geraniumrail.links.datagrams import Datagrams
+from geraniumrail.links.messages import EntryReport
+from geraniumrail.links.report_interval import report_interval_s
 from geraniumrail.links.requests import LimitTaken, TakeLimit
 
+# An entry whose report is overdue by so much may be cut off.
+OVERDUE_S = 0.5
+# What is known of the entries is counted again after this time rather than for each request.
+RECOUNT_S = 0.1
+
 
 class CentralLimits(LeaderJob):
     """Answers on the leader only; the buckets start empty with each leadership."""
@@ -24,6 +33,9 @@
         self._buckets = buckets
         self._indexed_version = 0
         self._organisations_by_name: dict[str, Organisation] = {}
+        self._counted = Reporting()
+        self._counted_at = -math.inf
+        control.publisher.report_sinks.append(self)
 
     def register(self, datagrams: Datagrams) -> None:
         """Registers the handler for requests of the entries.
@@ -35,6 +47,7 @@
     def became_leader(self) -> None:
         """Empties the buckets."""
         self._buckets.restart(self._control.now())
+        self._counted_at = -math.inf
 
     async def run_once(self) -> None:
         """Does nothing: the buckets are filled when tokens are taken."""
@@ -51,13 +64,39 @@
         if organisation is None:
             # The entry and the leader have different versions of the configuration.
             return LimitTaken(leads=False)
-        entries = self._control.publisher.usage_shares.entries
         now = self._control.now()
         return LimitTaken(
-            wait_s=self._buckets.take(organisation, request.cost, now, entries),
+            wait_s=self._buckets.take(organisation, request.cost, now, self._reporting(now)),
             starting=self._buckets.is_starting(now),
         )
 
+    def observe(self, report: EntryReport, now: float) -> None:
+        """Charges what an entry has admitted by itself.
+
+        :param report: the report of the entry.
+        :param now: monotonic seconds.
+        """
+        self._index_organisations(self._control.machine.tables.deployment)
+        reporting = self._reporting(now)
+        for usage in report.usage:
+            organisation = self._organisations_by_name.get(usage.organisation)
+            if organisation is not None and usage.admitted:
+                self._buckets.charge(organisation, usage.admitted, now, reporting)
+
+    def _reporting(self, now: float) -> Reporting:
+        if now >= self._counted_at + RECOUNT_S:
+            self._counted_at = now
+            publisher = self._control.publisher
+            entries = publisher.usage_shares.entries
+            interval_s = report_interval_s(entries)
+            self._counted = Reporting(
+                entries=entries,
+                silent=publisher.leases.silent(now, interval_s + OVERDUE_S),
+                complete=publisher.leases.knows_all_leases(now),
+                interval_s=interval_s,
+            )
+        return self._counted
+
     def _index_organisations(self, deployment: Deployment) -> None:
         if deployment.version != self._indexed_version:
             self._indexed_version = deployment.version
--- a/geraniumrail/entry/follower.py
+++ b/geraniumrail/entry/follower.py
@@ -16,12 +16,8 @@
 from geraniumrail.errors.link import LinkError
 from geraniumrail.links.messages import ControlUpdate, EntryReport
 from geraniumrail.links.pool import LinkPool
+from geraniumrail.links.report_interval import report_interval_s
 
-# A few entries report more often, so that they notice a lost leader well within their lease; many
-# would take too much of the leader's processor.
-LONGEST_INTERVAL_S = 1.0
-SHORTEST_INTERVAL_S = 0.5
-INTERVAL_FOR_EACH_ENTRY_S = 0.02
 # Every report is answered at once; a stream without answers for so many intervals is silent.
 SILENT_INTERVALS = 2
 SILENCE_MARGIN_S = 0.2
@@ -69,9 +65,7 @@
         self._poked.set()
 
     def _interval_s(self) -> float:
-        entries = self._view.share.entries
-        wanted = max(SHORTEST_INTERVAL_S, INTERVAL_FOR_EACH_ENTRY_S * entries)
-        return min(LONGEST_INTERVAL_S, wanted)
+        return report_interval_s(self._view.share.entries)
 
     async def run(self) -> None:
         """Follows until cancelled."""
--- a/geraniumrail/entry/reporter.py
+++ b/geraniumrail/entry/reporter.py
@@ -34,6 +34,7 @@
         parts = self.forwarder.parts
         demand = self.completions.limits.pop_demand(now - self.reported_at)
         demand |= parts.quota.pop_demand()
+        admitted = parts.quota.pop_admitted()
         self.reported_at = now
         return EntryReport(
             sequence=sequence,
@@ -44,8 +45,12 @@
             announces=self.announces.take_pending(),
             outcomes=self.outcomes.log.drain(),
             usage=tuple(
-                Usage(organisation=organisation, tokens=tokens)
-                for organisation, tokens in demand.items()
+                Usage(
+                    organisation=name,
+                    tokens=demand.get(name, 0),
+                    admitted=admitted.get(name, 0),
+                )
+                for name in demand.keys() | admitted.keys()
             ),
             breakers=self.outcomes.breaker.reports(),
             deployment_version=self.view.table.version,
--- a/geraniumrail/fairness/central_buckets.py
+++ b/geraniumrail/fairness/central_buckets.py
@@ -1,8 +1,9 @@
-"""The part of each organisation's limit that the leader grants to the entries on request."""
+"""What the leader grants the entries of each organisation's limit beyond their local parts."""
 
 import dataclasses
 
 from geraniumrail.deployment.organisation import Organisation
+from geraniumrail.fairness.bucket_size import BucketSize
 from geraniumrail.fairness.slack import Slack
 
 # Bounds of the central part of each limit; the local part, which is the rest, is divided over the
@@ -15,6 +16,8 @@
 # Central buckets that started empty have filled, and have served the requests that waited for them,
 # within this time.
 STARTUP_S = 4.0
+# While all entries are silent, callers are told to come back as if this part of the rate was left.
+MIN_REFILL_PART = 0.1
 
 
 def central_part(entries: int) -> float:
@@ -25,6 +28,32 @@
     return min(MAX_CENTRAL_PART, max(MIN_CENTRAL_PART, 1 - LOCAL_EVEN_SHARES / max(1, entries)))
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Reporting:
+    """How much the leader knows of the local use by the entries."""
+
+    entries: int = 1  # that have reported and may serve
+    silent: int = 0  # of these, whose reports are overdue
+    complete: bool = False  # no other entry may serve
+    interval_s: float = 1.0  # between the reports of one entry; local use is known so much later
+
+    @property
+    def central_part(self) -> float:
+        """Part of each limit that the entries leave to the central buckets."""
+        return central_part(self.entries)
+
+    @property
+    def refill_part(self) -> float:
+        """Part of the rate of a limit at which its bucket refills.
+
+        Local use is charged to the bucket when it is reported. A silent entry may be cut off: it
+        uses its local part, and its share of the central part without a leader.
+        """
+        if not self.complete:
+            return self.central_part
+        return 1 - self.silent / max(1, self.entries)
+
+
 @dataclasses.dataclass(frozen=True)
 class _Level:
     left: float
@@ -34,9 +63,13 @@
 class CentralBuckets:
     """One token bucket for each organisation; only those of the leader are used.
 
+    A bucket refills at the rate of the whole limit, and what the entries admit from their local
+    buckets is charged to it when they report it. So the parts of entries that are idle, restarting
+    or gone are not lost to the organisation.
+
     Invariant: since the start, a bucket has granted at most what its rate has filled and its
-    capacity, and one request more. It starts empty, since an earlier leader may just have granted
-    all that its bucket held.
+    capacity, less the reported local use, and one request more. It starts empty, since an earlier
+    leader may just have granted all that its bucket held.
     """
 
     def __init__(self, headroom: float = 0, slack: Slack | None = None) -> None:
@@ -65,7 +98,9 @@
         """
         return now < self._started_at + STARTUP_S
 
-    def take(self, organisation: Organisation, cost: float, now: float, entries: int = 1) -> float:
+    def take(
+        self, organisation: Organisation, cost: float, now: float, reporting: Reporting
+    ) -> float:
         """Takes an amount; returns 0, or seconds until it may be tried again.
 
         Any amount is granted while the level is above 0. Otherwise short requests would use up the
@@ -74,21 +109,45 @@
         :param organisation: whose request it is.
         :param cost: amount that the entry's local bucket cannot cover.
         :param now: seconds.
-        :param entries: number of entries that have reported to the leader.
+        :param reporting: what is known of the entries.
         """
         if organisation.rate_per_s <= 0:
             return 0
-        part = central_part(entries)
-        rate, capacity = part * self._rate(organisation), part * self._capacity(organisation)
-        known = self._levels_by_organisation.get(organisation.name)
-        level = known or _Level(0, self._started_at)
-        left = min(capacity, level.left + rate * max(0, now - level.filled_at))
+        left = self._refill(organisation, now, reporting)
         if left > 0:
             self._levels_by_organisation[organisation.name] = _Level(left - cost, now)
             return 0
-        self._levels_by_organisation[organisation.name] = _Level(left, now)
         # Seconds until the bucket has refilled to one unit.
-        return (1 - left) / rate
+        rate_per_s = self._size(organisation).rate_per_s
+        return (1 - left) / (rate_per_s * max(reporting.refill_part, MIN_REFILL_PART))
+
+    def charge(
+        self, organisation: Organisation, amount: float, now: float, reporting: Reporting
+    ) -> None:
+        """Charges what an entry has admitted from its local bucket.
+
+        :param organisation: whose requests they were.
+        :param amount: tokens or requests since the last report of the entry.
+        :param now: seconds.
+        :param reporting: what is known of the entries.
+        """
+        if organisation.rate_per_s > 0 and reporting.complete:
+            left = self._refill(organisation, now, reporting)
+            self._levels_by_organisation[organisation.name] = _Level(left - amount, now)
+
+    def _refill(self, organisation: Organisation, now: float, reporting: Reporting) -> float:
+        size = self._size(organisation)
+        if reporting.complete:
+            unreported = (1 - reporting.central_part) * size.rate_per_s * reporting.interval_s
+            capacity = max(1, size.capacity - unreported)
+        else:
+            capacity = reporting.central_part * size.capacity
+        known = self._levels_by_organisation.get(organisation.name)
+        level = known or _Level(0, self._started_at)
+        refilled = size.rate_per_s * reporting.refill_part * max(0, now - level.filled_at)
+        left = min(capacity, level.left + refilled)
+        self._levels_by_organisation[organisation.name] = _Level(left, now)
+        return left
 
     def left(self, organisation: str) -> float:
         """Returns the level after the last request.
@@ -98,10 +157,5 @@
         level = self._levels_by_organisation.get(organisation)
         return 0 if level is None else level.left
 
-    def _rate(self, organisation: Organisation) -> float:
-        extra = self._slack.rate_per_s if organisation.in_tokens else 0
-        return organisation.rate_per_s * (1 + self._headroom) + extra
-
-    def _capacity(self, organisation: Organisation) -> float:
-        extra = self._slack.burst if organisation.in_tokens else 0
-        return max(1, organisation.burst * (1 + self._headroom) + extra)
+    def _size(self, organisation: Organisation) -> BucketSize:
+        return BucketSize.from_limit(organisation, self._headroom, self._slack)
--- a/geraniumrail/fairness/central_buckets_test.py
+++ b/geraniumrail/fairness/central_buckets_test.py
@@ -1,14 +1,18 @@
 """Tests limits of which each of many entries holds a small part."""
 
 import collections
+import itertools
 import random
 import unittest
 
+from geraniumrail.control.central_limits import OVERDUE_S
+from geraniumrail.control.entry_leases import LEASE_S
 from geraniumrail.deployment.organisation import Organisation
-from geraniumrail.fairness.central_buckets import CentralBuckets
+from geraniumrail.fairness.central_buckets import CentralBuckets, Reporting
 from geraniumrail.fairness.entry_share import EntryShare
 from geraniumrail.fairness.quota import QUOTA_HEADROOM, Quota
 from geraniumrail.fairness.slack import Slack
+from geraniumrail.links.report_interval import report_interval_s
 
 TOKENS_PER_S = 29_000  # of a small organisation
 WINDOW_S = 8
@@ -17,6 +21,7 @@
 MAX_PROMPT_TOKENS = 14_000
 SMALL = Organisation(name='salon', in_tokens=True, rate_per_s=TOKENS_PER_S, burst=TOKENS_PER_S)
 ENTRY_COUNTS = (4, 27, 77, 320)
+LARGE = Organisation(name='salon', in_tokens=True, rate_per_s=240_000, burst=240_000)
 
 
 class Entries:
@@ -32,17 +37,51 @@
             quota.update(EntryShare(entries=count, share_by_organisation={}))
         self.central = CentralBuckets(QUOTA_HEADROOM, SLACK)
         self.central.restart(started_at)
+        self.leader_since = started_at
         self.leader_requests = 0
         self.admitted = []  # (seconds, tokens)
+        self.reports_at = started_at  # next reports of the entries to the leader
+        self.silent = range(0)  # numbers of entries that do not report
+        self.silent_since = started_at
+
+    def change_leader(self, now):
+        self.central.restart(now)
+        self.leader_since = now
+
+    def silence(self, count, now):
+        """Cuts off the reports of the first entries; the leader notices it later."""
+        self.silent = range(count)
+        self.silent_since = now
+
+    def reporting(self, now):
+        """Returns what the leader knows of the entries."""
+        interval_s = report_interval_s(len(self.quotas))
+        noticed = now > self.silent_since + interval_s + OVERDUE_S
+        return Reporting(
+            entries=len(self.quotas),
+            silent=len(self.silent) if noticed else 0,
+            complete=now > self.leader_since + LEASE_S,
+            interval_s=interval_s,
+        )
+
+    def report(self, now):
+        """Reports what the entries have admitted from their local buckets."""
+        while self.reports_at <= now:
+            self.reports_at += report_interval_s(len(self.quotas))
+            for number, quota in enumerate(self.quotas):
+                if number not in self.silent:
+                    used = quota.pop_admitted().get(self.organisation.name, 0)
+                    self.central.charge(self.organisation, used, now, self.reporting(now))
 
     def admit(self, number, cost, now):
         """Returns whether the entry with this number admits a request."""
+        self.report(now)
         quota = self.quotas[number % len(self.quotas)]
         claim = quota.claim(self.organisation, cost, now)
         wait_s = claim.wait_s
         if claim.shortfall:
             self.leader_requests += 1
-            wait_s = self.central.take(self.organisation, claim.shortfall, now, len(self.quotas))
+            wait_s = self.central.take(self.organisation, claim.shortfall, now, self.reporting(now))
             if wait_s:
                 quota.refund(self.organisation.name, cost - claim.shortfall)
                 quota.back_off(self.organisation.name, wait_s, now)
@@ -114,6 +153,49 @@
                 self.assertLess(entries.most_in_window(), bound())
                 self.assertGreater(sum(cost for _, cost in entries.admitted), TOKENS_PER_S * 30)
 
+    def test_flood_of_a_large_organisation_stays_within_the_bound(self):
+        """Local use is known to the leader only with the next report; half of the entries are
+        silent for a while, and use their local parts all the same."""
+        for count, organisation in itertools.product((4, 27), (SMALL, LARGE)):
+            with self.subTest(entries=count, rate_per_s=organisation.rate_per_s):
+                rng = random.Random(count)
+                entries = Entries(count, organisation=organisation)
+                rate = organisation.rate_per_s
+                for at, cost in arrivals(rng, 7.5 * rate, 10, 40):
+                    silent = count // 2 if 15 < at < 18 or 25 < at < 31 else 0
+                    if silent != len(entries.silent):
+                        entries.silence(silent, at)
+                    entries.admit(rng.randrange(count), cost, at)
+                self.assertLess(entries.most_in_window(), bound_of(rate))
+
+    def test_limit_is_used_while_entries_restart(self):
+        """An organisation floods while half of the entries take no callers, since they are stopped
+        and started in turn. Their local parts, and those of the processes before, were lost to the
+        organisation: it was admitted at two thirds of its limit."""
+        rng = random.Random(9)
+        entries = Entries(4, organisation=LARGE)
+        admitted = sum(
+            cost
+            for at, cost in arrivals(rng, 5 * LARGE.rate_per_s, 10, 30)
+            if entries.admit(rng.randrange(2), cost, at)
+        )
+        self.assertGreater(admitted, LARGE.rate_per_s * 20)
+
+    def test_flood_is_admitted_at_the_limit(self):
+        """An organisation stays far above its limit. It was refused while a window held less than
+        its rate and its burst, since the tolerance was given to the start of the flood."""
+        for count, organisation in itertools.product((4, 27, 77), (SMALL, LARGE)):
+            with self.subTest(entries=count, rate_per_s=organisation.rate_per_s):
+                rng = random.Random(count)
+                entries = Entries(count, organisation=organisation)
+                rate = organisation.rate_per_s
+                admitted = sum(
+                    cost
+                    for at, cost in arrivals(rng, 5 * rate, 10, 42)
+                    if entries.admit(rng.randrange(count), cost, at) and at >= 18
+                )
+                self.assertGreater(admitted / 24 * WINDOW_S, 0.97 * (rate * WINDOW_S + rate))
+
     def test_flood_through_changes_of_leader_stays_within_the_bound(self):
         """The leader is lost repeatedly while an organisation floods."""
         rng = random.Random(5)
@@ -121,7 +203,7 @@
         next_leader_at = 12
         for at, cost in arrivals(rng, 4 * TOKENS_PER_S, 10, 40):
             if at > next_leader_at:
-                entries.central.restart(at)
+                entries.change_leader(at)
                 next_leader_at = at + rng.uniform(0.5, 4)
             entries.admit(rng.randrange(27), cost, at)
         self.assertLess(entries.most_in_window(), bound())
@@ -181,7 +263,7 @@
         self.assertLess(entries.leader_requests, requested / 2)
 
     def test_organisation_without_a_limit_is_admitted(self):
-        self.assertEqual(CentralBuckets().take(Organisation(name='free'), 1e9, 0), 0)
+        self.assertEqual(CentralBuckets().take(Organisation(name='free'), 1e9, 0, Reporting()), 0)
 
 
 if __name__ == '__main__':
--- a/geraniumrail/fairness/leaderless_admission_test.py
+++ b/geraniumrail/fairness/leaderless_admission_test.py
@@ -1,5 +1,6 @@
 """Tests that limits hold, and requests within them are admitted, while there is no leader."""
 
+import math
 import random
 import unittest
 
@@ -63,6 +64,9 @@
     cut_at, healed_at = 12, 16
     for at, cost in arrivals(rng, 7.5 * rate, 10, 24):
         number = rng.randrange(ENTRIES)
+        cut = math.ceil(cut_off * ENTRIES) if cut_at <= at < healed_at else 0
+        if cut != len(entries.silent):
+            entries.silence(cut, at)
         if number >= cut_off * ENTRIES or not cut_at <= at < healed_at:
             entries.admit(number, cost, at)
             continue
--- a/geraniumrail/fairness/quota.py
+++ b/geraniumrail/fairness/quota.py
@@ -4,6 +4,7 @@
 import math
 
 from geraniumrail.deployment.organisation import Organisation
+from geraniumrail.fairness.bucket_size import BucketSize
 from geraniumrail.fairness.central_buckets import central_part
 from geraniumrail.fairness.entry_share import EntryShare
 from geraniumrail.fairness.slack import Slack
@@ -77,6 +78,7 @@
         self._share: EntryShare | None = None
         self._levels_by_organisation: dict[str, _Level] = {}
         self._demand_by_organisation: dict[str, float] = {}
+        self._admitted_by_organisation: dict[str, float] = {}
 
     def update(self, share: EntryShare, now: float = 0) -> None:
         """Applies the shares sent by the leader.
@@ -109,9 +111,7 @@
         :param organisation: whose limit it is.
         """
         entries = max(1, *(count for _, count in self._entries_seen), 1)
-        rate = organisation.rate_per_s * (1 + self._headroom)
-        if organisation.in_tokens:
-            rate += self._slack.rate_per_s
+        rate = self._size(organisation).rate_per_s
         return central_part(entries) * rate / entries
 
     def _local_part(self, entries: int) -> float:
@@ -129,12 +129,8 @@
         if organisation.rate_per_s <= 0:
             return Claim()
         part = self.part(name)
-        scale = part * (1 + self._headroom)
-        rate = organisation.rate_per_s * scale
-        capacity = organisation.burst * scale
-        if organisation.in_tokens:
-            capacity += self._slack.burst * part
-            rate += self._slack.rate_per_s * part
+        size = self._size(organisation)
+        rate, capacity = size.rate_per_s * part, size.capacity * part
         # A full bucket admits a single request, also one above its burst.
         capacity = max(capacity, 1)
         level = self._levels_by_organisation.get(name)
@@ -144,7 +140,9 @@
         level.left = min(capacity, level.left + rate * max(0, now - level.filled_at))
         level.filled_at = now
         if self._has_central_buckets:
-            return _claim_with_central(level, cost, now)
+            claim = _claim_with_central(level, cost, now)
+            self._count_admitted(name, claim.taken)
+            return claim
         needed = min(cost, capacity)
         if level.left >= needed:
             level.left -= cost
@@ -167,6 +165,7 @@
         :param taken: `taken` of the claim.
         """
         self._levels_by_organisation[organisation].left += taken
+        self._count_admitted(organisation, -taken)
 
     def back_off(self, organisation: str, wait_s: float, now: float) -> None:
         """Refuses claims with a shortfall for a while, since the central bucket is empty.
@@ -187,12 +186,25 @@
         level = self._levels_by_organisation.get(organisation)
         return 0 if level is None else level.left
 
+    def pop_admitted(self) -> dict[str, float]:
+        """Returns what the local buckets have admitted since the last call."""
+        admitted = self._admitted_by_organisation
+        self._admitted_by_organisation = {}
+        return admitted
+
     def pop_demand(self) -> dict[str, float]:
         """Returns the cost of requests since the last call, refused ones included."""
         demand = self._demand_by_organisation
         self._demand_by_organisation = {}
         return demand
 
+    def _size(self, organisation: Organisation) -> BucketSize:
+        return BucketSize.from_limit(organisation, self._headroom, self._slack)
+
+    def _count_admitted(self, organisation: str, taken: float) -> None:
+        known = self._admitted_by_organisation.get(organisation, 0)
+        self._admitted_by_organisation[organisation] = known + taken
+
 
 def _claim_with_central(level: _Level, cost: float, now: float) -> Claim:
     taken = min(cost, max(0, level.left))
--- a/geraniumrail/links/messages.py
+++ b/geraniumrail/links/messages.py
@@ -48,6 +48,7 @@
 
     organisation: str
     tokens: float  # refused requests included
+    admitted: float = 0  # from the local bucket of the entry; less than 0 after a refund
 
 
 @record
