--- a/geraniumrail/forwarding/forwarder_test.py
+++ b/geraniumrail/forwarding/forwarder_test.py
@@ -263,6 +263,17 @@
         view._renew(forwarder.parts.clock.now() + 60)
         self.assertEqual((await task).status, 200)
 
+    async def test_request_with_little_time_waits_for_the_first_lease(self):
+        """Pattern: all processes restart at once. Requests were refused after three tenths of their
+        time, shortly before the lease came, and their callers came back after their objective."""
+        stand, *_ = await self.started(StandIn('i-1', [head('req-1', body=b'x')]))
+        forwarder = testing.make_forwarder([testing.route()], [stand.backend()], lease_s=0)
+        task = asyncio.create_task(self.serve(forwarder, deadline_s=2.0))
+        await asyncio.sleep(0.9)
+        self.assertFalse(task.done())
+        forwarder.parts.view._renew(forwarder.parts.clock.now() + 60)
+        self.assertEqual((await task).status, 200)
+
     async def test_limit_of_the_organisation(self):
         limit = {'in_tokens': True, 'rate_per_s': 10, 'burst': 100}
         self.assertEqual(await self.status(limit, prompt_tokens=90, output_tokens=5), 200)
--- a/geraniumrail/forwarding/limit_check.py
+++ b/geraniumrail/forwarding/limit_check.py
@@ -42,7 +42,7 @@
     admitted: Admitted, organisation: Organisation, claim: Claim, parts: Parts
 ) -> float:
     left_s = admitted.ends_at - parts.clock.now()
-    limit_s = min(parts.config.lease_wait_s, left_s * parts.config.lease_wait_part)
+    limit_s = min(parts.config.limit_wait_s, left_s * parts.config.limit_wait_part)
     lent = False
     try:
         wait_s = await parts.lender.borrow(
@@ -91,6 +91,7 @@
         organisation=organisation.name,
         config=parts.view.table.version,
         cost=organisation.cost(inbound.tokens),
+        rate_per_s=organisation.rate_per_s,
         left=round(parts.quota.left(organisation.name)),
         part=round(parts.quota.part(organisation.name), 3),
         wait_s=round(wait_s, 3),
--- a/geraniumrail/forwarding/run_notes.py
+++ b/geraniumrail/forwarding/run_notes.py
@@ -165,6 +165,7 @@
             config=self._parts.view.table.version,
             status=attempt.status,
             attempts=attempts,
+            tokens=self._inbound.tokens,
             events=streamed,
             first_s=None if self.first_s is None else round(self.first_s, 4),
             total_s=round(self._parts.clock.now() - self._inbound.arrived_at, 4),
