Load only the modules of fairness and routing that a process needs

Cause: a control member loads its log 0.72 s after its start; the modules are two thirds of that. The package files of fairness and routing loaded all their modules for whoever needed one of them.

--- a/geraniumrail/bench/fairness_experiment.py
+++ b/geraniumrail/bench/fairness_experiment.py
@@ -24,8 +24,10 @@
 )
 from geraniumrail.bench.virtual_time import VirtualTime
 from geraniumrail.bench.workload import Traffic, Workload
-from geraniumrail.fairness import EngineWindow, FairQueue, Shedder
-from geraniumrail.routing import choose
+from geraniumrail.fairness.engine_window import EngineWindow
+from geraniumrail.fairness.fair_queue import FairQueue
+from geraniumrail.fairness.shedder import Shedder
+from geraniumrail.routing.choice import choose
 
 ENTRIES = 4
 ENGINES = 9
--- a/geraniumrail/bench/load_model.py
+++ b/geraniumrail/bench/load_model.py
@@ -8,7 +8,9 @@
 from geraniumrail.bench.job import Job
 from geraniumrail.bench.virtual_time import VirtualTime
 from geraniumrail.core.backend import Backend
-from geraniumrail.routing import BackendTracker, Decision, LanguageRequest, RouteRequest
+from geraniumrail.routing.backend_tracker import BackendTracker
+from geraniumrail.routing.decision import Decision
+from geraniumrail.routing.request import LanguageRequest, RouteRequest
 
 Choose = Callable[
     [Sequence[Backend], RouteRequest, BackendTracker, random.Random, float],
--- a/geraniumrail/bench/queue_baselines.py
+++ b/geraniumrail/bench/queue_baselines.py
@@ -3,7 +3,7 @@
 import collections
 from collections.abc import Collection
 
-from geraniumrail.fairness import QueueItem
+from geraniumrail.fairness.queue_item import QueueItem
 
 
 class FifoQueue:
--- a/geraniumrail/bench/queued_entry.py
+++ b/geraniumrail/bench/queued_entry.py
@@ -15,7 +15,9 @@
 from geraniumrail.bench.virtual_time import VirtualTime
 from geraniumrail.core.backend import Backend
 from geraniumrail.errors.request import OverloadedError
-from geraniumrail.fairness import EngineWindow, QueueItem, Shedder
+from geraniumrail.fairness.engine_window import EngineWindow
+from geraniumrail.fairness.queue_item import QueueItem
+from geraniumrail.fairness.shedder import Shedder
 
 BETWEEN_TOKENS_S = 0.059
 
--- a/geraniumrail/bench/routing_experiment.py
+++ b/geraniumrail/bench/routing_experiment.py
@@ -14,7 +14,8 @@
 from geraniumrail.bench.tables import Row, mean, parse_arguments, percentile, run_cases
 from geraniumrail.bench.virtual_time import VirtualTime
 from geraniumrail.bench.workload import Traffic, Workload
-from geraniumrail.routing import baselines, choose
+from geraniumrail.routing import baselines
+from geraniumrail.routing.choice import choose
 
 SIZES = {'4x9': (4, 9), '40x90': (40, 90)}
 LOADS_BY_SIZE = {'4x9': ('0.6', '0.85', '0.95'), '40x90': ('0.85',)}
--- a/geraniumrail/bench/scale_entry.py
+++ b/geraniumrail/bench/scale_entry.py
@@ -14,7 +14,8 @@
 from geraniumrail.bench.virtual_time import VirtualTime
 from geraniumrail.core.backend import Backend
 from geraniumrail.core.load_report import LoadReport
-from geraniumrail.routing import BackendTracker, choose
+from geraniumrail.routing.backend_tracker import BackendTracker
+from geraniumrail.routing.choice import choose
 from geraniumrail.routing.estimate import Estimate
 
 ANNOUNCE_S = 2.0
--- a/geraniumrail/fairness/fair_queue_test.py
+++ b/geraniumrail/fairness/fair_queue_test.py
@@ -4,8 +4,9 @@
 import unittest
 
 from geraniumrail.errors.request import OverloadedError
-from geraniumrail.fairness import FairQueue, QueueItem, Shedder
-from geraniumrail.fairness.fair_queue import IDLE_CREDIT_TOKENS
+from geraniumrail.fairness.fair_queue import IDLE_CREDIT_TOKENS, FairQueue
+from geraniumrail.fairness.queue_item import QueueItem
+from geraniumrail.fairness.shedder import Shedder
 
 
 class FairQueueTest(unittest.TestCase):
--- a/geraniumrail/fairness/limits_test.py
+++ b/geraniumrail/fairness/limits_test.py
@@ -5,16 +5,17 @@
 
 from geraniumrail.core.load_report import LoadReport
 from geraniumrail.errors.request import OverloadedError
-from geraniumrail.fairness import (
-    EngineWindow,
-    EntryShare,
-    Limits,
-    OrganisationLimit,
+from geraniumrail.fairness.engine_window import EngineWindow
+from geraniumrail.fairness.entry_share import EntryShare, divide_by_demand
+from geraniumrail.fairness.limits import Limits
+from geraniumrail.fairness.organisation_limit import OrganisationLimit
+from geraniumrail.fairness.retry_budget import (
+    MAX_DELAY_S,
+    MAX_SAVED_RETRIES,
+    MIN_RETRIES_PER_S,
     RetryBudget,
-    divide_by_demand,
     retry_delay_s,
 )
-from geraniumrail.fairness.retry_budget import MAX_DELAY_S, MAX_SAVED_RETRIES, MIN_RETRIES_PER_S
 
 
 def admitted(limits, limit, seconds, tokens=100, start=0):
--- a/geraniumrail/forwarding/config.py
+++ b/geraniumrail/forwarding/config.py
@@ -17,9 +17,9 @@
     drain_s: float = 6.0  # how long requests are served after a planned stop has begun
     new_streams_s: float = 2.5  # how long a new stream is taken after that
     probe_timeout_s: float = 0.3  # of a connection that shows whether a backend server has ended
-    # An entry that has just started, or lost its leader, has a lease again within a second or two. A
-    # request waits for it, since most callers come back only once, and later than their objective;
-    # what is left of its time is enough for an answer, or for coming back once.
+    # An entry that has just started, or lost its leader, has a lease again within two seconds. A
+    # request waits for it, since most callers come back only once, and after their objective; what
+    # is left of its time is enough for an answer, or for coming back once.
     lease_wait_s: float = 2.5
     lease_wait_part: float = 0.6  # of the time that the caller has
     limit_wait_s: float = 1.2  # for a leader that grants what the local part of a limit lacks
--- a/geraniumrail/routing/choice_test.py
+++ b/geraniumrail/routing/choice_test.py
@@ -8,9 +8,12 @@
 from geraniumrail.core.backend import Backend
 from geraniumrail.core.load_report import LoadReport
 from geraniumrail.errors.backend import NoBackendError
-from geraniumrail.routing import BackendTracker, LanguageRequest, PlainRequest, choose, log_decision
+from geraniumrail.routing.backend_tracker import BackendTracker
 from geraniumrail.routing.baselines import least_reported_load, round_robin
+from geraniumrail.routing.choice import choose
+from geraniumrail.routing.events import log_decision
 from geraniumrail.routing.rendezvous import preferred_instances
+from geraniumrail.routing.request import LanguageRequest, PlainRequest
 
 PREFIXES = tuple(f'p{block}' for block in range(32))
 
