Learn the prefill rate as a quantile, and hold substitutes that start

Change: the rate is the 0.75 quantile of the last 128 samples, by tokens (routing/prefill_rate.py), for routing as well; the leader averages engine time instead of taking the highest rate; the number of substitutes falls only after 10 s. With the lower, steadier capacity their utilisation is 0.7 (was 0.5).

--- a/geraniumrail/control/engine_capacity.py
+++ b/geraniumrail/control/engine_capacity.py
@@ -12,23 +12,9 @@
 
 @dataclasses.dataclass(frozen=True)
 class _Work:
-    """Decaying sums, and the highest recent prefill rate."""
-
+    tokens: float
+    engine_s: float
     at: float
-    tokens: float = 0
-    read_tokens: float = 0
-    batch_s: float = 0
-    read_tokens_per_s: float = 0
-
-    def add(self, reported: ServiceDemand, now: float) -> '_Work':
-        kept = math.exp(min(0, self.at - now) / AVERAGING_S)
-        return _Work(
-            at=now,
-            tokens=self.tokens * kept + reported.worked_tokens,
-            read_tokens=self.read_tokens * kept + reported.read_tokens,
-            batch_s=self.batch_s * kept + reported.batch_s,
-            read_tokens_per_s=max(self.read_tokens_per_s * kept, reported.read_tokens_per_s),
-        )
 
 
 class EngineCapacity:
@@ -48,9 +34,16 @@
         :param reported: work that one entry has seen since its last report.
         :param now: monotonic seconds.
         """
-        if reported.worked_tokens > 0:
-            known = self._work_by_service.get(reported.service, _Work(now))
-            self._work_by_service[reported.service] = known.add(reported, now)
+        if reported.worked_tokens <= 0 or reported.read_tokens_per_s <= 0:
+            return
+        reading_s = reported.read_tokens / reported.read_tokens_per_s
+        known = self._work_by_service.get(reported.service, _Work(0, 0, now))
+        kept = math.exp(min(0, known.at - now) / AVERAGING_S)
+        self._work_by_service[reported.service] = _Work(
+            tokens=known.tokens * kept + reported.worked_tokens,
+            engine_s=known.engine_s * kept + reading_s + reported.batch_s,
+            at=now,
+        )
 
     def tokens_per_s(self, service: str) -> float | None:
         """Returns the tokens per second of one engine that is never idle, or None if not known.
@@ -58,6 +51,4 @@
         :param service: name of the service.
         """
         work = self._work_by_service.get(service)
-        if work is None or work.read_tokens_per_s <= 0:
-            return None
-        return work.tokens / (work.read_tokens / work.read_tokens_per_s + work.batch_s)
+        return None if work is None or work.engine_s <= 0 else work.tokens / work.engine_s
--- a/geraniumrail/control/fleet_planner.py
+++ b/geraniumrail/control/fleet_planner.py
@@ -34,12 +34,16 @@
 # prompts arrive in bursts and a long one delays those behind it. Reclaimable engines are cheap, so
 # more of them are kept than on-demand ones that substitute for them.
 RECLAIMABLE_UTILISATION = 0.3
-SUBSTITUTE_UTILISATION = 0.5
+SUBSTITUTE_UTILISATION = 0.7
+# The number of substitutes falls only after this time: orders that follow each change of the
+# estimates stop engines that are starting.
+SUBSTITUTE_HOLD_S = 10.0
 # Until demand is known, the load that is planned for is this part of the engines that serve.
 UNKNOWN_UTILISATION = 0.48
 ON_DEMAND_SHARE: float = 0
 
 _OrderKey = tuple[str, str, bool]  # service, data centre, reclaimable
+_Counts = collections.deque[tuple[float, int]]  # (seconds, engines)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -90,6 +94,7 @@
         self._initial_engines_by_service: dict[str, int] = {}
         self._plan_by_service: dict[str, dict[FleetKey, int]] = {}
         self._planned_load_by_service: dict[str, float] = {}  # in busy engines
+        self._needed_by_service: dict[str, _Counts] = {}
         self._planned_at = -math.inf
         self._demand = FleetDemand()
 
@@ -161,7 +166,9 @@
         # Before the first request no more engines are needed than are planned.
         needed = 0
         if self._demand.has_requests(service.name):
-            needed = math.ceil(load.busy_engines / SUBSTITUTE_UTILISATION)
+            needed = self._most_needed(
+                service.name, math.ceil(load.busy_engines / SUBSTITUTE_UTILISATION), now
+            )
         refused = [
             name
             for name in scaling.price_by_data_centre
@@ -181,6 +188,14 @@
             if self._is_due(order, serving, now) and not self._is_premature(order, planned)
         ]
 
+    def _most_needed(self, service: str, needed: int, now: float) -> int:
+        """Returns the highest recent number of engines that cover the demand."""
+        recent = self._needed_by_service.setdefault(service, collections.deque())
+        recent.append((now, needed))
+        while recent[0][0] < now - SUBSTITUTE_HOLD_S:
+            recent.popleft()
+        return max(count for _, count in recent)
+
     def _serving_or_starting(
         self, service: str, serving: collections.Counter[FleetKey], started_after: float
     ) -> collections.Counter[FleetKey]:
--- a/geraniumrail/control/fleet_planner_test.py
+++ b/geraniumrail/control/fleet_planner_test.py
@@ -181,6 +181,29 @@
         self.assertGreaterEqual(capacity, TOKENS_PER_S)
         self.assertLessEqual(on_demand, 2)
 
+    def test_starting_substitutes_survive_a_high_estimate(self):
+        """Two data centres are reclaimed 6 s apart. Prompts that another entry had read before made
+        the engines look twice as fast for a few seconds; the substitutes that were starting were
+        cancelled, and two engines carried the whole load after the next reclaim."""
+        self.run_for(10, traffic=False)
+        self.run_for(30)
+        self.cloud.reclaim('cheras', 20)
+        self.run_for(6)
+        self.cloud.reclaim('petaling', 20)
+        self.run_for(2)
+        began = self.cloud.now
+        self.tokens_per_engine_s = 4 * TOKENS_PER_ENGINE_S
+        self.run_for(4)
+        self.tokens_per_engine_s = TOKENS_PER_ENGINE_S
+        self.run_for(4)
+        for name in NAMES:
+            counts = [
+                count
+                for at, data_centre, kind, count in self.cloud.history
+                if at > began and data_centre == name and not kind
+            ]
+            self.assertEqual(counts, sorted(counts), f'{name}: {counts}')
+
     def test_engines_that_answer_more_need_fewer_substitutes(self):
         """Two data centres are reclaimed 6 s apart under a load that the third one carries, since
         the engines read prompts quickly. With a fixed capacity of an engine, as many on-demand
--- a/geraniumrail/entry/reporter.py
+++ b/geraniumrail/entry/reporter.py
@@ -35,6 +35,7 @@
         demand = self.completions.limits.pop_demand(now - self.reported_at)
         demand |= parts.quota.pop_demand()
         admitted = parts.quota.pop_admitted()
+        rate = self.view.knowledge.prefill_rate
         self.reported_at = now
         return EntryReport(
             sequence=sequence,
@@ -56,6 +57,6 @@
             deployment_version=self.view.table.version,
             started=parts.usage.report(now),
             wall=self.clock.wall(),
-            demand=parts.demand.take(self.view.knowledge.observed_prefill_tokens_per_s),
+            demand=parts.demand.take(rate.tokens_per_s if rate.is_known else 0),
             holds_lease=self.view.holds_lease(),
         )
--- a/geraniumrail/forwarding/run_notes.py
+++ b/geraniumrail/forwarding/run_notes.py
@@ -84,7 +84,7 @@
             self._first_event_at = now
         if self.first_s is None:
             self.first_s = now - sent_at
-            self._parts.view.knowledge.observe_prefill(self._unread, self.first_s)
+            self._parts.view.knowledge.prefill_rate.observe(self._unread, self.first_s)
             self._record_first(self.first_s)
             self.began(now)
             self.observe(backend, failed=None, first_s=self.first_s)
--- a/geraniumrail/routing/backend_tracker.py
+++ b/geraniumrail/routing/backend_tracker.py
@@ -13,29 +13,21 @@
     BackendView,
 )
 from geraniumrail.routing.estimate import Estimate
+from geraniumrail.routing.prefill_rate import INITIAL_TOKENS_PER_S, PrefillRate
 from geraniumrail.routing.prefix_hints import PrefixHints
 
-PREFILL_TOKENS_PER_S = 8000.0  # initial estimate
 # Until the next report the other entries choose the same idle engine, so each own request counts
 # three times; counting it once is worse with both 4 and 40 entries.
 OWN_SEND_WEIGHT = 3.0
 _MEAN_SMOOTHING = 0.05  # weight of a report in the moving averages
 
-# The time to the first token of a shorter prompt says little about the prefill rate.
-MIN_SAMPLE_TOKENS = 1000
-# The fastest sample is used, multiplied by this factor with each further sample.
-PREFILL_RATE_DECAY = 0.998
-MAX_PREFILL_TOKENS_PER_S = 500_000.0
-# Before so many samples the initial estimate may hide the rate.
-MIN_PREFILL_SAMPLES = 20
-
 
 class BackendTracker:
     """Load, prefix hints and recent failures for each backend server."""
 
     def __init__(
         self,
-        prefill_tokens_per_s: float = PREFILL_TOKENS_PER_S,
+        prefill_tokens_per_s: float = INITIAL_TOKENS_PER_S,
         own_send_weight: float = OWN_SEND_WEIGHT,
     ) -> None:
         """Starts without backend servers.
@@ -44,14 +36,13 @@
         :param own_send_weight: requests counted for each one that this entry sends; above 1 because
             other entries see the same report and choose the same backend server.
         """
-        self.prefill_tokens_per_s = prefill_tokens_per_s
+        self.prefill_rate = PrefillRate(prefill_tokens_per_s)
         self.own_send_weight = own_send_weight
         self.hints = PrefixHints()
         self._views_by_id: dict[str, BackendView] = {}
         self._mean_occupancy: float = 0
         self._mean_tokens: float = 0
         self._pending_prompt_tokens: dict[str, float] = {}
-        self._prefill_samples = 0
 
     def observe(self, backend: Backend, now: float) -> None:
         """Stores an announcement if it is newer than the last one (by `freshness`).
@@ -126,22 +117,10 @@
         """
         return self._pending_prompt_tokens.get(backend_id, 0)
 
-    def observe_prefill(self, tokens: float, seconds: float) -> None:
-        """Updates the prefill rate; most samples are too low because they include waiting time.
-
-        :param tokens: prompt tokens that were processed.
-        :param seconds: from sending the request to the first token.
-        """
-        if tokens >= MIN_SAMPLE_TOKENS and seconds > 0:
-            self._prefill_samples += 1
-            kept = self.prefill_tokens_per_s * PREFILL_RATE_DECAY
-            self.prefill_tokens_per_s = max(kept, min(MAX_PREFILL_TOKENS_PER_S, tokens / seconds))
-
     @property
-    def observed_prefill_tokens_per_s(self) -> float:
-        """Prefill rate of the engines, or 0 while it is assumed rather than observed."""
-        known = self._prefill_samples >= MIN_PREFILL_SAMPLES
-        return self.prefill_tokens_per_s if known else 0
+    def prefill_tokens_per_s(self) -> float:
+        """Prompt tokens that an engine reads in a second."""
+        return self.prefill_rate.tokens_per_s
 
     def record_finished(self, backend_id: str, tokens: float, now: float) -> None:
         """Records that a request sent by this entry has ended.
