Let the entries tell callers where to connect

Change: the directory is served by the entries, from their own list, while they hold a lease (entry/local_directory.py); control no longer serves it, nor the call by which its members read the list.

Fleet plans have a little headroom, so that a falling estimate does not write a plan every half second (no policy while the plan stands at its bound). test_new_leader_keeps_the_substitutes runs with slower engines: with 0.7 one data centre held all substitutes, and an order of none for the other, which cancels nothing, failed the check; the check is unchanged.

--- a/geraniumrail/control/access.py
+++ b/geraniumrail/control/access.py
@@ -18,10 +18,8 @@
     Announce,
     BeginMove,
     DeploymentNow,
-    EntriesNow,
     MoveNow,
     ReadDeployment,
-    ReadEntries,
     ReadMove,
     Withdraw,
 )
@@ -52,7 +50,6 @@
             ReadDeployment: self._read_deployment,
             ReadMove: self._read_move,
             BeginMove: self._begin_move,
-            ReadEntries: self._read_entries,
         }
 
     def register(self, server: LinkServer) -> None:
@@ -142,7 +139,3 @@
         )
         result = await self._control.proposer.propose(command)
         return MoveNow(move=result.move)
-
-    async def _read_entries(self, request: ReadEntries) -> EntriesNow:
-        drained = self._control.machine.tables.drains_by_target
-        return EntriesNow(entries=self._control.publisher.leases.public_entries(drained))
--- a/geraniumrail/control/events.py
+++ b/geraniumrail/control/events.py
@@ -90,12 +90,6 @@
     'control.fleet_planned',
     'The number of backend servers of a service was planned, by data centre and kind.',
 )
-ENTRY_LIST_REUSED = Event.define(
-    1422,
-    'control.entry_list_reused',
-    'The leader did not return the list of entries; callers get the last known list.',
-    logging.WARNING,
-)
 BACKEND_WITHDRAWN = Event.define(
     1421,
     'control.backend_withdrawn',
--- a/geraniumrail/control/fleet_planner.py
+++ b/geraniumrail/control/fleet_planner.py
@@ -28,8 +28,10 @@
 # An order is repeated while fewer backend servers serve than were ordered; repeating the same
 # number starts no additional ones.
 REPEAT_INTERVAL_S = 2.0
-# A new plan is made when demand falls below this part of the planned demand.
-REPLAN_DEMAND_RATIO = 0.7
+# A new plan is made when the load rises above the planned load, or falls below a part of it. The
+# plan is for a little more than the present load, so that it does not follow each small change.
+PLAN_HEADROOM = 1.1
+REPLAN_LOAD_RATIO = 0.7
 # Part of their time for which engines may be busy on average. Answers are late well below 1, since
 # prompts arrive in bursts and a long one delays those behind it. Reclaimable engines are cheap, so
 # more of them are kept than on-demand ones that substitute for them.
@@ -276,10 +278,11 @@
         self, service: str, load: _Load, bounds: FleetBounds, now: float
     ) -> dict[FleetKey, int]:
         planned_load = self._planned_load_by_service.get(service, 0)
-        if planned_load * REPLAN_DEMAND_RATIO <= load.busy_engines <= planned_load:
+        if planned_load * REPLAN_LOAD_RATIO <= load.busy_engines <= planned_load:
             return self._plan_by_service[service]
         capacity = load.tokens_per_engine_s * RECLAIMABLE_UTILISATION
-        fleet = fleet_plan(service, load.tokens_per_s, capacity, ON_DEMAND_SHARE, bounds, now)
+        demand = load.tokens_per_s * PLAN_HEADROOM
+        fleet = fleet_plan(service, demand, capacity, ON_DEMAND_SHARE, bounds, now)
         log(
             events.FLEET_PLANNED,
             service=service,
@@ -289,7 +292,7 @@
             on_demand={name: count for (name, kind), count in fleet.items() if not kind},
         )
         self._plan_by_service[service] = fleet
-        self._planned_load_by_service[service] = load.busy_engines
+        self._planned_load_by_service[service] = load.busy_engines * PLAN_HEADROOM
         return fleet
 
     def _serving(self, service: str) -> collections.Counter[FleetKey]:
--- a/geraniumrail/control/fleet_planner_test.py
+++ b/geraniumrail/control/fleet_planner_test.py
@@ -149,6 +149,7 @@
     def test_new_leader_keeps_the_substitutes(self):
         """The leader is lost while data centres are reclaimed and refuse orders. The new one
         cancelled the on-demand engines, and ordered them again after the refusal."""
+        self.tokens_per_engine_s = TOKENS_PER_ENGINE_S / 2
         self.run_for(10, traffic=False)
         self.run_for(30)
         self.cloud.reclaim('cheras', 20)
--- a/geraniumrail/entry/entry.py
+++ b/geraniumrail/entry/entry.py
@@ -27,6 +27,7 @@
 from geraniumrail.entry.follower import Follower
 from geraniumrail.entry.leader_finder import LeaderFinder
 from geraniumrail.entry.leaving_notices import LeavingNotices
+from geraniumrail.entry.local_directory import LocalDirectory
 from geraniumrail.entry.outcomes import Outcomes
 from geraniumrail.entry.plain_call import PlainAnswer, PlainCall
 from geraniumrail.entry.plain_calls import PlainCalls, PlainParts
@@ -81,6 +82,7 @@
         """
         self.entry_id = new_id(config.instance)
         self.view = ClusterView(clock, BackendTracker())
+        self.directory = LocalDirectory(self.entry_id, self.view)
         self._config = config
         self._clock = clock
         self._announces = Announces(clock)
@@ -227,6 +229,7 @@
     async def drain(self) -> None:
         """Leaves the list of entries and waits until no caller needs this entry any more."""
         self._reporter.state = 'leaving'
+        self.directory.is_leaving = True
         left_at = self._clock.now()
         self._follower.poke()
         while self.view.answered_at < left_at and self._clock.now() < left_at + LEAVE_LIMIT_S:
@@ -244,6 +247,7 @@
     def leave(self) -> None:
         """Begins a planned stop without waiting for its end."""
         self._reporter.state = 'leaving'
+        self.directory.is_leaving = True
         self.forwarder.leave()
         self._follower.poke()
 
@@ -268,13 +272,7 @@
     def entry_addresses(self) -> tuple[list[str], float]:
         """Returns the addresses for callers and how long to keep them, in seconds."""
         keep_for_s = self.view.effective('*', '', '').keep_for_s
-        leaves = self._reporter.state != 'serving'
-        listed = [
-            info.address
-            for info in self.view.entries
-            if not (leaves and info.entry == self.entry_id)
-        ]
-        return listed, keep_for_s
+        return [info.address for info in self.directory.entries()], keep_for_s
 
     def queue_depths(self) -> dict[str, int]:
         """Returns the number of requests that wait, by service."""
--- /dev/null
+++ b/geraniumrail/entry/local_directory.py
@@ -0,0 +1,64 @@
+"""Tells callers which entries to connect to, from what this entry knows."""
+
+import itertools
+from collections.abc import Iterable
+
+from geraniumrail.entry.cluster_view import ClusterView
+from geraniumrail.links.messages import EntryInfo
+
+
+class LocalDirectory:
+    """Answers without asking the leader, as long as this entry holds a lease."""
+
+    def __init__(self, entry: str, view: ClusterView) -> None:
+        """Starts as the directory of an entry that serves.
+
+        :param entry: id of this entry.
+        :param view: what this entry knows.
+        """
+        self.is_leaving = False
+        self._entry = entry
+        self._view = view
+
+    def entries(self) -> tuple[EntryInfo, ...]:
+        """Returns the entries that serve, as far as this entry knows."""
+        return tuple(
+            info
+            for info in self._view.entries
+            if not (self.is_leaving and info.entry == self._entry)
+        )
+
+    def addresses(self, region: str, data_centre: str, max_addresses: int) -> list[str]:
+        """Returns the addresses for a caller; none if what this entry knows may be stale.
+
+        :param region: of the caller.
+        :param data_centre: of the caller.
+        :param max_addresses: largest number of addresses to return.
+        """
+        if not self._view.holds_lease():
+            return []
+        chosen = choose_entries(self.entries(), region, data_centre, max_addresses)
+        return [info.address for info in chosen]
+
+
+def choose_entries(
+    entries: Iterable[EntryInfo], region: str, data_centre: str, max_entries: int
+) -> tuple[EntryInfo, ...]:
+    """Chooses the entries for the callers of one data centre.
+
+    Those of its own data centre and region come first. If there are more entries than addresses,
+    each data centre leaves out different entries, so that all entries are returned equally often.
+    The choice is deterministic, since callers close their connections to entries that are missing
+    from a later answer.
+
+    :param entries: all entries that serve.
+    :param region: of the callers.
+    :param data_centre: of the callers.
+    :param max_entries: largest number of entries to return.
+    """
+    ordered = sorted(entries, key=lambda entry: (entry.region, entry.data_centre, entry.entry))
+    names = [entry.data_centre for entry in ordered]
+    start = names.index(data_centre) if data_centre in names else 0
+    rotated = (*ordered[start:], *ordered[:start])
+    near_first = sorted(rotated, key=lambda entry: entry.region != region)
+    return tuple(itertools.islice(near_first, max_entries))
--- a/geraniumrail/links/requests.py
+++ b/geraniumrail/links/requests.py
@@ -2,7 +2,6 @@
 
 from geraniumrail.core.backend import Backend
 from geraniumrail.core.codec import record
-from geraniumrail.links.messages import EntryInfo
 from geraniumrail.state.move import Move
 
 
@@ -57,18 +56,6 @@
     duration_s: float
 
 
-@record
-class ReadEntries:
-    """Asks the leader which entries take new callers."""
-
-
-@record
-class EntriesNow:
-    """The entries that take new callers."""
-
-    entries: tuple[EntryInfo, ...]
-
-
 @record
 class TakeLimit:
     """Asks the leader for a part of an organisation's limit."""
