Do not count stopped and restarted entries as silent

The ended processes counted as cut off until their leases ran out. Change: entries that had announced their stop, and earlier processes of an instance that reports again, are not silent.

--- a/geraniumrail/control/entry_leases.py
+++ b/geraniumrail/control/entry_leases.py
@@ -76,16 +76,21 @@
         return expired
 
     def silent(self, now: float, longer_than_s: float) -> int:
-        """Returns the number of entries with a lease that have not reported for a time.
+        """Returns the number of entries that may serve callers, but have not reported for a time.
 
         :param now: monotonic seconds.
         :param longer_than_s: seconds.
         """
         reported_before = now - longer_than_s + LEASE_S + LEASE_MARGIN_S
         leases = self.leases_by_entry.values()
-        # An earlier process of an instance that reports again has ended.
-        reporting = {lease.info.instance for lease in leases if lease.expires_at >= reported_before}
-        return sum(lease.info.instance not in reporting for lease in leases)
+        # An earlier process of an instance that reports again has ended, and callers have left an
+        # entry that stops as planned.
+        idle = {
+            lease.info.instance
+            for lease in leases
+            if lease.expires_at >= reported_before or lease.info.state == 'leaving'
+        }
+        return sum(lease.info.instance not in idle for lease in leases)
 
     def knows_all_leases(self, now: float) -> bool:
         """Returns whether every entry with a lease is known to this leader.
