Name the answer of a forwarded request and the lender of limits in plain terms

ForwardRun.answer (was carry), LimitLender (was Lends), "Returns whether" for "Tells whether", a deadline that has passed (was: its time is up). No change of behaviour.

--- a/geraniumrail/backends/guarded_handler.py
+++ b/geraniumrail/backends/guarded_handler.py
@@ -111,7 +111,7 @@
             self.transport.abort()
 
     def is_connected(self) -> bool:
-        """Tells whether a request may be sent on this connection.
+        """Returns whether a request may be sent on this connection.
 
         Bytes that came after a whole answer belong to no request: they would be read as the
         answer to the next one.
--- a/geraniumrail/bench/move_model.py
+++ b/geraniumrail/bench/move_model.py
@@ -39,7 +39,7 @@
 
     @property
     def faulty(self) -> bool:
-        """Tells whether the new version has a fault."""
+        """Returns whether the new version has a fault."""
         return self.error_rate > 0 or self.slowdown > 1
 
 
--- a/geraniumrail/bench/move_simulation.py
+++ b/geraniumrail/bench/move_simulation.py
@@ -40,7 +40,7 @@
 
     @property
     def is_right(self) -> bool:
-        """Tells whether a good version is done, or a version whose fault showed is not."""
+        """Returns whether a good version is done, or a version whose fault showed is not."""
         if self.scenario.faulty and self.shown_at is not None:
             return self.end == EndPhase.taken_back
         return self.end == EndPhase.done
--- a/geraniumrail/callers/info_routes.py
+++ b/geraniumrail/callers/info_routes.py
@@ -79,7 +79,7 @@
         return json_response({'status': 'ok'})
 
     async def ready(self, request: web.Request) -> web.Response:
-        """Tells whether callers should be sent here.
+        """Returns whether callers should be sent here.
 
         :param request: the HTTP request.
         """
--- a/geraniumrail/callers/serving.py
+++ b/geraniumrail/callers/serving.py
@@ -50,7 +50,7 @@
         """
 
     def ready(self) -> bool:
-        """Tells whether callers should be sent here."""
+        """Returns whether callers should be sent here."""
 
     def max_body_bytes(self) -> int:
         """Returns the limit of a request body."""
--- a/geraniumrail/commands/attempt.py
+++ b/geraniumrail/commands/attempt.py
@@ -33,7 +33,7 @@
 
     @property
     def changes_state(self) -> bool:
-        """Tells whether an attempt may leave a trace."""
+        """Returns whether an attempt may leave a trace."""
         return self.method not in {'GET', 'HEAD'}
 
 
--- a/geraniumrail/entry/borrower.py
+++ b/geraniumrail/entry/borrower.py
@@ -6,7 +6,7 @@
 from geraniumrail.core.clock import Clock
 from geraniumrail.entry.leader_finder import LeaderFinder
 from geraniumrail.errors.link import LinkError
-from geraniumrail.forwarding.lends import WithoutLeader
+from geraniumrail.forwarding.limit_lender import WithoutLeader
 from geraniumrail.links.datagrams import Datagrams
 from geraniumrail.links.requests import LimitTaken, TakeLimit
 
--- a/geraniumrail/entry/cluster_view.py
+++ b/geraniumrail/entry/cluster_view.py
@@ -62,7 +62,7 @@
         return wall + self._clock.now() - at
 
     def holds_lease(self) -> bool:
-        """Tells whether the entry may serve with the settings that it has."""
+        """Returns whether the entry may serve with the settings that it has."""
         return self._clock.now() < self._lease_until
 
     async def wait_for_lease(self, limit_s: float, lost_within_s: float) -> bool:
--- a/geraniumrail/entry/entry.py
+++ b/geraniumrail/entry/entry.py
@@ -39,7 +39,7 @@
 from geraniumrail.forwarding.demand import DemandCounter
 from geraniumrail.forwarding.dialect import Dialect, NoDialect
 from geraniumrail.forwarding.forwarder import Forwarder
-from geraniumrail.forwarding.lends import NoLender
+from geraniumrail.forwarding.limit_lender import NoLender
 from geraniumrail.forwarding.parts import Parts
 from geraniumrail.forwarding.recorder import Recorder
 from geraniumrail.forwarding.usage_counter import UsageCounter
@@ -327,7 +327,7 @@
         return RENEW_IN_S
 
     def ready(self) -> bool:
-        """Tells whether callers should be sent here."""
+        """Returns whether callers should be sent here."""
         return self._reporter.state == 'serving' and self.view.holds_lease()
 
     def max_body_bytes(self) -> int:
--- a/geraniumrail/forwarding/attempt.py
+++ b/geraniumrail/forwarding/attempt.py
@@ -150,7 +150,7 @@
 
 
 async def has_ended(backend: Backend, timeout_s: float) -> bool:
-    """Tells whether a backend server takes no connection any more.
+    """Returns whether a backend server takes no connection any more.
 
     :param backend: the backend server.
     :param timeout_s: limit in seconds.
--- a/geraniumrail/forwarding/forwarder.py
+++ b/geraniumrail/forwarding/forwarder.py
@@ -114,7 +114,7 @@
                     reason='this entry is stopping',
                     retry_after_s=spread(LEAVING_RETRY_S, self.parts.rng),
                 )
-        await ForwardRun(inbound, admitted, reply, self.parts).carry()
+        await ForwardRun(inbound, admitted, reply, self.parts).answer()
 
     def _record(self, inbound: Inbound, outcome: str) -> None:
         table = self.parts.view.table
--- a/geraniumrail/forwarding/lends.py
+++ b/geraniumrail/forwarding/limit_lender.py
@@ -5,11 +5,11 @@
 
 from geraniumrail.errors.link import LinkError
 
-# Tells whether a request is admitted without a leader that was last heard at a time.
+# Returns whether a request is admitted without a leader that was last heard at a time.
 WithoutLeader = Callable[[float], bool]
 
 
-class Lends(Protocol):
+class LimitLender(Protocol):
     """Where an entry takes what its own part of a limit lacks."""
 
     async def borrow(
--- a/geraniumrail/forwarding/parts.py
+++ b/geraniumrail/forwarding/parts.py
@@ -13,7 +13,7 @@
 from geraniumrail.forwarding.config import ForwardingConfig
 from geraniumrail.forwarding.demand import DemandCounter
 from geraniumrail.forwarding.dialect import Dialect
-from geraniumrail.forwarding.lends import Lends
+from geraniumrail.forwarding.limit_lender import LimitLender
 from geraniumrail.forwarding.recorder import Recorder
 from geraniumrail.forwarding.usage_counter import UsageCounter
 
@@ -27,7 +27,7 @@
     connections: Connections
     dialect: Dialect
     quota: Quota
-    lender: Lends
+    lender: LimitLender
     leaderless: LeaderlessAdmission
     retries: RetryBudget
     usage: UsageCounter
--- a/geraniumrail/forwarding/run.py
+++ b/geraniumrail/forwarding/run.py
@@ -59,12 +59,12 @@
         self._may_have_run = False
         self._notes = RunNotes(inbound, admitted, parts)
 
-    async def carry(self) -> None:
+    async def answer(self) -> None:
         """Answers the request.
 
         :raises NotRunError: if it did not run.
         :raises OutcomeUnknownError: if it may have run, and may not be repeated.
-        :raises IncompleteAnswerError: if its time is up.
+        :raises IncompleteAnswerError: if its deadline has passed.
         """
         parts = self._parts
         parts.retries.record_request(self._admitted.service, parts.config.retry_share, self._now())
@@ -103,7 +103,7 @@
             async with asyncio.timeout(max(0, self._left_s())):
                 return await self._exchange(attempt, sent_at)
         except TimeoutError:
-            raise self._time_is_up(attempt) from None
+            raise self._deadline_error(attempt) from None
         except BackendError as error:
             self._note_failure(attempt, error, sent_at)
             return error
@@ -121,7 +121,7 @@
         failed = attempt.status >= _SERVER_ERROR
         self._notes.answered(attempt, sent_at, failed=failed)
         if not failed and not attempt.is_success and not attempt.head.sealed:
-            raise OutcomeUnknownError(reason='the answer bears no signature')
+            raise OutcomeUnknownError(reason='the answer has no signature')
         if failed and self._may_repeat(attempt.backend):
             self._may_have_run = True
             self._excluded |= {attempt.backend.instance}
@@ -207,7 +207,7 @@
             raise self._given_up(failure)
 
     def _may_repeat(self, backend: Backend) -> bool:
-        """Tells whether a failure that a backend server answered leads to another attempt."""
+        """Returns whether a failure that a backend server answered leads to another attempt."""
         route = self._admitted.route
         if not route.repeatable or self._sent >= route.attempts or self._reply.started:
             return False
@@ -301,12 +301,12 @@
             reason=str(error),
         )
 
-    def _time_is_up(self, attempt: Attempt) -> IncompleteAnswerError | NotRunError:
+    def _deadline_error(self, attempt: Attempt) -> IncompleteAnswerError | NotRunError:
         if not attempt.exchange.connected and not self._may_have_run:
             return NotRunError(reason='no backend server took it in time')
         self._notes.began(self._now())
         self._notes.lost(attempt.backend)
-        return IncompleteAnswerError(reason='its time is up')
+        return IncompleteAnswerError(reason='the deadline has passed')
 
     def _given_up(
         self, failure: BackendError
--- a/geraniumrail/forwarding/run_notes.py
+++ b/geraniumrail/forwarding/run_notes.py
@@ -141,7 +141,7 @@
             self.observe(backend, failed=True)
 
     def is_leaving(self, backend: Backend) -> bool:
-        """Tells whether a backend server has left or said that it leaves.
+        """Returns whether a backend server has left or said that it leaves.
 
         :param backend: the backend server.
         """
--- a/geraniumrail/forwarding/testing.py
+++ b/geraniumrail/forwarding/testing.py
@@ -24,7 +24,7 @@
 from geraniumrail.forwarding.dialect import Head
 from geraniumrail.forwarding.forwarder import Forwarder
 from geraniumrail.forwarding.inbound import Inbound
-from geraniumrail.forwarding.lends import NoLender
+from geraniumrail.forwarding.limit_lender import NoLender
 from geraniumrail.forwarding.parts import Parts
 from geraniumrail.forwarding.recorder import Recorder
 from geraniumrail.forwarding.usage_counter import UsageCounter
--- a/geraniumrail/operators/in_force.py
+++ b/geraniumrail/operators/in_force.py
@@ -9,7 +9,7 @@
 
 
 async def await_in_force(control: Control, revision: int) -> bool:
-    """Tells whether no entry can serve an older revision any more, within the limit.
+    """Returns whether no entry can serve an older revision any more, within the limit.
 
     :param control: the control role of this process.
     :param revision: settings revision.
--- a/geraniumrail/settings/path.py
+++ b/geraniumrail/settings/path.py
@@ -40,7 +40,7 @@
 
 
 def is_name(text: str) -> bool:
-    """Tells whether the text may name an organisation, service or route.
+    """Returns whether the text may name an organisation, service or route.
 
     :param text: any text.
     """
--- a/geraniumrail/state/booking.py
+++ b/geraniumrail/state/booking.py
@@ -37,5 +37,5 @@
     epoch: int = 1
 
     def final(self) -> bool:
-        """Tells whether the booking will not change any more, but for a new claim after not_run."""
+        """Returns whether the booking is final; after not_run a new claim may still come."""
         return self.phase in FINAL_PHASES
--- a/geraniumrail/state/move.py
+++ b/geraniumrail/state/move.py
@@ -25,5 +25,5 @@
     ended_at: float = 0  # wall seconds
 
     def running(self) -> bool:
-        """Tells whether the move has no end yet."""
+        """Returns whether the move has no end yet."""
         return self.phase == RUNNING
--- a/geraniumrail/testing/deployment.py
+++ b/geraniumrail/testing/deployment.py
@@ -189,7 +189,7 @@
         return await self.operate('PUT', f'{ADMIN}/settings', body)
 
     async def leads(self) -> bool:
-        """Tells whether a member leads."""
+        """Returns whether a member leads."""
         return await self.leader() is not None
 
     async def leader(self) -> EntryPlace | None:
--- a/geraniumrail/testing/process.py
+++ b/geraniumrail/testing/process.py
@@ -55,7 +55,7 @@
 
     @property
     def alive(self) -> bool:
-        """Tells whether the process has not ended."""
+        """Returns whether the process has not ended."""
         return self.process.returncode is None
 
     async def kill(self) -> None:
