Order engines at once under a new leader, and ask a lost address once

The core is killed at 1.6 and 8.6 s. Six engines that had crashed at 5.35 s were all that the entries still knew; others had taken their addresses, and each request asked all of them: 2,000 answers 421 from 15 to 18 s (gs1).

Change: only the first leader waits from the first announcement on, as it must. An entry drops a backend server whose address another one has, until it announces itself again, and such a repeat draws on the retry budget. Tests of both seen failing before.

--- a/geraniumrail/control/fleet_demand.py
+++ b/geraniumrail/control/fleet_demand.py
@@ -13,9 +13,6 @@
 PEAK_WINDOW_S = 20.0
 # Demand is averaged over this time.
 AVERAGE_WINDOW_S = 4.0
-# The capacity of an engine is averaged over this time: long enough for many prompts of each size,
-# short enough to follow caches that were lost and prompts that change.
-CAPACITY_WINDOW_S = 20.0
 
 _Samples = collections.deque[tuple[float, float]]  # (time, tokens)
 
--- a/geraniumrail/control/fleet_planner.py
+++ b/geraniumrail/control/fleet_planner.py
@@ -146,10 +146,13 @@
 
     def _is_announced(self, service: str, now: float) -> bool:
         """Returns whether the engines of a service have had the time to announce themselves."""
-        if service not in self._first_announced_at_by_service and self._serving(service):
-            self._first_announced_at_by_service[service] = now
-        first_at = self._first_announced_at_by_service.get(service, self._leader_since)
-        return now - first_at >= ANNOUNCEMENT_WAIT_S
+        announced_since = self._leader_since
+        if self._control.machine.tables.duty.number <= 1:
+            # At the first start the engines announce themselves only after an election.
+            if service not in self._first_announced_at_by_service and self._serving(service):
+                self._first_announced_at_by_service[service] = now
+            announced_since = self._first_announced_at_by_service.get(service, announced_since)
+        return now - announced_since >= ANNOUNCEMENT_WAIT_S
 
     def _due_orders_of(
         self, service: ServiceSpec, scaling: Scaling, now: float
--- a/geraniumrail/control/fleet_planner_test.py
+++ b/geraniumrail/control/fleet_planner_test.py
@@ -85,21 +85,30 @@
             self.cloud.now += STEP_S
             self.announce()
             if traffic:
-                tokens = TOKENS_PER_S * STEP_S
-                demand = ServiceDemand(
-                    service=SERVICE,
-                    requests=9,
-                    tokens=tokens,
-                    worked_tokens=tokens,
-                    read_tokens=tokens / 2,
-                    read_tokens_per_s=self.tokens_per_engine_s,
-                    batch_s=tokens / 2 / self.tokens_per_engine_s,
-                )
-                report = types.SimpleNamespace(demand=(demand,))
-                self.planner.observe(report, self.cloud.now)
+                self.report()
             for order in self.planner.due_orders():
                 self.planner.record_answer(order, self.cloud.order(order))
 
+    def report(self):
+        tokens = TOKENS_PER_S * STEP_S
+        demand = ServiceDemand(
+            service=SERVICE,
+            requests=9,
+            tokens=tokens,
+            worked_tokens=tokens,
+            read_tokens=tokens / 2,
+            read_tokens_per_s=self.tokens_per_engine_s,
+            batch_s=tokens / 2 / self.tokens_per_engine_s,
+        )
+        self.planner.observe(types.SimpleNamespace(demand=(demand,)), self.cloud.now)
+
+    def observe_only(self, seconds):
+        """Lets a leader that does not hold the duty yet hear of demand."""
+        for _ in range(int(seconds / STEP_S)):
+            self.cloud.now += STEP_S
+            self.announce()
+            self.report()
+
     def announce(self):
         self.registered.clear()
         for number, (name, kind, _) in enumerate(self.cloud.serving()):
@@ -170,6 +179,20 @@
         self.assertNotIn(0, counts)
         self.assertGreaterEqual(self.counts_by_kind()[1], on_demand)
 
+    def test_new_leader_orders_as_soon_as_it_knows_the_demand(self):
+        """Leaders are lost in succession, each some seconds after it took the duty, while data
+        centres are reclaimed. Each waited again for announcements from then on, none ordered in
+        time, and no engine was left."""
+        self.run_for(10, traffic=False)
+        self.run_for(30)
+        self.cloud.reclaim('cheras', 20)
+        self.tables.duty = DutyHeld(holder='b', number=2)
+        self.planner.became_leader()
+        began = self.cloud.now
+        self.observe_only(3)
+        self.run_for(3)
+        self.assertLess(min(at for at, *_ in self.cloud.history if at > began), began + 5)
+
     def test_few_substitutes_where_the_other_data_centres_carry_the_load(self):
         """One data centre is reclaimed under a load that the others carry at a higher latency;
         on-demand engines at five times the price were ordered for the whole difference."""
--- a/geraniumrail/entry/cluster_view.py
+++ b/geraniumrail/entry/cluster_view.py
@@ -117,6 +117,16 @@
                 self._drop(instance)
             self._unconfirmed = set()
 
+    def forget(self, instance: str) -> None:
+        """Drops a backend server until it announces itself again, since another has its address.
+
+        :param instance: the backend server.
+        """
+        if instance in self.backends_by_instance:
+            log(events.BACKEND_DROPPED, instance=instance, registry=self.registry_version)
+            self._unconfirmed.discard(instance)
+            self._drop(instance)
+
     def _drop(self, instance: str) -> None:
         self.backends_by_instance.pop(instance, None)
         self.knowledge.remove(instance)
--- a/geraniumrail/forwarding/forwarder_test.py
+++ b/geraniumrail/forwarding/forwarder_test.py
@@ -98,6 +98,19 @@
         self.assertEqual((reply.status, reply.content), (200, b'x'))
         self.assertEqual([len(stand.requests) for stand in stands], [1, 1])
 
+    async def test_address_of_another_instance_is_asked_once(self):
+        """All engines that an entry knew were lost, and others had taken their addresses. Each
+        request asked all of them again: the retries of ten seconds came in three."""
+        wrong = head('req-1', '421 Misdirected', b'')
+        stands = await self.started(StandIn('i-1', [wrong]), StandIn('i-2', [wrong]))
+        forwarder = testing.make_forwarder(
+            [testing.route(kind='unsafe')], [stand.backend() for stand in stands]
+        )
+        first = await self.serve(forwarder)
+        again = await self.serve(forwarder)
+        self.assertEqual((first.status, again.status), (503, 503))
+        self.assertEqual([len(stand.requests) for stand in stands], [1, 1])
+
     async def test_refusal_by_all_promises_that_it_did_not_run(self):
         refused = head('req-1', '503 Full', b'', 'X-Not-Run: 1\r\n')
         _, reply = await self.one(refused, route=testing.route(kind='unsafe', attempts=1))
--- a/geraniumrail/forwarding/run.py
+++ b/geraniumrail/forwarding/run.py
@@ -190,9 +190,10 @@
         unrepeatable = self._may_have_run and not self._admitted.route.repeatable
         if self._left_s() <= 0 or unreachable or unrepeatable:
             raise self._given_up(failure)
-        if isinstance(failure, NotSentError) or failure.fields.get('wrong_instance'):
+        if isinstance(failure, NotSentError):
             return
-        if self._sent >= self._admitted.route.attempts:
+        misdirected = failure.fields.get('wrong_instance')
+        if self._sent >= self._admitted.route.attempts and not misdirected:
             await self._check_ended(failure)
         if not self._parts.retries.take_retry(self._admitted.service, self._now()):
             raise self._given_up(failure)
@@ -283,7 +284,7 @@
             knowledge.mark_unresponsive(backend.instance, now)
         elif refused and error.fields.get('wrong_instance'):
             self._sent -= 1
-            knowledge.mark_unresponsive(backend.instance, now)
+            self._parts.view.forget(backend.instance)
         elif not refused:
             self._may_have_run = True
             self._notes.began(sent_at)
