Log the shared prompt parts and the status of each failed attempt

The log could not tell whether engines end because of what a request holds: no line named the parts of a prompt, or said whether the head of an answer had come.

--- a/geraniumrail/forwarding/inbound.py
+++ b/geraniumrail/forwarding/inbound.py
@@ -38,6 +38,11 @@
         """Path without the query."""
         return self.target.partition('?')[0]
 
+    @property
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """Parts that other requests may share: the last one belongs to the request or its session."""
+        return self.parts[:-1]
+
     @functools.cached_property
     def prefixes(self) -> tuple[str, ...]:
         """Names of the leading parts, each covering all parts before it."""
--- a/geraniumrail/forwarding/run.py
+++ b/geraniumrail/forwarding/run.py
@@ -32,8 +32,8 @@
 # A stream without an event for so many of the longest pauses of its route goes on elsewhere; its
 # caller waits for twice as many.
 STALLED_GAPS = 4
+MAX_LOGGED_PARTS = 8  # of one prompt in a line of the log
 _SERVER_ERROR = 500
-_OK = 200
 
 
 class ForwardRun:
@@ -250,8 +250,7 @@
         }
         if inbound.prompt_tokens is None:
             return PlainRequest(**common)
-        # The last part belongs to the request or its session.
-        shared = inbound.prefixes[:-1]
+        shared = inbound.prefixes[: len(inbound.shared_parts)]
         instances = [each.instance for each in self._candidates()]
         sizes = tuple(itertools.accumulate(part.tokens for part in inbound.parts))
         return LanguageRequest(
@@ -297,7 +296,9 @@
             backend=backend.instance,
             attempt=self._sent,
             after_s=round(now - sent_at, 4),
+            status=attempt.status,
             last_event=self._splitter.last_id,
+            shared_parts=[part.part_id for part in self._inbound.shared_parts[:MAX_LOGGED_PARTS]],
             type=error.type_name,
             reason=str(error),
         )
