--- a/geraniumrail/control/control.py
+++ b/geraniumrail/control/control.py
@@ -25,6 +25,7 @@
 from geraniumrail.control.peer_transport import PeerTransport, register_replica
 from geraniumrail.control.proposer import Proposer
 from geraniumrail.control.publisher import Publisher
+from geraniumrail.control.quarantines import Quarantines
 from geraniumrail.core.clock import Clock
 from geraniumrail.core.events import log
 from geraniumrail.errors.base import GeraniumrailError
@@ -83,7 +84,9 @@
         self.leadership = Leadership(self.replica)
         self.proposer = Proposer(self.replica)
         self.publisher = Publisher(self.machine, self.leadership, clock, self.addresses, window_s)
-        self.jobs: list[LeaderJob] = []
+        self.jobs: list[LeaderJob] = [
+            Quarantines(self.machine, self.publisher, self.proposer, clock, self.agreed_wall_time)
+        ]
         self.members = Members(self.replica, transport, config.control.seeds)
         self.orders = OrderSender(
             self.machine,
--- a/geraniumrail/control/entry_session.py
+++ b/geraniumrail/control/entry_session.py
@@ -6,6 +6,7 @@
 from geraniumrail.control.backend_registry import BackendRegistry
 from geraniumrail.control.entry_leases import LEASE_S, EntryLeases
 from geraniumrail.control.group_info import GroupInfo
+from geraniumrail.control.part_hazards import PartHazards
 from geraniumrail.control.usage_shares import UsageShares
 from geraniumrail.core.backend import Backend
 from geraniumrail.deployment.deployment import Deployment
@@ -38,6 +39,7 @@
         self._sent_members: tuple[str, ...] = ()
         self._sent_moves: tuple[Move, ...] | None = None
         self._sent_entries: tuple[EntryInfo, ...] | None = None
+        self._sent_hazards: PartHazards | None = None
 
     def receive_report(self, report: EntryReport) -> None:
         """Records a report, which the next update will answer.
@@ -56,6 +58,7 @@
         usage_shares: UsageShares,
         group: GroupInfo | None = None,
         noted: tuple[Backend, ...] = (),
+        hazards: PartHazards | None = None,
     ) -> ControlUpdate:
         """Builds the next update and records what has been sent.
 
@@ -65,8 +68,12 @@
         :param usage_shares: shares of the organisations' limits.
         :param group: members of the group, and the time.
         :param noted: backend servers noted in the log that have not announced themselves yet.
+        :param hazards: prompt parts that crash backend servers.
         """
         known_group = group or GroupInfo()
+        known_hazards = hazards or PartHazards()
+        changed = known_hazards.changed_since(self._sent_hazards)
+        self._sent_hazards = known_hazards
         difference = registry.difference_since(self._sent_registry_version, self.info)
         update = ControlUpdate(
             term=self.term,
@@ -90,6 +97,9 @@
             members=self._members(known_group),
             wall_error_s=known_group.wall_error_s,
             window_s=known_group.window_s,
+            quarantines=changed.quarantines,
+            watched=changed.watched,
+            trials=changed.trials,
         )
         self._sent_revision = tables.tree.revision
         self._sent_registry_version = difference.version
--- a/geraniumrail/control/publisher.py
+++ b/geraniumrail/control/publisher.py
@@ -11,6 +11,7 @@
 from geraniumrail.control.group_info import GroupInfo
 from geraniumrail.control.leadership import Leadership
 from geraniumrail.control.median_clock import MedianClock
+from geraniumrail.control.part_hazards import PartHazards
 from geraniumrail.control.report_sink import ReportSink
 from geraniumrail.control.usage_ledger import UsageLedger
 from geraniumrail.control.usage_shares import UsageShares
@@ -18,8 +19,10 @@
 from geraniumrail.core.clock import Clock
 from geraniumrail.errors.consensus import NotLeaderError
 from geraniumrail.links.messages import ControlUpdate, EntryReport
+from geraniumrail.quarantine.crash_ledger import CrashLedger
 from geraniumrail.state import commands
 from geraniumrail.state.machine import Machine
+from geraniumrail.state.set_quarantines import SetQuarantines
 
 # Load reports are sent with the answer to a report; other changes are sent at once, but not more
 # often than this, so that many announcements in a short time are combined in a few updates.
@@ -39,6 +42,7 @@
     commands.EndMove,
     commands.SetDrain,
     commands.ReplaceDeployment,
+    SetQuarantines,
 )
 
 
@@ -68,6 +72,8 @@
         self.registry = BackendRegistry()
         self.leases = EntryLeases()
         self.usage_shares = UsageShares()
+        self.crash_ledger = CrashLedger()
+        self.trials_by_entry: dict[str, tuple[str, ...]] = {}
         self.report_sinks: list[ReportSink] = []
         self._machine = machine
         self._leadership = leadership
@@ -85,6 +91,8 @@
         self.registry = BackendRegistry(term << REGISTRY_VERSION_BITS)
         self.usage_shares = UsageShares()
         self.usage_ledger = UsageLedger()
+        self.crash_ledger = CrashLedger()
+        self.trials_by_entry = {}
         self.median_clock = MedianClock()
         self.leases.reset(self._clock.now())
 
@@ -167,6 +175,7 @@
             self.usage_shares,
             self._group_info(session.info.entry),
             self._noted_backends() if session.lacks_backends else (),
+            self._part_hazards(session.info.entry),
         )
 
     def _noted_backends(self) -> tuple[Backend, ...]:
@@ -180,6 +189,12 @@
             if instance not in known and not self.registry.has_left(instance)
         )
 
+    def _part_hazards(self, entry: str) -> PartHazards:
+        quarantines = tuple(self._machine.tables.quarantines_by_label.values())
+        return PartHazards.from_evidence(
+            quarantines, self.crash_ledger.watched(), self.trials_by_entry.get(entry, ())
+        )
+
     def _group_info(self, entry: str) -> GroupInfo:
         now = self._clock.now()
         return GroupInfo(
@@ -210,16 +225,20 @@
         self.usage_ledger.record_report(report.info, now)
         registry_changed = self.registry.observe(report.announces, now)
         session.receive_report(report)
+        crashes_are_news = self._observe_crashes(report, now)
         for sink in self.report_sinks:
             sink.observe(report, now)
-        if (
-            registry_changed
-            or state_changed
-            or previous_lease is None
-            or previous_lease.holds_lease != report.holds_lease
-        ):
+        lease_changed = previous_lease is None or previous_lease.holds_lease != report.holds_lease
+        if registry_changed or crashes_are_news or state_changed or lease_changed:
             self.wake_sessions()
 
+    def _observe_crashes(self, report: EntryReport, now: float) -> bool:
+        # Answers go first: a part that was answered since is no suspect of a crash before.
+        if report.sounds:
+            self.crash_ledger.observe_sound(report.sounds, now)
+        news = [self.crash_ledger.observe_crash(note, now) for note in report.crashes]
+        return any(news)
+
     def _on_applied(self, command: object, answer: object) -> None:
         # Changes of bookings concern one entry each, and are too frequent to update all entries.
         if command is None or isinstance(command, PUBLISHED_COMMANDS):
--- /dev/null
+++ b/geraniumrail/control/quarantines.py
@@ -0,0 +1,163 @@
+"""Begins and ends the quarantines of prompt parts; a job of the leader."""
+
+import dataclasses
+from collections.abc import Callable
+
+from geraniumrail.control.proposer import Proposer
+from geraniumrail.control.publisher import Publisher
+from geraniumrail.core.clock import Clock
+from geraniumrail.core.events import log
+from geraniumrail.links.messages import EntryReport
+from geraniumrail.quarantine import events
+from geraniumrail.quarantine.crash_ledger import Finding
+from geraniumrail.quarantine.quarantine import Quarantine
+from geraniumrail.state.machine import Machine
+from geraniumrail.state.set_quarantines import SetQuarantines
+
+# A failed trial ends all requests of an engine, so trials are rare and become rarer.
+FIRST_S = 300.0
+LONGEST_S = 4 * 3600.0
+# One entry after the other may send a trial; its outcome is known well within this time.
+TRIAL_TURN_S = 20.0
+UNUSED_S = 1800.0  # nobody has sent such a request for so long after the end of a quarantine
+MAX_QUARANTINES = 64
+
+
+class Quarantines:
+    """The quarantines are in the replicated log; the evidence is kept by the entries too."""
+
+    name = 'quarantines'
+
+    def __init__(
+        self,
+        machine: Machine,
+        publisher: Publisher,
+        proposer: Proposer,
+        clock: Clock,
+        wall: Callable[[], float],
+    ) -> None:
+        """Connects the parts.
+
+        :param machine: replicated state.
+        :param publisher: has the evidence, and tells the entries.
+        :param proposer: proposes commands.
+        :param clock: time.
+        :param wall: time of day that the processes agree on.
+        """
+        self._machine = machine
+        self._publisher = publisher
+        self._proposer = proposer
+        self._clock = clock
+        self._wall = wall
+        self._answered_at: dict[tuple[str, str], float] = {}  # time of day, by service and part
+        publisher.report_sinks.append(self)
+
+    def became_leader(self) -> None:
+        """Drops the evidence; the entries repeat theirs."""
+        self._answered_at = {}
+
+    def observe(self, report: EntryReport, now: float) -> None:
+        """Notes answers to requests with parts that are in quarantine.
+
+        :param report: the report of an entry.
+        :param now: monotonic seconds.
+        """
+        for sound in report.sounds:
+            key = (sound.service, sound.part)
+            began_at = self._wall() - sound.age_s
+            self._answered_at[key] = max(began_at, self._answered_at.get(key, 0))
+
+    async def run_once(self) -> None:
+        """Records what has changed in the log."""
+        held = self._machine.tables.quarantines_by_label
+        removed = [label for label, each in held.items() if self._is_over(each)]
+        added = [
+            *(narrowed for each in held.values() if (narrowed := self._narrowed(each))),
+            *(renewed for each in held.values() if (renewed := self._renewed(each))),
+            *self._found(tuple(held.values()))[: max(0, MAX_QUARANTINES - len(held))],
+        ]
+        self._grant_trials()
+        if added or removed:
+            await self._proposer.propose(SetQuarantines(added=tuple(added), removed=tuple(removed)))
+        parts = {(each.service, part) for each in held.values() for part in each.parts}
+        self._answered_at = {key: at for key, at in self._answered_at.items() if key in parts}
+
+    def _found(self, held: tuple[Quarantine, ...]) -> list[Quarantine]:
+        new = [
+            self._from_finding(found)
+            for found in self._publisher.crash_ledger.findings()
+            if not any(each.covers(found.service, frozenset(found.parts)) for each in held)
+        ]
+        for quarantine in new:
+            log(
+                events.QUARANTINED,
+                quarantine=quarantine.label,
+                failures=quarantine.failures,
+                until=round(quarantine.until),
+            )
+        return new
+
+    def _from_finding(self, found: Finding) -> Quarantine:
+        wall = self._wall()
+        return Quarantine(
+            service=found.service,
+            parts=found.parts,
+            since=wall - self._clock.now() + found.last_at,
+            until=wall + FIRST_S,
+        )
+
+    def _renewed(self, quarantine: Quarantine) -> Quarantine | None:
+        """Returns the quarantine after a trial that has failed, or None."""
+        wall = self._wall()
+        last_at = self._publisher.crash_ledger.last_crash(quarantine.service, quarantine.parts)
+        crashed_at = wall - self._clock.now() + last_at
+        if wall < quarantine.until or crashed_at < quarantine.until:
+            return None
+        length_s = min(LONGEST_S, FIRST_S * 2**quarantine.failures)
+        log(
+            events.QUARANTINED,
+            quarantine=quarantine.label,
+            failures=quarantine.failures + 1,
+            until=round(wall + length_s),
+        )
+        return dataclasses.replace(
+            quarantine,
+            since=crashed_at,
+            until=wall + length_s,
+            failures=quarantine.failures + 1,
+        )
+
+    def _is_over(self, quarantine: Quarantine) -> bool:
+        if self._wall() >= quarantine.until + UNUSED_S:
+            log(events.RELEASED, quarantine=quarantine.label, reason='unused')
+            return True
+        if self._answered(quarantine):
+            log(events.RELEASED, quarantine=quarantine.label, reason='answered')
+            return True
+        return False
+
+    def _narrowed(self, quarantine: Quarantine) -> Quarantine | None:
+        """Returns the quarantine without the parts that have been answered, or None."""
+        answered = self._answered(quarantine)
+        left = tuple(part for part in quarantine.parts if part not in answered)
+        return dataclasses.replace(quarantine, parts=left) if answered and left else None
+
+    def _answered(self, quarantine: Quarantine) -> frozenset[str]:
+        return frozenset(
+            part
+            for part in quarantine.parts
+            if self._answered_at.get((quarantine.service, part), 0) > quarantine.since
+        )
+
+    def _grant_trials(self) -> None:
+        wall = self._wall()
+        entries = sorted(info.entry for info in self._publisher.leases.entries())
+        trials_by_entry: dict[str, tuple[str, ...]] = {}
+        for label, quarantine in self._machine.tables.quarantines_by_label.items():
+            overdue_s = wall - quarantine.until
+            if overdue_s >= 0 and entries:
+                entry = entries[int(overdue_s / TRIAL_TURN_S) % len(entries)]
+                trials_by_entry[entry] = (*trials_by_entry.get(entry, ()), label)
+        if trials_by_entry != self._publisher.trials_by_entry:
+            self._publisher.trials_by_entry = trials_by_entry
+            self._publisher.wake_sessions()
--- a/geraniumrail/core/event_page.py
+++ b/geraniumrail/core/event_page.py
@@ -32,6 +32,7 @@
     'bench': 1700,
     'forwarding': 1800,
     'tasks': 1900,
+    'quarantine': 2000,
 }
 LEVEL_NAMES = {
     logging.DEBUG: 'debug',
--- a/geraniumrail/daemon/gauges.py
+++ b/geraniumrail/daemon/gauges.py
@@ -61,6 +61,8 @@
         backends = view.backends_by_instance.values()
         states = collections.Counter((each.service, each.state) for each in backends)
         self._instruments.backends.replace(states)
+        held = entry.forwarder.parts.watch.quarantines
+        self._instruments.quarantines.replace(collections.Counter((each.service,) for each in held))
         self._instruments.settings_revision.set(view.tree.revision)
         self._instruments.lease_left.set(view.lease_left_s())
         self._instruments.queue_depth.replace(
--- a/geraniumrail/entry/completion_run.py
+++ b/geraniumrail/entry/completion_run.py
@@ -14,6 +14,7 @@
 from geraniumrail.entry.completions import Completions
 from geraniumrail.errors.backend import (
     BackendError,
+    ConnectionLostError,
     NoBackendError,
     NotSentError,
     StalledError,
@@ -22,11 +23,14 @@
 from geraniumrail.fairness.engine_window import EngineWindow
 from geraniumrail.fairness.queue_item import QueueItem
 from geraniumrail.fairness.retry_budget import retry_delay_s
+from geraniumrail.quarantine.part_watch import PROOF_S
 from geraniumrail.routing.choice import choose
 from geraniumrail.routing.decision import Decision
 from geraniumrail.routing.events import log_decision
 from geraniumrail.routing.request import LanguageRequest
 
+# A request that has lost so many engines before its answer began may be what ends them.
+MAX_LOST = 3
 PRIORITY_BY_CLASS = {'chat': 0, 'quick': 1, 'review': 2}
 
 
@@ -49,6 +53,8 @@
         self._draw = shared.rng.random()
         self._band = 0
         self._prefill_s: float = 0
+        self._is_noted = False  # the answer of the present attempt is known to be sound
+        self._lost_engines = 0  # before the answer had begun there
         self._chosen = ''  # engine that counts this request as sent
         self._end = shared.clock.now() + self.settings.deadline_ms / 1000
 
@@ -60,6 +66,7 @@
         :raises IncompleteAnswerError: if it could not be completed before its deadline.
         """
         shared = self.shared
+        shared.watch.require_sound(self.call.service, self.call.prefixes, shared.view.true_wall())
         shared.admit(self.call, self.settings)
         shared.in_progress += 1
         try:
@@ -101,6 +108,7 @@
     async def _attempt(self, backend: Backend) -> AsyncIterator[Chunk]:
         self.attempts += 1
         shared, call = self.shared, self.call
+        self._is_noted = False
         attempt = f'{call.request_id}.{self.attempts}'
         sent_at = shared.clock.now()
         self._band = shared.outcomes.band(backend)
@@ -121,15 +129,19 @@
                     timing = timing.with_chunk(chunk, shared.clock.now())
                     if timing.tokens == chunk.tokens:
                         self._first_token(backend, attempt, timing)
+                    self._note_answer(timing)
                     self.text += chunk.text
                     self.offset += chunk.tokens
                     yield chunk
         except BackendError as error:
             ended = not isinstance(error, StalledError)
             self._ended(backend, attempt, timing, failed=True)
+            if isinstance(error, ConnectionLostError) and not timing.is_proved:
+                self._disconnected(backend)
             raise
         else:
             ended = True
+            shared.watch.record_answer(call.service, call.prefixes, timing.first_at or sent_at)
             self._ended(backend, attempt, timing, failed=False)
         finally:
             if not ended:
@@ -138,6 +150,16 @@
                 shared.cancel(backend, call.request_id, self.attempts)
             self._forget_choice()
 
+    def _note_answer(self, timing: '_Timing') -> None:
+        if timing.is_proved and not self._is_noted:
+            self._is_noted = True
+            self.shared.watch.record_answer(self.call.service, self.call.prefixes, timing.first_at)
+
+    def _disconnected(self, backend: Backend) -> None:
+        if not self._announced(backend):
+            self._lost_engines += 1
+            self.shared.watch.record_loss(backend, self.call.prefixes)
+
     def _engine_call(self) -> EngineCall:
         settings = self.settings
         return EngineCall(
@@ -208,6 +230,7 @@
             attempt=self.attempts,
             reason=str(error),
         )
+        await self._check_harmless(backend, error)
         # Resumes of lost instances cause no more work than was accepted, and the fair queue keeps
         # the engines' queues short, so an exhausted budget only delays them.
         delayed_once = progressed or isinstance(error, NotSentError) or self._announced(backend)
@@ -220,6 +243,17 @@
         if self._remaining_s() <= 0:
             raise self._given_up(str(error)) from error
 
+    async def _check_harmless(self, backend: Backend, error: BackendError) -> None:
+        """Checks that the request is not known or likely to end the next engine too.
+
+        :raises IncompleteAnswerError: if it is.
+        """
+        watch = self.shared.watch
+        if watch.quarantine_of(self.call.service, self.call.prefixes) is not None:
+            raise self._given_up(str(error)) from error
+        if self._lost_engines >= MAX_LOST and await watch.refuses_connections(backend):
+            raise self._given_up(str(error)) from error
+
     def _given_up(self, reason: str) -> IncompleteAnswerError | NotRunError:
         if self.attempts:
             return IncompleteAnswerError(reason=reason)
@@ -318,6 +352,11 @@
             tokens=self.tokens + chunk.tokens,
         )
 
+    @property
+    def is_proved(self) -> bool:
+        """The engine went on for long enough after the first token."""
+        return self.tokens > 0 and self.last_at - self.first_at >= PROOF_S
+
     @property
     def first_token_s(self) -> float:
         return self.first_at - self.sent_at
--- a/geraniumrail/entry/completions.py
+++ b/geraniumrail/entry/completions.py
@@ -21,6 +21,7 @@
 from geraniumrail.fairness.limits import Limits
 from geraniumrail.fairness.organisation_limit import OrganisationLimit
 from geraniumrail.fairness.retry_budget import RetryBudget
+from geraniumrail.quarantine.part_watch import PartWatch
 from geraniumrail.settings.effective import Effective
 
 
@@ -41,6 +42,7 @@
         place: Place,
         view: ClusterView,
         outcomes: Outcomes,
+        watch: PartWatch,
         client: EngineClient,
         clock: Clock,
         rng: random.Random,
@@ -50,6 +52,7 @@
         :param place: where this entry stands.
         :param view: settings and backend servers.
         :param outcomes: breaker and outcome log.
+        :param watch: prompt parts that crash engines.
         :param client: sends to engines.
         :param clock: time.
         :param rng: source of routing draws.
@@ -57,6 +60,7 @@
         self.place = place
         self.view = view
         self.outcomes = outcomes
+        self.watch = watch
         self.client = client
         self.clock = clock
         self.rng = rng
--- a/geraniumrail/entry/entry.py
+++ b/geraniumrail/entry/entry.py
@@ -7,6 +7,7 @@
 from collections.abc import AsyncIterator
 
 from geraniumrail.backends.chunk import Chunk
+from geraniumrail.backends.connection_probe import refuses_connections
 from geraniumrail.backends.connections import Connections
 from geraniumrail.backends.engine_client import EngineClient
 from geraniumrail.backends.service_client import ServiceClient
@@ -47,6 +48,7 @@
 from geraniumrail.links.messages import ControlUpdate, EntryInfo
 from geraniumrail.links.pool import LinkPool
 from geraniumrail.links.server import LinkServer
+from geraniumrail.quarantine.part_watch import PartWatch
 from geraniumrail.routing.backend_tracker import BackendTracker
 from geraniumrail.tasks.supervise import supervise
 
@@ -90,6 +92,7 @@
         self.learn_seeds = finder.learn
         self.control = ControlLink(finder, links, clock, rng)
         self._outcomes = Outcomes(self.view, clock)
+        self._watch = PartWatch(clock, refuses_connections)
         forwarded = forwarding or ForwardingConfig()
         self._connections = Connections.from_config(forwarded.connections)
         place = Place(self.entry_id, config.data_centre, config.region)
@@ -98,6 +101,7 @@
             place,
             self.view,
             self._outcomes,
+            self._watch,
             engine_client,
             clock,
             rng,
@@ -125,6 +129,7 @@
         self.forwarder = Forwarder(
             Parts(
                 view=self.view,
+                watch=self._watch,
                 outcomes=self._outcomes,
                 connections=self._connections,
                 dialect=dialect or NoDialect(),
@@ -176,6 +181,8 @@
             self._reporter.build,
         )
         self._follower.listeners.append(self._updated)
+        self._follower.resumed.append(self._watch.requeue_all)
+        self._watch.on_news = self._follower.poke
         self._tasks: list[asyncio.Task[None]] = []
 
     @classmethod
@@ -337,6 +344,7 @@
 
     def _updated(self, update: ControlUpdate) -> None:
         self._outcomes.follow_moves()
+        self._watch.take(update.quarantines, update.watched, update.trials)
         self._completions.limits.update(update.share)
         self.forwarder.parts.quota.update(update.share, self._clock.now())
         self._completions.reported(backend.instance for backend in update.backends)
--- a/geraniumrail/entry/follower.py
+++ b/geraniumrail/entry/follower.py
@@ -26,6 +26,7 @@
 
 ReportBuilder = Callable[[int], EntryReport]
 UpdateListener = Callable[[ControlUpdate], None]
+ResumeListener = Callable[[], None]
 
 
 class Follower:
@@ -50,8 +51,8 @@
         :param build_report: builds the report with a sequence number.
         """
         self.listeners: list[UpdateListener] = []
+        self.resumed: list[ResumeListener] = [announces.requeue_all]  # a new stream begins
         self._view = view
-        self._announces = announces
         self._finder = finder
         self._links = links
         self._clock = clock
@@ -90,7 +91,8 @@
             await self._clock.sleep(RECONNECT_DELAY_S * (0.5 + random.random()))
 
     async def _follow(self, address: str) -> None:
-        self._announces.requeue_all()
+        for listener in self.resumed:
+            listener()
         self._sent_at_by_sequence.clear()
         updates = self._links.client(address).follow(self._reports())
         followed = False
--- a/geraniumrail/entry/reporter.py
+++ b/geraniumrail/entry/reporter.py
@@ -36,6 +36,7 @@
         demand |= parts.quota.pop_demand()
         admitted = parts.quota.pop_admitted()
         rate = self.view.knowledge.prefill_rate
+        crashes, sounds = parts.watch.report()
         self.reported_at = now
         return EntryReport(
             sequence=sequence,
@@ -59,4 +60,6 @@
             wall=self.clock.wall(),
             demand=parts.demand.take(rate.tokens_per_s if rate.is_known else 0),
             holds_lease=self.view.holds_lease(),
+            crashes=crashes,
+            sounds=sounds,
         )
--- a/geraniumrail/forwarding/forwarder.py
+++ b/geraniumrail/forwarding/forwarder.py
@@ -104,6 +104,9 @@
             limit_s = min(limit_s, inbound.deadline_s * config.lease_wait_part)
         await self.parts.view.wait_for_lease(limit_s, config.lease_lost_s)
         admitted = admit(inbound, self.parts)
+        self.parts.watch.require_sound(
+            admitted.service, inbound.shared_part_ids, self.parts.view.true_wall()
+        )
         await check_limit(inbound, admitted, self.parts)
         self.parts.demand.asked(admitted.service, inbound.tokens or 0)
         if self._leaving_since is not None:
--- a/geraniumrail/forwarding/inbound.py
+++ b/geraniumrail/forwarding/inbound.py
@@ -40,9 +40,14 @@
 
     @property
     def shared_parts(self) -> tuple[PromptPart, ...]:
-        """Parts that other requests may share: the last one belongs to the request or its session."""
+        """Parts that other requests may share; the last one is of the request or its session."""
         return self.parts[:-1]
 
+    @property
+    def shared_part_ids(self) -> tuple[str, ...]:
+        """Ids of the shared parts."""
+        return tuple(part.part_id for part in self.shared_parts)
+
     @functools.cached_property
     def prefixes(self) -> tuple[str, ...]:
         """Names of the leading parts, each covering all parts before it."""
--- a/geraniumrail/forwarding/parts.py
+++ b/geraniumrail/forwarding/parts.py
@@ -16,6 +16,7 @@
 from geraniumrail.forwarding.limit_lender import LimitLender
 from geraniumrail.forwarding.recorder import Recorder
 from geraniumrail.forwarding.usage_counter import UsageCounter
+from geraniumrail.quarantine.part_watch import PartWatch
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -23,6 +24,7 @@
     """Shared by the runs."""
 
     view: ClusterView
+    watch: PartWatch
     outcomes: Outcomes
     connections: Connections
     dialect: Dialect
--- a/geraniumrail/forwarding/run.py
+++ b/geraniumrail/forwarding/run.py
@@ -32,6 +32,8 @@
 # A stream without an event for so many of the longest pauses of its route goes on elsewhere; its
 # caller waits for twice as many.
 STALLED_GAPS = 4
+# A request that has lost so many backend servers may be what ends them.
+MAX_LOST = 2
 MAX_LOGGED_PARTS = 8  # of one prompt in a line of the log
 _SERVER_ERROR = 500
 
@@ -55,6 +57,7 @@
         self._splitter = EventSplitter(inbound.last_event_id)
         self._excluded: frozenset[str] = frozenset()
         self._sent = 0  # attempts that count towards the limit of the route
+        self._lost = 0  # backend servers that were lost before they had proved to survive it
         self._unsent = 0  # backend servers to which no connection could be made
         self._may_have_run = False
         self._notes = RunNotes(inbound, admitted, parts)
@@ -160,7 +163,7 @@
                 reason='the stream ended within an event',
             )
         await self._reply.finish()
-        self._notes.observe(attempt.backend, failed=False)
+        self._notes.ended_whole(attempt.backend)
         self._log_end(attempt)
 
     def _stall_s(self) -> float | None:
@@ -192,19 +195,28 @@
             raise self._given_up(failure)
         if isinstance(failure, NotSentError):
             return
+        quarantine = self._parts.watch.quarantine_of(
+            self._admitted.service, self._inbound.shared_part_ids
+        )
+        if quarantine is not None:
+            raise self._given_up(failure)
         misdirected = failure.fields.get('wrong_instance')
-        if self._sent >= self._admitted.route.attempts and not misdirected:
-            await self._check_ended(failure)
+        is_exhausted = self._sent >= self._admitted.route.attempts and not misdirected
+        if is_exhausted or self._lost >= MAX_LOST:
+            await self._check_ended(failure, is_exhausted)
         if not self._parts.retries.take_retry(self._admitted.service, self._now()):
             raise self._given_up(failure)
 
-    async def _check_ended(self, failure: BackendError) -> None:
+    async def _check_ended(self, failure: BackendError, is_exhausted: bool) -> None:
         """A backend server that has ended does not count towards the limit of attempts."""
         backend = self._last
         known = self._parts.view.backends_by_instance.get(backend.instance)
         if isinstance(failure, RefusedError):
             raise self._given_up(failure)
-        if known is not None and not await has_ended(backend, self._parts.config.probe_timeout_s):
+        ended = known is None or await has_ended(backend, self._parts.config.probe_timeout_s)
+        if self._lost >= MAX_LOST and ended:
+            raise self._given_up(failure)
+        if is_exhausted and not ended:
             raise self._given_up(failure)
 
     def _may_repeat(self, backend: Backend) -> bool:
@@ -289,6 +301,8 @@
             self._notes.began(sent_at)
             knowledge.record_failure(backend.instance, now)
             self._notes.lost(backend)
+            self._notes.disconnected(backend)
+            self._lost += not self._notes.is_proved
         self._parts.recorder.attempt_failed(self._admitted.service, error.type_name)
         log(
             events.ATTEMPT_FAILED,
@@ -298,7 +312,7 @@
             after_s=round(now - sent_at, 4),
             status=attempt.status,
             last_event=self._splitter.last_id,
-            shared_parts=[part.part_id for part in self._inbound.shared_parts[:MAX_LOGGED_PARTS]],
+            shared_parts=list(self._inbound.shared_part_ids[:MAX_LOGGED_PARTS]),
             type=error.type_name,
             reason=str(error),
         )
--- a/geraniumrail/forwarding/run_notes.py
+++ b/geraniumrail/forwarding/run_notes.py
@@ -7,6 +7,7 @@
 from geraniumrail.forwarding.attempt import Attempt
 from geraniumrail.forwarding.inbound import Inbound
 from geraniumrail.forwarding.parts import Parts
+from geraniumrail.quarantine.part_watch import PROOF_S
 
 
 class RunNotes:
@@ -20,6 +21,7 @@
         :param parts: of the entry.
         """
         self.first_s: float | None = None  # from sending to the first event, or to the answer
+        self.is_proved = False  # the backend server has survived the present attempt
         self._inbound = inbound
         self._admitted = admitted
         self._parts = parts
@@ -41,6 +43,7 @@
         self._unread = max(0, (inbound.prompt_tokens or 0) - known)
         self._read_tokens = self._unread
         self._first_event_at = None
+        self.is_proved = False
         knowledge.add_pending_prompt_tokens(backend.instance, self._unread)
         knowledge.record_sent(backend.instance, inbound.tokens or 1, inbound.prefixes, now)
         self._parts.outcomes.breaker.start_wait(
@@ -88,8 +91,19 @@
             self._record_first(self.first_s)
             self.began(now)
             self.observe(backend, failed=None, first_s=self.first_s)
+        if now - self._first_event_at >= PROOF_S:
+            self._prove(backend, self._first_event_at)
         self._read(backend)
 
+    def ended_whole(self, backend: Backend) -> None:
+        """Notes the end of a whole stream.
+
+        :param backend: where it came from.
+        """
+        if self._first_event_at is not None:
+            self._prove(backend, self._first_event_at)
+        self.observe(backend, failed=False)
+
     def answered(self, attempt: Attempt, sent_at: float, *, failed: bool) -> None:
         """Notes a whole answer.
 
@@ -98,6 +112,8 @@
         :param failed: whether the backend server failed.
         """
         self.began(sent_at)
+        if not failed:
+            self._prove(attempt.backend, sent_at)
         self.first_s = self._parts.clock.now() - sent_at
         self._record_first(self.first_s)
         self.observe(attempt.backend, failed=failed, first_s=self.first_s)
@@ -140,6 +156,14 @@
         if not self.is_leaving(backend):
             self.observe(backend, failed=True)
 
+    def disconnected(self, backend: Backend) -> None:
+        """Notes a connection that was lost, which may be the end of the backend server.
+
+        :param backend: the backend server.
+        """
+        if not self.is_proved and not self.is_leaving(backend):
+            self._parts.watch.record_loss(backend, self._inbound.shared_part_ids)
+
     def is_leaving(self, backend: Backend) -> bool:
         """Returns whether a backend server has left or said that it leaves.
 
@@ -171,6 +195,13 @@
             total_s=round(self._parts.clock.now() - self._inbound.arrived_at, 4),
         )
 
+    def _prove(self, backend: Backend, began_at: float) -> None:
+        if not self.is_proved:
+            self.is_proved = True
+            self._parts.watch.record_answer(
+                backend.service, self._inbound.shared_part_ids, began_at
+            )
+
     def _record_first(self, seconds: float) -> None:
         recorder = self._parts.recorder
         recorder.first_event(self._admitted.service, self._admitted.route.name, seconds)
--- a/geraniumrail/forwarding/testing.py
+++ b/geraniumrail/forwarding/testing.py
@@ -5,6 +5,7 @@
 import socket
 import struct
 
+from geraniumrail.backends.connection_probe import refuses_connections
 from geraniumrail.backends.connections import Connections, ConnectionsConfig
 from geraniumrail.core.backend import Backend
 from geraniumrail.core.clock import SystemClock
@@ -29,6 +30,7 @@
 from geraniumrail.forwarding.recorder import Recorder
 from geraniumrail.forwarding.usage_counter import UsageCounter
 from geraniumrail.links.messages import ControlUpdate
+from geraniumrail.quarantine.part_watch import PartWatch
 from geraniumrail.routing.backend_tracker import BackendTracker
 
 HOST = 'bench.example'
@@ -235,6 +237,7 @@
     view.take(update, clock.now())
     parts = Parts(
         view=view,
+        watch=PartWatch(clock, refuses_connections),
         outcomes=Outcomes(view, clock),
         connections=Connections.from_config(ConnectionsConfig()),
         dialect=dialect or TestDialect(),
--- a/geraniumrail/links/messages.py
+++ b/geraniumrail/links/messages.py
@@ -5,6 +5,9 @@
 from geraniumrail.core.load_row import LoadRow
 from geraniumrail.deployment.deployment import Deployment
 from geraniumrail.fairness.entry_share import EntryShare
+from geraniumrail.quarantine.crash_note import CrashNote
+from geraniumrail.quarantine.quarantine import Quarantine
+from geraniumrail.quarantine.sound_part import SoundPart
 from geraniumrail.rollout.breaker_report import BreakerReport
 from geraniumrail.rollout.outcome_stat import OutcomeStat
 from geraniumrail.settings.node import Node
@@ -105,6 +108,8 @@
     wall: float = 0  # time of day at the entry when it sent the report
     demand: tuple[ServiceDemand, ...] = ()
     holds_lease: bool = False  # the entry has taken an update, and may serve
+    crashes: tuple[CrashNote, ...] = ()
+    sounds: tuple[SoundPart, ...] = ()
 
 
 @record
@@ -132,6 +137,9 @@
     members: tuple[str, ...] = ()  # link addresses of the group
     wall_error_s: float = 0  # time of day of the entry minus the median of all
     window_s: float = 0  # length of a usage window; 0: usage is not reported
+    quarantines: tuple[Quarantine, ...] | None = None  # None: unchanged
+    watched: dict[str, tuple[str, ...]] | None = None  # prompt parts by service; None: unchanged
+    trials: tuple[str, ...] = ()  # quarantines of which the entry may send one request
 
 
 @record
--- a/geraniumrail/metrics/catalogue.py
+++ b/geraniumrail/metrics/catalogue.py
@@ -98,6 +98,13 @@
         labels=('service', 'state'),
         about='backend servers known to this daemon',
     ),
+    Spec(
+        name='geraniumrail.quarantines',
+        kind='gauge',
+        unit='{quarantine}',
+        labels=('service',),
+        about='sets of prompt parts whose requests this entry holds back',
+    ),
 )
 _CONTROL = (
     Spec(
--- /dev/null
+++ b/geraniumrail/quarantine/part_watch.py
@@ -0,0 +1,217 @@
+"""What one entry knows of prompt parts that crash backend servers."""
+
+import asyncio
+import collections
+from collections.abc import Awaitable, Callable, Iterable
+
+from geraniumrail.core.backend import Backend
+from geraniumrail.core.clock import Clock
+from geraniumrail.core.events import log
+from geraniumrail.errors.request import NotRunError
+from geraniumrail.quarantine import events
+from geraniumrail.quarantine.crash_note import CrashNote
+from geraniumrail.quarantine.quarantine import Quarantine
+from geraniumrail.quarantine.sound_part import SoundPart
+
+# An engine that crashes on a request does so as its answer begins; one that has gone on for so long
+# has proved the request harmless.
+PROOF_S = 0.25
+# The requests of one backend server fail within this time of each other.
+COLLECT_S = 0.02
+MAX_NOTES = 32
+NOTE_S = 600.0  # a new leader is told of crashes of so long ago
+MAX_SOUND_PARTS = 4096
+LEAST_RETRY_S = 5.0  # a trial may end the quarantine within this time
+
+Key = tuple[str, str]  # service and part
+Parts = tuple[str, ...]
+Probe = Callable[[Backend], Awaitable[bool]]
+_Noted = tuple[CrashNote, float]  # and when it was taken down
+
+
+class PartWatch:
+    """Tells crashed backend servers from lost connections, and holds back quarantined requests.
+
+    The control leader owns the quarantines: an entry follows it, and an entry that has lost it
+    stops serving before a quarantine could end.
+    """
+
+    def __init__(self, clock: Clock, refuses_connections: Probe) -> None:
+        """Starts without knowledge.
+
+        :param clock: time.
+        :param refuses_connections: tells whether a backend server's address has no listener.
+        """
+        self.on_news: Callable[[], None] = _ignore
+        self._clock = clock
+        self.refuses_connections = refuses_connections
+        self._quarantines: tuple[Quarantine, ...] = ()
+        self._watched: frozenset[Key] = frozenset()
+        self._trials: frozenset[str] = frozenset()
+        self._used_trials: set[tuple[str, float]] = set()
+        self._sound_at: collections.OrderedDict[Key, float] = collections.OrderedDict()
+        self._reported_sound_at: dict[Key, float] = {}
+        self._noted: collections.deque[_Noted] = collections.deque(maxlen=MAX_NOTES)
+        self._unsent_notes = 0
+        self._lost_requests: dict[str, list[Parts]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def quarantines(self) -> tuple[Quarantine, ...]:
+        """The quarantines in force."""
+        return self._quarantines
+
+    def require_sound(self, service: str, parts: Iterable[str], wall: float) -> None:
+        """Checks that a request may be sent, and uses up a trial if it is one.
+
+        :param service: the service that the request is for.
+        :param parts: shared parts of its prompt.
+        :param wall: time of day that the processes agree on.
+        :raises NotRunError: if it would crash a backend server.
+        """
+        found = self.quarantine_of(service, parts)
+        if found is not None and not self._use_trial(found):
+            raise NotRunError(
+                reason='requests with these prompt parts crash backend servers',
+                retry_after_s=round(max(LEAST_RETRY_S, found.until - wall), 3),
+            )
+
+    def quarantine_of(self, service: str, parts: Iterable[str]) -> Quarantine | None:
+        """Returns the quarantine that holds back a request, or None.
+
+        :param service: the service that the request is for.
+        :param parts: shared parts of its prompt.
+        """
+        if not self._quarantines:
+            return None
+        wanted = frozenset(parts)
+        return next((each for each in self._quarantines if each.covers(service, wanted)), None)
+
+    def record_answer(self, service: str, parts: Iterable[str], began_at: float) -> None:
+        """Records a request whose answer has begun and whose backend server went on.
+
+        :param service: the service that answered.
+        :param parts: shared parts of the prompt.
+        :param began_at: when the answer began, seconds of this process's clock.
+        """
+        for part in parts:
+            key = (service, part)
+            self._sound_at[key] = max(began_at, self._sound_at.pop(key, began_at))
+            if key in self._watched and began_at > self._reported_sound_at.get(key, 0):
+                self.on_news()
+        while len(self._sound_at) > MAX_SOUND_PARTS:
+            self._sound_at.popitem(last=False)
+
+    def record_loss(self, backend: Backend, parts: Iterable[str]) -> None:
+        """Records a connection that was lost before the answer was proved sound.
+
+        :param backend: the backend server.
+        :param parts: shared parts of the prompt.
+        """
+        named = tuple(parts)
+        if not named:
+            return
+        waiting = self._lost_requests.setdefault(backend.instance, [])
+        waiting.append(named)
+        if len(waiting) == 1:
+            task = asyncio.create_task(self._confirm(backend), name='crash-probe')
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    def take(
+        self,
+        quarantines: tuple[Quarantine, ...] | None,
+        watched: dict[str, tuple[str, ...]] | None,
+        trials: tuple[str, ...],
+    ) -> None:
+        """Applies an update of the control leader.
+
+        :param quarantines: in force from now on; None: unchanged.
+        :param watched: parts of which answers are reported, by service; None: unchanged.
+        :param trials: quarantines of which this entry may send one request.
+        """
+        self._trials = frozenset(trials)
+        if quarantines is not None and quarantines != self._quarantines:
+            self._quarantines = quarantines
+            ends = {(each.label, each.until) for each in quarantines}
+            self._used_trials &= ends
+            log(events.APPLIED, quarantines=[each.label for each in quarantines])
+        if watched is not None:
+            self._watched = frozenset(
+                (service, part) for service, parts in watched.items() for part in parts
+            )
+            self._reported_sound_at = {
+                key: at for key, at in self._reported_sound_at.items() if key in self._watched
+            }
+            if any(self._is_due(key) for key in self._watched):
+                self.on_news()
+
+    def report(self) -> tuple[tuple[CrashNote, ...], tuple[SoundPart, ...]]:
+        """Returns what the control leader has not been told."""
+        now = self._clock.now()
+        notes = tuple(self._noted)[len(self._noted) - self._unsent_notes :]
+        self._unsent_notes = 0
+        crashes = tuple(_aged(note, now - at) for note, at in notes if now - at < NOTE_S)
+        due = [key for key in self._watched if self._is_due(key)]
+        self._reported_sound_at.update({key: self._sound_at[key] for key in due})
+        sounds = tuple(
+            SoundPart(
+                service=service, part=part, age_s=round(now - self._sound_at[service, part], 3)
+            )
+            for service, part in due
+        )
+        return crashes, sounds
+
+    def requeue_all(self) -> None:
+        """Reports everything again: a new leader knows only the quarantines."""
+        self._unsent_notes = len(self._noted)
+        self._reported_sound_at = {}
+
+    def _is_due(self, key: Key) -> bool:
+        """Returns whether there is an answer that the leader has not been told of."""
+        return self._sound_at.get(key, 0) > self._reported_sound_at.get(key, 0)
+
+    def _use_trial(self, quarantine: Quarantine) -> bool:
+        trial = (quarantine.label, quarantine.until)
+        if quarantine.label not in self._trials or trial in self._used_trials:
+            return False
+        self._used_trials.add(trial)
+        log(events.TRIAL, quarantine=quarantine.label, failures=quarantine.failures)
+        return True
+
+    async def _confirm(self, backend: Backend) -> None:
+        await self._clock.sleep(COLLECT_S)
+        ended = await self.refuses_connections(backend)
+        requests = tuple(self._lost_requests.pop(backend.instance, ()))
+        if not ended:
+            log(events.CRASH_NOT_CONFIRMED, backend=backend.instance, requests=len(requests))
+            return
+        note = CrashNote(
+            service=backend.service,
+            instance=backend.instance,
+            incarnation=backend.incarnation,
+            requests=requests,
+        )
+        log(
+            events.CRASH_NOTED,
+            backend=backend.instance,
+            service=backend.service,
+            requests=[list(parts) for parts in requests],
+        )
+        self._noted.append((note, self._clock.now()))
+        self._unsent_notes = min(MAX_NOTES, self._unsent_notes + 1)
+        self.on_news()
+
+
+def _ignore() -> None:
+    """Stands in until the entry has a link to the control leader."""
+
+
+def _aged(note: CrashNote, age_s: float) -> CrashNote:
+    return CrashNote(
+        service=note.service,
+        instance=note.instance,
+        incarnation=note.incarnation,
+        requests=note.requests,
+        age_s=round(age_s, 3),
+    )
--- /dev/null
+++ b/geraniumrail/quarantine/quarantine.py
@@ -0,0 +1,38 @@
+"""Prompt parts whose requests are not sent to backend servers."""
+
+from collections.abc import Set
+
+from geraniumrail.core.codec import record
+
+
+@record
+class Quarantine:
+    """Requests of a service that have all of these parts crash their backend servers."""
+
+    service: str
+    parts: tuple[str, ...]  # sorted
+    since: float  # time of day of the last crash, seconds since 1970
+    until: float  # time of day from which one request at a time is sent as a trial
+    failures: int = 1  # the first finding and the failed trials
+
+    @property
+    def label(self) -> str:
+        """Key of the quarantine."""
+        return quarantine_label(self.service, self.parts)
+
+    def covers(self, service: str, parts: Set[str]) -> bool:
+        """Returns whether a request is held back.
+
+        :param service: the service that the request is for.
+        :param parts: shared parts of its prompt.
+        """
+        return service == self.service and parts.issuperset(self.parts)
+
+
+def quarantine_label(service: str, parts: tuple[str, ...]) -> str:
+    """Returns the key of a quarantine.
+
+    :param service: name of the service.
+    :param parts: sorted prompt parts.
+    """
+    return '/'.join((service, *parts))
--- /dev/null
+++ b/geraniumrail/quarantine/sound_part.py
@@ -0,0 +1,12 @@
+"""What an entry tells the control leader of a prompt part that is under suspicion."""
+
+from geraniumrail.core.codec import record
+
+
+@record
+class SoundPart:
+    """An answer to a request with this part has begun, and its backend server went on."""
+
+    service: str
+    part: str
+    age_s: float = 0  # since the answer began, when the note was sent
--- a/geraniumrail/state/apply_operations.py
+++ b/geraniumrail/state/apply_operations.py
@@ -1,10 +1,11 @@
-"""Commands of operations: drains, order numbers and notes of backend servers."""
+"""Commands of operations: drains, order numbers, notes of backend servers and quarantines."""
 
 import itertools
 
 from geraniumrail.state import commands, results
 from geraniumrail.state.apply import apply
 from geraniumrail.state.note_backends import NoteBackends
+from geraniumrail.state.set_quarantines import SetQuarantines
 from geraniumrail.state.tables import OrderEntry, Tables
 
 MAX_ORDERS = 1000  # kept for resends
@@ -48,3 +49,11 @@
         tables.noted_by_instance.pop(instance, None)
     tables.noted_by_instance.update({each.instance: each for each in command.added})
     return results.BackendsNoted(count=len(tables.noted_by_instance))
+
+
+@apply.register
+def _quarantine(command: SetQuarantines, tables: Tables) -> object:
+    for label in command.removed:
+        tables.quarantines_by_label.pop(label, None)
+    tables.quarantines_by_label.update({each.label: each for each in command.added})
+    return results.QuarantinesSet(count=len(tables.quarantines_by_label))
--- a/geraniumrail/state/results.py
+++ b/geraniumrail/state/results.py
@@ -95,3 +95,10 @@
     """How many backend servers are noted."""
 
     count: int
+
+
+@record
+class QuarantinesSet:
+    """How many quarantines are in force."""
+
+    count: int
--- a/geraniumrail/state/tables.py
+++ b/geraniumrail/state/tables.py
@@ -6,6 +6,7 @@
 from geraniumrail.core.codec import record
 from geraniumrail.core.refused import Refused
 from geraniumrail.deployment.deployment import Deployment
+from geraniumrail.quarantine.quarantine import Quarantine
 from geraniumrail.settings.tree import Tree
 from geraniumrail.state.booking import Booking
 from geraniumrail.state.move import Move
@@ -52,6 +53,7 @@
     windows_by_number: dict[int, WindowClosed] = dataclasses.field(default_factory=dict)
     noted_by_instance: dict[str, Backend] = dataclasses.field(default_factory=dict)
     reporting_instances: tuple[str, ...] = ()  # when the last usage window was fixed
+    quarantines_by_label: dict[str, Quarantine] = dataclasses.field(default_factory=dict)
 
     def last_move(self, service: str) -> Move | None:
         """Returns the move of a service that was started last, or None.
@@ -87,6 +89,7 @@
     windows: tuple[WindowClosed, ...] = ()
     noted: tuple[Backend, ...] = ()
     reporting_instances: tuple[str, ...] = ()
+    quarantines: tuple[Quarantine, ...] = ()
 
     @classmethod
     def from_tables(cls, tables: Tables) -> 'TablesImage':
@@ -108,6 +111,7 @@
             windows=tuple(tables.windows_by_number.values()),
             noted=tuple(tables.noted_by_instance.values()),
             reporting_instances=tables.reporting_instances,
+            quarantines=tuple(tables.quarantines_by_label.values()),
         )
 
     def to_tables(self) -> Tables:
@@ -129,4 +133,5 @@
             windows_by_number={each.window: each for each in self.windows},
             noted_by_instance={each.instance: each for each in self.noted},
             reporting_instances=self.reporting_instances,
+            quarantines_by_label={each.label: each for each in self.quarantines},
         )
--- a/geraniumrail/testing/streams.py
+++ b/geraniumrail/testing/streams.py
@@ -19,6 +19,7 @@
 from geraniumrail.errors.backend import ConnectionLostError, NotSentError, StalledError
 from geraniumrail.errors.base import GeraniumrailError
 from geraniumrail.errors.request import OverloadedError
+from geraniumrail.quarantine.part_watch import PartWatch
 from geraniumrail.routing.backend_tracker import BackendTracker
 from geraniumrail.settings.node import Node
 from geraniumrail.settings.tree import Tree
@@ -170,12 +171,17 @@
             Place('entry', 'cheras', 'klang-valley'),
             view,
             Outcomes(view, self.clock),
+            PartWatch(self.clock, self._refuses_connections),
             self.engines,  # type: ignore[arg-type]
             self.clock,
             self.rng,
         )
         self._sequence = 0
 
+    async def _refuses_connections(self, backend: Backend) -> bool:
+        states = {each.instance: each.state for each in self.engines.engines}
+        return states.get(backend.instance) == 'dead'
+
     def announce(self) -> None:
         """Lets the engines that run announce themselves."""
         self._sequence += 1
