Read, log and count the limits that engines name

E0402 and the gauge geraniumrail.limited_backends show each limit from now on; nothing obeys it yet.

--- a/geraniumrail/daemon/gauges.py
+++ b/geraniumrail/daemon/gauges.py
@@ -61,6 +61,13 @@
         backends = view.backends_by_instance.values()
         states = collections.Counter((each.service, each.state) for each in backends)
         self._instruments.backends.replace(states)
+        limited = (
+            view.backends_by_instance.get(instance)
+            for instance in view.knowledge.limits.per_s_by_instance
+        )
+        self._instruments.limited_backends.replace(
+            collections.Counter((each.service,) for each in limited if each is not None)
+        )
         held = entry.forwarder.parts.watch.quarantines
         self._instruments.quarantines.replace(collections.Counter((each.service,) for each in held))
         self._instruments.settings_revision.set(view.tree.revision)
--- a/geraniumrail/forwarding/run_notes.py
+++ b/geraniumrail/forwarding/run_notes.py
@@ -67,14 +67,15 @@
         )
 
     def head(self, attempt: Attempt) -> None:
-        """Takes the load that came with an answer.
+        """Takes what an answer says of its backend server.
 
         :param attempt: the attempt.
         """
+        now = self._parts.clock.now()
+        knowledge = self._parts.view.knowledge
         if attempt.head.load is not None:
-            now = self._parts.clock.now()
-            knowledge = self._parts.view.knowledge
             knowledge.observe_load(attempt.backend.instance, attempt.head.load, now)
+        knowledge.limits.named(attempt.backend, attempt.head.limit_per_s, now)
 
     def first_event(self, backend: Backend, sent_at: float) -> None:
         """Notes the first event of a stream, once.
--- a/geraniumrail/metrics/catalogue.py
+++ b/geraniumrail/metrics/catalogue.py
@@ -98,6 +98,13 @@
         labels=('service', 'state'),
         about='backend servers known to this daemon',
     ),
+    Spec(
+        name='geraniumrail.limited_backends',
+        kind='gauge',
+        unit='{server}',
+        labels=('service',),
+        about='backend servers that have named a limit of the requests that they take',
+    ),
     Spec(
         name='geraniumrail.quarantines',
         kind='gauge',
--- a/geraniumrail/metrics/instruments.py
+++ b/geraniumrail/metrics/instruments.py
@@ -29,6 +29,7 @@
     late_chunks: Counter
     bookings: Counter
     backends: Gauge
+    limited_backends: Gauge
     quarantines: Gauge
     settings_revision: Gauge
     lease_left: Gauge
--- a/geraniumrail/routing/backend_tracker.py
+++ b/geraniumrail/routing/backend_tracker.py
@@ -12,6 +12,7 @@
     UNRESPONSIVE_S,
     BackendView,
 )
+from geraniumrail.routing.engine_limits import EngineLimits
 from geraniumrail.routing.estimate import Estimate
 from geraniumrail.routing.prefill_rate import INITIAL_TOKENS_PER_S, PrefillRate
 from geraniumrail.routing.prefix_hints import PrefixHints
@@ -39,6 +40,7 @@
         self.prefill_rate = PrefillRate(prefill_tokens_per_s)
         self.own_send_weight = own_send_weight
         self.hints = PrefixHints()
+        self.limits = EngineLimits()
         self._views_by_id: dict[str, BackendView] = {}
         self._mean_occupancy: float = 0
         self._mean_tokens: float = 0
--- a/geraniumrail/routing/events.py
+++ b/geraniumrail/routing/events.py
@@ -8,6 +8,11 @@
     'routing.chosen',
     'A backend server was chosen; scores are seconds and the lowest wins.',
 )
+LIMIT_NAMED = Event.define(
+    402,
+    'routing.limit_named',
+    'A backend server named another limit of the requests that it takes, or none any more.',
+)
 
 
 def log_decision(decision: Decision) -> None:
