--- a/geraniumrail/control/entry_session.py
+++ b/geraniumrail/control/entry_session.py
@@ -40,6 +40,7 @@
         self._sent_moves: tuple[Move, ...] | None = None
         self._sent_entries: tuple[EntryInfo, ...] | None = None
         self._sent_hazards: PartHazards | None = None
+        self._sent_rates: dict[str, float] | None = None
 
     def receive_report(self, report: EntryReport) -> None:
         """Records a report, which the next update will answer.
@@ -97,6 +98,7 @@
             members=self._members(known_group),
             wall_error_s=known_group.wall_error_s,
             window_s=known_group.window_s,
+            engine_rates=self._engine_rates(known_group),
             quarantines=changed.quarantines,
             watched=changed.watched,
             trials=changed.trials,
@@ -106,6 +108,12 @@
         self.lacks_backends = False
         return update
 
+    def _engine_rates(self, group: GroupInfo) -> dict[str, float] | None:
+        if group.engine_rates == self._sent_rates:
+            return None
+        self._sent_rates = group.engine_rates
+        return group.engine_rates
+
     def _members(self, group: GroupInfo) -> tuple[str, ...]:
         if group.members == self._sent_members:
             return ()
--- a/geraniumrail/control/publisher.py
+++ b/geraniumrail/control/publisher.py
@@ -10,6 +10,7 @@
 from geraniumrail.control.entry_session import EntrySession
 from geraniumrail.control.group_info import GroupInfo
 from geraniumrail.control.leadership import Leadership
+from geraniumrail.control.limit_board import LimitBoard
 from geraniumrail.control.median_clock import MedianClock
 from geraniumrail.control.part_hazards import PartHazards
 from geraniumrail.control.report_sink import ReportSink
@@ -73,6 +74,7 @@
         self.leases = EntryLeases()
         self.usage_shares = UsageShares()
         self.crash_ledger = CrashLedger()
+        self.limit_board = LimitBoard()
         self.trials_by_entry: dict[str, tuple[str, ...]] = {}
         self.report_sinks: list[ReportSink] = []
         self._machine = machine
@@ -92,6 +94,7 @@
         self.usage_shares = UsageShares()
         self.usage_ledger = UsageLedger()
         self.crash_ledger = CrashLedger()
+        self.limit_board = LimitBoard()
         self.trials_by_entry = {}
         self.median_clock = MedianClock()
         self.leases.reset(self._clock.now())
@@ -122,6 +125,7 @@
         if self.registry.expire(now):
             self.wake_sessions()
         self.registry.refresh_subsets()
+        self.limit_board.expire(self.registry.registered_by_instance.keys(), now)
 
     def wake_sessions(self) -> None:
         """Triggers an update to every entry."""
@@ -201,8 +205,13 @@
             members=self._members(),
             wall_error_s=self.median_clock.error_s(entry, self._clock.wall(), now),
             window_s=self._window_s,
+            engine_rates=self._engine_rates(entry),
         )
 
+    def _engine_rates(self, entry: str) -> dict[str, float]:
+        serving = self.leases.public_entries(self._machine.tables.drains_by_target)
+        return self.limit_board.rates(entry, tuple(info.entry for info in serving))
+
     def _require_term(self, session: EntrySession) -> None:
         # A later leadership has a new registry, of which the entry would get only differences.
         if self._leadership.require_term() != session.term:
@@ -226,10 +235,12 @@
         registry_changed = self.registry.observe(report.announces, now)
         session.receive_report(report)
         crashes_are_news = self._observe_crashes(report, now)
+        limits_changed = self.limit_board.observe(report.limits, now)
         for sink in self.report_sinks:
             sink.observe(report, now)
         lease_changed = previous_lease is None or previous_lease.holds_lease != report.holds_lease
-        if registry_changed or crashes_are_news or state_changed or lease_changed:
+        changes = (registry_changed, crashes_are_news, limits_changed, state_changed, lease_changed)
+        if any(changes):
             self.wake_sessions()
 
     def _observe_crashes(self, report: EntryReport, now: float) -> bool:
--- a/geraniumrail/daemon/gauges.py
+++ b/geraniumrail/daemon/gauges.py
@@ -62,8 +62,7 @@
         states = collections.Counter((each.service, each.state) for each in backends)
         self._instruments.backends.replace(states)
         limited = (
-            view.backends_by_instance.get(instance)
-            for instance in view.knowledge.limits.per_s_by_instance
+            view.backends_by_instance.get(instance) for instance in view.knowledge.limits.limited
         )
         self._instruments.limited_backends.replace(
             collections.Counter((each.service,) for each in limited if each is not None)
--- a/geraniumrail/entry/entry.py
+++ b/geraniumrail/entry/entry.py
@@ -183,6 +183,9 @@
         self._follower.listeners.append(self._updated)
         self._follower.resumed.append(self._watch.requeue_all)
         self._watch.on_news = self._follower.poke
+        limits = self.view.knowledge.limits
+        self._follower.resumed.append(lambda: limits.requeue_all(clock.now()))
+        limits.on_news = self._follower.poke
         self._tasks: list[asyncio.Task[None]] = []
 
     @classmethod
@@ -344,6 +347,9 @@
 
     def _updated(self, update: ControlUpdate) -> None:
         self._outcomes.follow_moves()
+        limits = self.view.knowledge.limits
+        limits.entries = len(self.view.entries)
+        limits.take_allotted(update.engine_rates, self._clock.now())
         self._watch.take(update.quarantines, update.watched, update.trials)
         self._completions.limits.update(update.share)
         self.forwarder.parts.quota.update(update.share, self._clock.now())
--- a/geraniumrail/entry/reporter.py
+++ b/geraniumrail/entry/reporter.py
@@ -62,4 +62,5 @@
             holds_lease=self.view.holds_lease(),
             crashes=crashes,
             sounds=sounds,
+            limits=self.view.knowledge.limits.report(now),
         )
--- a/geraniumrail/forwarding/run.py
+++ b/geraniumrail/forwarding/run.py
@@ -296,7 +296,9 @@
         elif refused and error.fields.get('wrong_instance'):
             self._sent -= 1
             self._parts.view.forget(backend.instance)
-        elif not refused:
+        elif refused:
+            self._notes.head(attempt)
+        else:
             self._may_have_run = True
             self._notes.began(sent_at)
             knowledge.record_failure(backend.instance, now)
@@ -328,7 +330,11 @@
         self, failure: BackendError
     ) -> NotRunError | OutcomeUnknownError | IncompleteAnswerError:
         if not self._may_have_run:
-            retry_after_s = failure.fields.get('retry_after_s') or FULL_RETRY_S
+            view = self._parts.view
+            opens_in_s = view.knowledge.limits.opens_in_s(
+                view.servers(self._admitted.service), self._now()
+            )
+            retry_after_s = failure.fields.get('retry_after_s') or opens_in_s or FULL_RETRY_S
             return NotRunError(
                 reason=str(failure),
                 retry_after_s=spread(float(str(retry_after_s)), self._parts.rng),
--- a/geraniumrail/links/messages.py
+++ b/geraniumrail/links/messages.py
@@ -10,6 +10,7 @@
 from geraniumrail.quarantine.sound_part import SoundPart
 from geraniumrail.rollout.breaker_report import BreakerReport
 from geraniumrail.rollout.outcome_stat import OutcomeStat
+from geraniumrail.routing.named_limit import NamedLimit
 from geraniumrail.settings.node import Node
 from geraniumrail.state.booking import Booking
 from geraniumrail.state.booking_key import BookingKey
@@ -110,6 +111,7 @@
     holds_lease: bool = False  # the entry has taken an update, and may serve
     crashes: tuple[CrashNote, ...] = ()
     sounds: tuple[SoundPart, ...] = ()
+    limits: tuple[NamedLimit, ...] = ()  # that backend servers have named to the entry
 
 
 @record
@@ -139,6 +141,8 @@
     window_s: float = 0  # length of a usage window; 0: usage is not reported
     quarantines: tuple[Quarantine, ...] | None = None  # None: unchanged
     watched: dict[str, tuple[str, ...]] | None = None  # prompt parts by service; None: unchanged
+    # Requests a second that the entry may send, by limited backend server; None: unchanged.
+    engine_rates: dict[str, float] | None = None
     trials: tuple[str, ...] = ()  # quarantines of which the entry may send one request
 
 
--- a/geraniumrail/routing/backend_tracker.py
+++ b/geraniumrail/routing/backend_tracker.py
@@ -98,6 +98,7 @@
         :param now: monotonic seconds.
         """
         self._view(backend_id).record_change(1, tokens, now)
+        self.limits.take(backend_id, now)
         self.hints.record_sent(backend_id, prefixes, now)
 
     def add_pending_prompt_tokens(self, backend_id: str, tokens: float) -> None:
@@ -168,13 +169,13 @@
         self.hints.remove(backend_id)
 
     def is_usable(self, backend: Backend, now: float) -> bool:
-        """Returns whether the backend server is serving and its lease has not expired.
+        """Returns whether the backend server is serving and takes a request from this entry now.
 
         :param backend: an announcement, which may be older than the last one.
         :param now: monotonic seconds.
         """
         view = self._views_by_id.get(backend.instance)
-        if backend.state != 'serving':
+        if backend.state != 'serving' or not self.limits.is_open(backend.instance, now):
             return False
         if view is None or view.backend is None:
             return True
--- a/geraniumrail/routing/rendezvous.py
+++ b/geraniumrail/routing/rendezvous.py
@@ -20,10 +20,15 @@
     if not prefix:
         return ()
     return tuple(
-        heapq.nlargest(PREFERRED_INSTANCES, instances, key=lambda instance: _rank(prefix, instance))
+        heapq.nlargest(PREFERRED_INSTANCES, instances, key=lambda instance: rank(prefix, instance))
     )
 
 
 @functools.lru_cache(maxsize=65536)
-def _rank(prefix: str, instance: str) -> bytes:
-    return hashlib.blake2b(f'{prefix} {instance}'.encode(), digest_size=8).digest()
+def rank(key: str, choice: str) -> bytes:
+    """Returns the weight of a choice for a key; that of other choices does not change with it.
+
+    :param key: what is placed.
+    :param choice: where it may be placed.
+    """
+    return hashlib.blake2b(f'{key} {choice}'.encode(), digest_size=8).digest()
--- a/geraniumrail/testing/followers.py
+++ b/geraniumrail/testing/followers.py
@@ -12,6 +12,7 @@
 from geraniumrail.links.messages import ControlUpdate, EntryInfo, EntryReport
 from geraniumrail.links.report_interval import report_interval_s
 from geraniumrail.quarantine.part_watch import PartWatch
+from geraniumrail.routing.engine_limits import EngineLimits
 from geraniumrail.state.machine import Machine
 from geraniumrail.testing.virtual_loop import LoopClock
 
@@ -82,6 +83,9 @@
         self.name = name
         self.watch = PartWatch(LoopClock(), probe)
         self.watch.on_news = self.poke
+        self.limits = EngineLimits()
+        self.limits.on_news = self.poke
+        self.limits.entries = entries
         self.lease_until: float = 0
         self._leader = leader
         self._interval_s = report_interval_s(entries)
@@ -96,6 +100,7 @@
         while self._leader.term:
             term = self._leader.term
             self.watch.requeue_all()
+            self.limits.requeue_all(LoopClock().now())
             stream = self._leader.publisher.stream_updates(self._reports())
             async with contextlib.aclosing(stream) as updates:
                 async for update in updates:
@@ -110,6 +115,7 @@
         :param update: of the leader.
         """
         self.lease_until = LoopClock().now() + update.lease_s
+        self.limits.take_allotted(update.engine_rates, LoopClock().now())
         self.watch.take(update.quarantines, update.watched, update.trials)
 
     def build(self, sequence: int) -> EntryReport:
@@ -127,7 +133,12 @@
             region='',
         )
         return EntryReport(
-            sequence=sequence, info=info, holds_lease=True, crashes=crashes, sounds=sounds
+            sequence=sequence,
+            info=info,
+            holds_lease=True,
+            crashes=crashes,
+            sounds=sounds,
+            limits=self.limits.report(LoopClock().now()),
         )
 
     async def _reports(self) -> AsyncIterator[EntryReport]:
