--- a/geraniumrail/entry/booking_run.py
+++ b/geraniumrail/entry/booking_run.py
@@ -110,6 +110,9 @@
             answer = await self._send(sent, backend)
         except (NotSentError, RefusedError) as error:
             self._failed(sent, backend)
+            if isinstance(error, RefusedError):
+                pauses = self._view.knowledge.pauses
+                pauses.begin_as_told(backend, error.fields, self._clock.now())
             return await self._release(sent, str(error))
         except BackendError as error:
             self._failed(sent, backend)
--- a/geraniumrail/entry/completion_run.py
+++ b/geraniumrail/entry/completion_run.py
@@ -17,6 +17,7 @@
     ConnectionLostError,
     NoBackendError,
     NotSentError,
+    RefusedError,
     StalledError,
 )
 from geraniumrail.errors.request import IncompleteAnswerError, NotRunError
@@ -219,6 +220,8 @@
         shared = self.shared
         now = shared.clock.now()
         shared.view.knowledge.record_failure(backend.instance, now)
+        if isinstance(error, RefusedError):
+            shared.view.knowledge.pauses.begin_as_told(backend, error.fields, now)
         if isinstance(error, (StalledError, NotSentError)):
             shared.view.knowledge.mark_unresponsive(backend.instance, now)
         self._excluded |= {backend.instance}
--- a/geraniumrail/entry/plain_calls.py
+++ b/geraniumrail/entry/plain_calls.py
@@ -15,7 +15,7 @@
 from geraniumrail.entry.outcomes import Outcomes
 from geraniumrail.entry.plain_call import PlainAnswer, PlainCall
 from geraniumrail.entry.service_headers import content_type_of, request_headers
-from geraniumrail.errors.backend import BackendError, NoBackendError
+from geraniumrail.errors.backend import BackendError, NoBackendError, RefusedError
 from geraniumrail.errors.request import IncompleteAnswerError, NotRunError, UnknownServiceError
 from geraniumrail.fairness.limits import Limits
 from geraniumrail.fairness.organisation_limit import OrganisationLimit
@@ -162,8 +162,11 @@
         parts.view.knowledge.record_sent(backend.instance, 1, (), sent_at)
         try:
             answer = await parts.client.send(backend, sent)
-        except BackendError:
-            parts.view.knowledge.record_failure(backend.instance, parts.clock.now())
+        except BackendError as error:
+            now = parts.clock.now()
+            parts.view.knowledge.record_failure(backend.instance, now)
+            if isinstance(error, RefusedError):
+                parts.view.knowledge.pauses.begin_as_told(backend, error.fields, now)
             self._observe(call, backend, failed=True)
             raise
         finally:
--- a/geraniumrail/forwarding/run.py
+++ b/geraniumrail/forwarding/run.py
@@ -331,7 +331,7 @@
     ) -> NotRunError | OutcomeUnknownError | IncompleteAnswerError:
         if not self._may_have_run:
             view = self._parts.view
-            opens_in_s = view.knowledge.limits.opens_in_s(
+            opens_in_s = view.knowledge.opens_in_s(
                 view.servers(self._admitted.service), self._now()
             )
             retry_after_s = failure.fields.get('retry_after_s') or opens_in_s or FULL_RETRY_S
--- a/geraniumrail/forwarding/run_notes.py
+++ b/geraniumrail/forwarding/run_notes.py
@@ -9,6 +9,8 @@
 from geraniumrail.forwarding.parts import Parts
 from geraniumrail.quarantine.part_watch import PROOF_S
 
+UNAVAILABLE = 503
+
 
 class RunNotes:
     """Bookkeeping of one request; nothing here decides what becomes of it."""
@@ -75,6 +77,9 @@
         knowledge = self._parts.view.knowledge
         if attempt.head.load is not None:
             knowledge.observe_load(attempt.backend.instance, attempt.head.load, now)
+        pause_s = attempt.head.retry_after_s
+        if attempt.status == UNAVAILABLE and pause_s is not None and pause_s > 0:
+            knowledge.pauses.begin(attempt.backend, pause_s, now)
         knowledge.limits.named(attempt.backend, attempt.head.limit_per_s, now)
 
     def first_event(self, backend: Backend, sent_at: float) -> None:
--- a/geraniumrail/routing/backend_tracker.py
+++ b/geraniumrail/routing/backend_tracker.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import math
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 
 from geraniumrail.core.backend import Backend
 from geraniumrail.core.load_report import LoadReport
@@ -13,6 +13,7 @@
     BackendView,
 )
 from geraniumrail.routing.engine_limits import EngineLimits
+from geraniumrail.routing.engine_pauses import EnginePauses
 from geraniumrail.routing.estimate import Estimate
 from geraniumrail.routing.prefill_rate import INITIAL_TOKENS_PER_S, PrefillRate
 from geraniumrail.routing.prefix_hints import PrefixHints
@@ -41,6 +42,7 @@
         self.own_send_weight = own_send_weight
         self.hints = PrefixHints()
         self.limits = EngineLimits()
+        self.pauses = EnginePauses()
         self._views_by_id: dict[str, BackendView] = {}
         self._mean_occupancy: float = 0
         self._mean_tokens: float = 0
@@ -175,7 +177,10 @@
         :param now: monotonic seconds.
         """
         view = self._views_by_id.get(backend.instance)
-        if backend.state != 'serving' or not self.limits.is_open(backend.instance, now):
+        is_open = self.limits.is_open(backend.instance, now) and not self.pauses.left_s(
+            backend, now
+        )
+        if backend.state != 'serving' or not is_open:
             return False
         if view is None or view.backend is None:
             return True
@@ -211,6 +216,21 @@
             penalty_s=view.penalty_s(now),
         )
 
+    def opens_in_s(self, backends: Iterable[Backend], now: float) -> float:
+        """Returns the seconds until one of some backend servers takes a request from this entry.
+
+        :param backends: those that may be chosen.
+        :param now: monotonic seconds.
+        """
+        return min(
+            (
+                max(self.limits.opens_in_s(each.instance, now), self.pauses.left_s(each, now))
+                for each in backends
+                if each.state == 'serving'
+            ),
+            default=0,
+        )
+
     def last_report(self, backend: Backend) -> LoadReport:
         """Returns the last report, not weighted by its age.
 
--- a/geraniumrail/routing/engine_limits.py
+++ b/geraniumrail/routing/engine_limits.py
@@ -1,7 +1,7 @@
 """The requests a second that backend servers say they take, as one entry knows and obeys them."""
 
 import dataclasses
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 from geraniumrail.core.backend import Backend
 from geraniumrail.core.events import log
@@ -107,14 +107,17 @@
             bucket.fill(now)
             bucket.saved -= 1
 
-    def opens_in_s(self, backends: Iterable[Backend], now: float) -> float:
-        """Returns the seconds until one of some backend servers takes a request.
+    def opens_in_s(self, instance: str, now: float) -> float:
+        """Returns the seconds until a backend server takes a request from this entry.
 
-        :param backends: those that may be chosen.
+        :param instance: the backend server.
         :param now: monotonic seconds.
         """
-        serving = (backend.instance for backend in backends if backend.state == 'serving')
-        return min((self._opens_in_s(instance, now) for instance in serving), default=0)
+        bucket = self._buckets_by_instance.get(instance)
+        if bucket is None:
+            return 0
+        missing = max(0, 1 - bucket.fill(now))
+        return missing / bucket.per_s if bucket.per_s > 0 else MEMORY_S
 
     def report(self, now: float) -> tuple[NamedLimit, ...]:
         """Returns what the control leader has not been told.
@@ -138,13 +141,6 @@
         }
         self._unsent = dict.fromkeys(self._said_by_instance)
 
-    def _opens_in_s(self, instance: str, now: float) -> float:
-        bucket = self._buckets_by_instance.get(instance)
-        if bucket is None:
-            return 0
-        missing = max(0, 1 - bucket.fill(now))
-        return missing / bucket.per_s if bucket.per_s > 0 else MEMORY_S
-
     def _set_rates(self, now: float) -> None:
         rates = {
             limit.instance: limit.per_s / max(1, self.entries)
--- a/geraniumrail/routing/events.py
+++ b/geraniumrail/routing/events.py
@@ -13,6 +13,11 @@
     'routing.limit_named',
     'A backend server named another limit of the requests that it takes, or none any more.',
 )
+PAUSED = Event.define(
+    403,
+    'routing.paused',
+    'A backend server refused a request and wants nothing from this entry for a time.',
+)
 
 
 def log_decision(decision: Decision) -> None:
