Send no new work to an engine that says in an answer that it leaves (DRAIN)

An engine that leaves says so in all its answers, before its announcement or without one. Only the announcements were read: in engine_leaving_test four of six requests still reached the engine that had said it leaves, and a refusal that said so was followed by three more.

The entry remembers the incarnation that said so and chooses it no more, also when a later announcement calls it serving; a new process under the same id gets work again. What has begun there is finished there, and its loss is counted as announced.

--- a/geraniumrail/forwarding/dialect.py
+++ b/geraniumrail/forwarding/dialect.py
@@ -31,6 +31,7 @@
     load: LoadReport | None = None
     idle_s: float | None = None  # how long the connection may stay idle
     retry_after_s: float | None = None
+    leaving: bool = False  # it ends soon and wants no new work
     limit_per_s: float | None = None  # requests that it takes from all entries together
 
 
--- a/geraniumrail/forwarding/run_notes.py
+++ b/geraniumrail/forwarding/run_notes.py
@@ -80,6 +80,8 @@
         pause_s = attempt.head.retry_after_s
         if attempt.status == UNAVAILABLE and pause_s is not None and pause_s > 0:
             knowledge.pauses.begin(attempt.backend, pause_s, now)
+        if attempt.head.leaving:
+            knowledge.mark_leaving(attempt.backend)
         knowledge.limits.named(attempt.backend, attempt.head.limit_per_s, now)
 
     def first_event(self, backend: Backend, sent_at: float) -> None:
@@ -176,7 +178,9 @@
         :param backend: the backend server.
         """
         known = self._parts.view.backends_by_instance.get(backend.instance)
-        return known is None or known.state == 'leaving'
+        if known is None or known.state == 'leaving':
+            return True
+        return self._parts.view.knowledge.is_leaving(backend)
 
     def log_end(self, attempt: Attempt, attempts: int, streamed: int) -> None:
         """Writes the line of a request that was answered by a backend server.
--- a/geraniumrail/forwarding/testing.py
+++ b/geraniumrail/forwarding/testing.py
@@ -79,6 +79,7 @@
             did_not_run='X-Not-Run' in headers,
             wrong_instance=status == 421,
             sealed='X-Sealed' in headers,
+            leaving='X-Leaving' in headers,
             retry_after_s=float(headers['Retry-After']) if 'Retry-After' in headers else None,
             limit_per_s=float(headers['X-Limit']) if 'X-Limit' in headers else None,
         )
--- a/geraniumrail/routing/backend_tracker.py
+++ b/geraniumrail/routing/backend_tracker.py
@@ -5,7 +5,9 @@
 from collections.abc import Iterable, Iterator, Sequence
 
 from geraniumrail.core.backend import Backend
+from geraniumrail.core.events import log
 from geraniumrail.core.load_report import LoadReport
+from geraniumrail.routing import events
 from geraniumrail.routing.backend_view import (
     MIN_TOKENS_PER_S,
     REPORT_DECAY_S,
@@ -21,6 +23,7 @@
 # Until the next report the other entries choose the same idle engine, so each own request counts
 # three times; counting it once is worse with both 4 and 40 entries.
 OWN_SEND_WEIGHT = 3.0
+MAX_LEAVING = 1024  # backend servers that are remembered; their processes end within a minute
 _MEAN_SMOOTHING = 0.05  # weight of a report in the moving averages
 
 
@@ -43,6 +46,7 @@
         self.hints = PrefixHints()
         self.limits = EngineLimits()
         self.pauses = EnginePauses()
+        self._leaving_by_instance: dict[str, int] = {}  # incarnation that said so
         self._views_by_id: dict[str, BackendView] = {}
         self._mean_occupancy: float = 0
         self._mean_tokens: float = 0
@@ -161,6 +165,27 @@
         view = self._views_by_id.get(backend_id)
         return view is not None and now < view.unresponsive_until
 
+    def mark_leaving(self, backend: Backend) -> None:
+        """Records that a backend server said in an answer that it leaves.
+
+        Its announcements may say so later, or never.
+
+        :param backend: the backend server.
+        """
+        if not self.is_leaving(backend):
+            log(events.LEAVING_NAMED, backend=backend.instance, service=backend.service)
+            self._leaving_by_instance[backend.instance] = backend.incarnation
+        while len(self._leaving_by_instance) > MAX_LEAVING:
+            self._leaving_by_instance.pop(next(iter(self._leaving_by_instance)))
+
+    def is_leaving(self, backend: Backend) -> bool:
+        """Returns whether a backend server has said in an answer that it leaves.
+
+        :param backend: the backend server; a later incarnation has said nothing.
+        """
+        said = self._leaving_by_instance.get(backend.instance)
+        return said is not None and backend.incarnation <= said
+
     def remove(self, backend_id: str) -> None:
         """Removes all data of a backend server.
 
@@ -180,7 +205,7 @@
         is_open = self.limits.is_open(backend.instance, now) and not self.pauses.left_s(
             backend, now
         )
-        if backend.state != 'serving' or not is_open:
+        if backend.state != 'serving' or not is_open or self.is_leaving(backend):
             return False
         if view is None or view.backend is None:
             return True
--- a/geraniumrail/routing/events.py
+++ b/geraniumrail/routing/events.py
@@ -18,6 +18,11 @@
     'routing.paused',
     'A backend server refused a request and wants nothing from this entry for a time.',
 )
+LEAVING_NAMED = Event.define(
+    404,
+    'routing.leaving_named',
+    'A backend server said in an answer that it leaves; this entry sends it no new work.',
+)
 
 
 def log_decision(decision: Decision) -> None:
