Give up a call of a plain service that has lost two servers

After two lost servers of which the last refuses connections it is given up.

A call that finds no server after a lost attempt is told that its answer is incomplete; it was told that it had not run.

--- a/geraniumrail/entry/entry.py
+++ b/geraniumrail/entry/entry.py
@@ -122,6 +122,7 @@
             limits=self._completions.limits,
             retries=self._completions.retries,
             client=service_client,
+            refuses_connections=refuses_connections,
             clock=clock,
             rng=rng,
         )
--- a/geraniumrail/entry/plain_calls.py
+++ b/geraniumrail/entry/plain_calls.py
@@ -2,7 +2,9 @@
 
 import dataclasses
 import hashlib
+import itertools
 import random
+from collections.abc import Awaitable, Callable
 
 from geraniumrail.backends.service_answer import ServiceAnswer
 from geraniumrail.backends.service_call import ServiceCall
@@ -15,7 +17,12 @@
 from geraniumrail.entry.outcomes import Outcomes
 from geraniumrail.entry.plain_call import PlainAnswer, PlainCall
 from geraniumrail.entry.service_headers import content_type_of, request_headers
-from geraniumrail.errors.backend import BackendError, NoBackendError, RefusedError
+from geraniumrail.errors.backend import (
+    BackendError,
+    ConnectionLostError,
+    NoBackendError,
+    RefusedError,
+)
 from geraniumrail.errors.request import IncompleteAnswerError, NotRunError, UnknownServiceError
 from geraniumrail.fairness.limits import Limits
 from geraniumrail.fairness.organisation_limit import OrganisationLimit
@@ -29,6 +36,8 @@
 
 SAFE_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS'))
 SERVER_ERROR = 500
+# A call that has lost so many backend servers may be what ends them.
+MAX_LOST = 2
 
 
 @dataclasses.dataclass(frozen=True)
@@ -40,6 +49,7 @@
     limits: Limits
     retries: RetryBudget
     client: ServiceClient
+    refuses_connections: Callable[[Backend], Awaitable[bool]]
     clock: Clock
     rng: random.Random
 
@@ -121,16 +131,17 @@
         parts.retries.record_request(call.service, settings.retry_budget, parts.clock.now())
         excluded: frozenset[str] = frozenset()
         draw = parts.rng.random()
-        attempt = 0
-        while True:
-            attempt += 1
-            backend = self._choose(call, excluded, draw)
+        lost = 0
+        failure: BackendError | None = None
+        for attempt in itertools.count(1):
+            backend = self._choose(call, excluded, draw, failure)
             try:
                 answer = await self._attempt(call, backend, end, attempt)
             except BackendError as error:
+                failure = error
                 excluded |= {backend.instance}
-                if not parts.retries.take_retry(call.service, parts.clock.now()):
-                    raise IncompleteAnswerError(reason=f'{error}; retry budget used up') from error
+                lost += isinstance(error, ConnectionLostError)
+                await self._check_retry(call, backend, error, lost)
                 await parts.clock.sleep(retry_delay_s(attempt, parts.rng))
                 if parts.clock.now() >= end:
                     raise IncompleteAnswerError(reason=str(error)) from error
@@ -141,6 +152,19 @@
                 body=answer.body,
             )
 
+    async def _check_retry(
+        self, call: PlainCall, backend: Backend, error: BackendError, lost: int
+    ) -> None:
+        """Checks that a call may be sent once more.
+
+        :raises IncompleteAnswerError: if it may not.
+        """
+        parts = self._parts
+        if lost >= MAX_LOST and await parts.refuses_connections(backend):
+            raise IncompleteAnswerError(reason=str(error)) from error
+        if not parts.retries.take_retry(call.service, parts.clock.now()):
+            raise IncompleteAnswerError(reason=f'{error}; retry budget used up') from error
+
     async def _attempt(
         self,
         call: PlainCall,
@@ -191,7 +215,13 @@
             elapsed_s,
         )
 
-    def _choose(self, call: PlainCall, excluded: frozenset[str], draw: float) -> Backend:
+    def _choose(
+        self,
+        call: PlainCall,
+        excluded: frozenset[str],
+        draw: float,
+        failure: BackendError | None,
+    ) -> Backend:
         parts = self._parts
         candidates = parts.view.candidates(call.service)
         if all(backend.instance in excluded for backend in candidates):
@@ -214,6 +244,8 @@
                 parts.clock.now(),
             )
         except NoBackendError as error:
+            if failure is not None:
+                raise IncompleteAnswerError(reason=str(failure)) from error
             raise NotRunError(reason=str(error)) from error
         log_decision(decision)
         return decision.backend
--- /dev/null
+++ b/geraniumrail/entry/plain_calls_test.py
@@ -0,0 +1,99 @@
+"""Guards repeatable calls of plain services: what they may end, and what their callers are told."""
+
+import logging
+import random
+import unittest
+
+from geraniumrail.core.backend import Backend
+from geraniumrail.core.manual_clock import ManualClock
+from geraniumrail.entry.cluster_view import ClusterView
+from geraniumrail.entry.outcomes import Outcomes
+from geraniumrail.entry.plain_call import PlainCall
+from geraniumrail.entry.plain_calls import PlainCalls, PlainParts
+from geraniumrail.errors.backend import ConnectionLostError
+from geraniumrail.errors.request import IncompleteAnswerError
+from geraniumrail.fairness.limits import Limits
+from geraniumrail.fairness.retry_budget import RetryBudget
+from geraniumrail.routing.backend_tracker import BackendTracker
+
+SERVICE = 'repair-desk'
+SERVERS = 6
+MOST_SERVERS = 2  # that one call may end
+CALL = PlainCall(
+    request_id='r1',
+    organisation='salon-a',
+    service=SERVICE,
+    method='GET',
+    path='/jobs/1',
+    route='jobs',
+)
+
+
+class NoWaitClock(ManualClock):
+    """Sleeping takes no time of the test."""
+
+    async def sleep(self, seconds):
+        self._now += seconds
+
+
+class PlainCallsTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+        self.sent = []
+
+    async def send(self, backend, call):
+        """Takes the place of the client: the server ends."""
+        self.sent.append(backend.instance)
+        raise ConnectionLostError(backend=backend.instance, reason='reset')
+
+    async def call(self, servers, *, ended=True):
+        """Sends one call to servers that end on it."""
+        clock = NoWaitClock()
+        view = ClusterView(clock, BackendTracker())
+        view.observe(
+            Backend(
+                instance=f's-{number}',
+                service=SERVICE,
+                address='127.0.0.1:1',
+                data_centre='',
+                region='',
+                version='v1',
+                lease_s=600,
+            )
+            for number in range(servers)
+        )
+        retries = RetryBudget()
+        for _ in range(SERVERS * 2):
+            retries.record_request(SERVICE, 1, clock.now())
+
+        async def refuses_connections(backend):
+            return ended
+
+        parts = PlainParts(
+            view=view,
+            outcomes=Outcomes(view, clock),
+            limits=Limits(),
+            retries=retries,
+            client=self,
+            refuses_connections=refuses_connections,
+            clock=clock,
+            rng=random.Random(1),
+        )
+        await PlainCalls(parts, None, '', '').call(CALL)
+
+    async def test_call_does_not_end_one_server_after_the_other(self):
+        """A call whose server was lost was sent to the next one, and then to all of them again."""
+        with self.assertRaises(IncompleteAnswerError):
+            await self.call(SERVERS)
+        self.assertEqual(len(self.sent), MOST_SERVERS)
+
+    async def test_lost_answers_are_asked_for_again(self):
+        """Pattern: the connections are lost, and the servers go on."""
+        with self.assertRaises(IncompleteAnswerError):
+            await self.call(SERVERS, ended=False)
+        self.assertGreater(len(self.sent), MOST_SERVERS)
+
+
+if __name__ == '__main__':
+    unittest.main()
