review: case 2 needs a planned restart of the leader only

Cause: a power loss of the leader beside the late heartbeat made two disruptions of one. Change: the leader is stopped and started as planned; the heartbeat alone is out of the ordinary.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,8 +1,12 @@
-"""A backend server that has deregistered comes back by a late heartbeat to a new control leader."""
+"""A backend server that has deregistered comes back by a late heartbeat to a new control leader.
+
+The leader is restarted as planned (SIGTERM) in between.
+"""
 
 import asyncio
 import json
 import pathlib
+import signal
 import sys
 
 HERE = pathlib.Path(__file__).resolve().parent
@@ -14,8 +18,8 @@
 DRAIN_S = harness.BOUNDS['drainMs'] / 1000
 CONTACT_S = harness.BOUNDS['contactMs'] / 1000
 LATE_S = 4.0  # "A heartbeat may arrive seconds late"
-DOWN_S = 7.0  # as the longest power loss of a core machine in the users' site files
-SERVES_ON_S = 9.0  # "a little longer (at times many seconds)"
+RESTART_S = 0.5  # "restarted after a short delay"
+SERVES_ON_S = 10.0  # "a little longer (at times many seconds)"
 INTERVAL_S = 0.05
 
 
@@ -42,23 +46,26 @@
     await asyncio.sleep(0.3)
     gone_at = await leaver.leave()
     await asyncio.sleep(0.5)
-    lost_at = record.now()
-    if trouble:
-        record.note(f'{leader.name} loses power')
-        leader.kill()
-    await asyncio.sleep(DOWN_S)
     if trouble:
-        record.note(f'{leader.name} is back')
+        record.note(f'{leader.name} gets SIGTERM')
+        leader.send(signal.SIGTERM)
+        while leader.exit_code() is None:  # noqa: ASYNC110
+            await asyncio.sleep(0.02)
+        record.note(f'{leader.name} has ended')
+        await asyncio.sleep(RESTART_S)
         leader.start()
+        record.note(f'{leader.name} is started')
+    restarted_at = record.now()
     await asyncio.sleep(max(0.0, gone_at + SERVES_ON_S - record.now()))
+    ended_at = record.now()
     stop.set()
     await asyncio.gather(*clients)
     if late is not None and not await late:
         raise harness.CaseError('the late heartbeat was not answered')
     for backend in backends:
         await backend.stop()
-    # The core is stable again some time after the loss, and until the lost machine is back.
-    first, last = max(gone_at + DRAIN_S, lost_at + CONTACT_S), lost_at + DOWN_S
+    # The core is stable again some time after the start of the process; nothing else is disturbed.
+    first, last = max(gone_at + DRAIN_S, restarted_at + CONTACT_S), ended_at
     after = [at for at, _ in leaver.runs if first < at < last]
     total = sum(first < at < last for backend in backends for at, _ in backend.runs)
     text = f'from {first:.3f} to {last:.3f}: {len(after)} of {total} requests ran there'
