--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -114,6 +114,7 @@
         self.ip = ip
         self.settings = settings
         self._folder = folder
+        self._path = folder / f'{name}.yaml'
         self._command = _command(role)
         self._process: subprocess.Popen | None = None
 
@@ -122,15 +123,18 @@
         assert self._process is not None
         return self._process.pid
 
+    def change_settings(self, changed: dict) -> None:
+        self.settings = {**self.settings, **changed}
+        self._path.write_text(json.dumps(self.settings), encoding='utf-8')  # JSON is YAML
+
     def start(self) -> None:
-        path = self._folder / f'{self.name}.yaml'
-        path.write_text(json.dumps(self.settings), encoding='utf-8')  # JSON is YAML
+        self.change_settings({})
         kept = {key: os.environ[key] for key in ('PATH', 'HOME', 'LANG') if key in os.environ}
         environment = {
             **kept,
             'PYTHONPATH': str(ROOT / 'target' / 'deps'),
             'PYTHONDONTWRITEBYTECODE': '1',
-            'GERANIUMRAIL_SETTINGS': str(path),
+            'GERANIUMRAIL_SETTINGS': str(self._path),
         }
         with (self._folder / f'{self.name}.out').open('ab') as output:
             self._process = subprocess.Popen(
