--- a/review/1/case.py
+++ b/review/1/case.py
@@ -11,7 +11,7 @@
 import sys
 
 HERE = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent / 'lib'))
+sys.path.insert(0, str(HERE.parent))
 
 import harness  # noqa: E402
 
--- a/review/lib/harness.py
+++ b/review/harness.py
@@ -22,7 +22,7 @@
 import tomllib
 from collections.abc import Awaitable, Callable
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+ROOT = pathlib.Path(__file__).resolve().parent.parent
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 HEARTBEAT_S = 1.2
 ANSWER_LIMIT_S = 1.0  # a call of a backend server or of the operator goes elsewhere after it
