Ignore late heartbeats of engines that deregistered after their lease (DRAIN)

Cause: while an engine is cut off its lease in the registry ends. A deregistration names no start and meant the registered one; with none registered it was stored as incarnation 0, and every heartbeat is later than that. Evidence: E1421 incarnation=0 current_incarnation=null, then E1402 at the heartbeat that the cut had held up.

Change: such a deregistration concerns every start before the agreed time of day of its receipt; `born` is the time of a start, so a later start is taken at once. Entries are told of the departure also if the leader has never heard of the engine, since they may know it from an earlier leader.

--- a/geraniumrail/control/backend_registry.py
+++ b/geraniumrail/control/backend_registry.py
@@ -25,6 +25,7 @@
 UINT64_MASK = (1 << 64) - 1
 _Subset = tuple[int, frozenset[str]]  # subset epoch when it was computed, instances
 UNRENEWED_LEASE_S = 86_400.0
+MS_PER_S = 1000
 # Longer than the delay of any announcement in transit.
 WITHDRAWAL_RETENTION_S = 60.0
 
@@ -107,18 +108,20 @@
         self._limit_departures()
         return bool(expired)
 
-    def withdraw(self, instance: str, incarnation: int, now: float) -> bool:
+    def withdraw(self, instance: str, incarnation: int, now: float, wall: float) -> bool:
         """Removes a backend server that leaves, and ignores its late announcements.
 
         :param instance: the backend server.
-        :param incarnation: its incarnation, or 0 if it is unknown; announcements of a later one are
-            accepted again.
+        :param incarnation: its incarnation, or 0 if it is unknown: then the registered one or, if
+            there is none, any that started before now. Announcements of a later one are accepted.
         :param now: monotonic seconds.
-        :returns: whether it was registered.
+        :param wall: agreed time of day in seconds since 1970.
+        :returns: whether entries have to be told.
         """
         registered = self.registered_by_instance.get(instance)
-        if registered is not None and not incarnation:
-            incarnation = registered.backend.incarnation
+        if not incarnation:
+            started_before = int(wall * MS_PER_S)
+            incarnation = started_before if registered is None else registered.backend.incarnation
         log(
             events.BACKEND_WITHDRAWN,
             instance=instance,
@@ -129,7 +132,10 @@
             return False
         self._withdrawn_by_instance[instance] = (incarnation, now + WITHDRAWAL_RETENTION_S)
         if registered is None:
-            return False
+            # Entries may know it from an earlier leader.
+            self.version += 1
+            self._departures_by_instance[instance] = self.version
+            return True
         self._remove(instance)
         return True
 
@@ -180,7 +186,7 @@
             if registered is not None
             and registered.member_version <= known_version < registered.load_version
         )
-        gone = () if full else tuple(self._departures_since(known_version))
+        gone = tuple(self._departures_since(known_version))
         return RegistryDifference(self.version, full, backends, loads, gone)
 
     def _gets_load(self, backend: Backend, subset: frozenset[str]) -> bool:
--- a/geraniumrail/control/publisher.py
+++ b/geraniumrail/control/publisher.py
@@ -113,7 +113,9 @@
         :param instance: the backend server.
         :param incarnation: its incarnation.
         """
-        if self.registry.withdraw(instance, incarnation, self._clock.now()):
+        now = self._clock.now()
+        wall = self.median_clock.wall(self._clock.wall(), now)
+        if self.registry.withdraw(instance, incarnation, now, wall):
             self.wake_sessions()
 
     def tick(self) -> None:
--- a/geraniumrail/core/backend.py
+++ b/geraniumrail/core/backend.py
@@ -21,7 +21,7 @@
     state: str = 'serving'  # serving | leaving
     lease_s: float = 6
     sequence: int = 0  # grows with each announcement of this incarnation
-    incarnation: int = 0  # grows with each start of the instance
+    incarnation: int = 0  # Unix milliseconds of the start; 0: not known
     load: LoadReport = LoadReport()
     load_known: bool = True  # False: relayed without load to an entry that does not use it
     cache_events: tuple[CacheEvent, ...] = ()
