--- a/geraniumrail/control/access.py
+++ b/geraniumrail/control/access.py
@@ -100,10 +100,12 @@
 
     async def _announce(self, request: Announce) -> Accepted:
         self._control.publisher.receive_announcement(request.backend)
+        if request.backend.state == 'leaving':
+            await self._control.departures.record_leaving(request.backend)
         return Accepted()
 
     async def _withdraw(self, request: Withdraw) -> Accepted:
-        self._control.publisher.receive_withdrawal(request.instance, request.incarnation)
+        await self._control.departures.withdraw(request.instance, request.incarnation)
         return Accepted()
 
     async def _read_deployment(self, request: ReadDeployment) -> DeploymentNow:
--- a/geraniumrail/control/backend_notes.py
+++ b/geraniumrail/control/backend_notes.py
@@ -60,8 +60,8 @@
         all_announced = self._control.now() - self._leader_since >= ANNOUNCEMENT_WAIT_S
         removed = [
             instance
-            for instance in noted
-            if instance not in serving and (all_announced or registry.has_left(instance))
+            for instance, note in noted.items()
+            if instance not in serving and (all_announced or registry.has_left(note))
         ]
         if not added and not removed:
             return None
--- a/geraniumrail/control/backend_notes_test.py
+++ b/geraniumrail/control/backend_notes_test.py
@@ -5,6 +5,7 @@
 import unittest
 
 from geraniumrail.control.backend_notes import ANNOUNCEMENT_WAIT_S, BackendNotes
+from geraniumrail.control.departures import Departures
 from geraniumrail.control.publisher import NOTES_DURATION_S, Publisher
 from geraniumrail.control.publisher_test import FakeLeadership
 from geraniumrail.core import codec
@@ -42,6 +43,7 @@
         leadership = FakeLeadership(lambda: 1)
         self.publisher = Publisher(machine, leadership, clock)
         self.publisher.became_leader(1)
+        self.departures = Departures(machine, self.publisher, self.proposer, clock.wall)
         self.notes = BackendNotes(self)
 
     def now(self):
@@ -101,11 +103,11 @@
 
     async def test_leaving_engine_is_removed_from_the_notes(self):
         self.leader.publisher.receive_announcement(engine('a', sequence=6, state='leaving'))
-        self.leader.publisher.receive_withdrawal('b', 0)
+        await self.leader.departures.withdraw('b', 0)
         await self.leader.run_notes()
         self.assertEqual(self.machine.tables.noted_by_instance, {})
         self.restart()
-        self.leader.publisher.receive_withdrawal('a', 0)
+        await self.leader.departures.withdraw('a', 0)
         self.assertEqual(await self.noted_names(), set())
 
     async def test_notes_are_removed_after_the_announcements(self):
--- a/geraniumrail/control/backend_registry.py
+++ b/geraniumrail/control/backend_registry.py
@@ -5,10 +5,11 @@
 import functools
 import hashlib
 import itertools
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Mapping
 
 from geraniumrail.control import events
 from geraniumrail.core.backend import Backend
+from geraniumrail.core.departure import Departure
 from geraniumrail.core.events import log
 from geraniumrail.core.load_report import LoadReport
 from geraniumrail.core.load_row import LoadRow
@@ -25,9 +26,6 @@
 UINT64_MASK = (1 << 64) - 1
 _Subset = tuple[int, frozenset[str]]  # subset epoch when it was computed, instances
 UNRENEWED_LEASE_S = 86_400.0
-MS_PER_S = 1000
-# Longer than the delay of any announcement in transit.
-WITHDRAWAL_RETENTION_S = 60.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -39,6 +37,7 @@
     member_version: int  # registry version of the last change other than load
     load_version: int
     load_row: LoadRow
+    leaving_from: int | None  # sequence since which it leaves; None: it serves
 
 
 @dataclasses.dataclass(frozen=True)
@@ -57,14 +56,19 @@
 
     Invariant: `registered_by_instance` is ordered by `member_version` and the departures by
     version, so that the cost of a difference grows with its length, not with the number of backend
-    servers.
+    servers. No registered announcement is covered by a recorded departure.
     """
 
-    def __init__(self, first_version: int = 0) -> None:
+    def __init__(
+        self,
+        first_version: int = 0,
+        departures: Callable[[], Mapping[str, Departure]] = dict,
+    ) -> None:
         """Starts empty.
 
         :param first_version: above all versions of earlier registries, so that an entry with one of
             those gets the whole registry.
+        :param departures: returns the recorded departures by instance.
         """
         self.version = first_version
         self.registered_by_instance: dict[str, RegisteredBackend] = {}
@@ -75,8 +79,7 @@
         self._size_by_group: collections.Counter[tuple[str, str]] = collections.Counter()
         self._changes_in_epoch = 0
         self._subsets_by_entry: dict[str, _Subset] = {}
-        # Incarnation that has left, and the time until which its late announcements are ignored.
-        self._withdrawn_by_instance: dict[str, tuple[int, float]] = {}
+        self._departures = departures
 
     def observe(self, backends: Iterable[Backend], now: float) -> bool:
         """Merges announcements; the highest sequence of an instance wins.
@@ -100,53 +103,37 @@
         ]
         for instance in expired:
             self._remove(instance)
-        self._withdrawn_by_instance = {
-            name: withdrawal
-            for name, withdrawal in self._withdrawn_by_instance.items()
-            if withdrawal[1] >= now
-        }
         self._limit_departures()
         return bool(expired)
 
-    def withdraw(self, instance: str, incarnation: int, now: float, wall: float) -> bool:
-        """Removes a backend server that leaves, and ignores its late announcements.
+    def remove_departed(self, departures: Iterable[Departure]) -> bool:
+        """Removes the backend servers that have left.
 
-        :param instance: the backend server.
-        :param incarnation: its incarnation, or 0 if it is unknown: then the registered one or, if
-            there is none, any that started before now. Announcements of a later one are accepted.
-        :param now: monotonic seconds.
-        :param wall: agreed time of day in seconds since 1970.
-        :returns: whether entries have to be told.
+        :param departures: departures that were recorded.
+        :returns: whether any was registered.
         """
-        registered = self.registered_by_instance.get(instance)
-        if not incarnation:
-            started_before = int(wall * MS_PER_S)
-            incarnation = started_before if registered is None else registered.backend.incarnation
-        log(
-            events.BACKEND_WITHDRAWN,
-            instance=instance,
-            incarnation=incarnation,
-            current_incarnation=None if registered is None else registered.backend.incarnation,
-        )
-        if registered is not None and registered.backend.incarnation > incarnation:
-            return False
-        self._withdrawn_by_instance[instance] = (incarnation, now + WITHDRAWAL_RETENTION_S)
-        if registered is None:
-            # Entries may know it from an earlier leader.
-            self.version += 1
-            self._departures_by_instance[instance] = self.version
-            return True
-        self._remove(instance)
-        return True
-
-    def has_left(self, instance: str) -> bool:
+        departed = [
+            departure.instance
+            for departure in departures
+            if (registered := self.registered_by_instance.get(departure.instance)) is not None
+            and departure.covers(registered.backend)
+        ]
+        for instance in departed:
+            self._remove(instance)
+        return bool(departed)
+
+    def has_left(self, backend: Backend) -> bool:
         """Returns whether a backend server has announced that it leaves, or has left.
 
-        :param instance: the backend server.
+        :param backend: an earlier announcement of it.
         """
-        registered = self.registered_by_instance.get(instance)
-        leaves = registered is not None and registered.backend.state != 'serving'
-        return leaves or instance in self._withdrawn_by_instance
+        registered = self.registered_by_instance.get(backend.instance)
+        leaves = registered is not None and registered.leaving_from is not None
+        return leaves or self._is_outdated(backend)
+
+    def _is_outdated(self, backend: Backend) -> bool:
+        departure = self._departures().get(backend.instance)
+        return departure is not None and departure.covers(backend)
 
     def _remove(self, instance: str) -> None:
         self.version += 1
@@ -186,7 +173,7 @@
             if registered is not None
             and registered.member_version <= known_version < registered.load_version
         )
-        gone = tuple(self._departures_since(known_version))
+        gone = () if full else tuple(self._departures_since(known_version))
         return RegistryDifference(self.version, full, backends, loads, gone)
 
     def _gets_load(self, backend: Backend, subset: frozenset[str]) -> bool:
@@ -209,8 +196,7 @@
 
     def _observe_one(self, backend: Backend, now: float) -> bool:
         registered = self.registered_by_instance.get(backend.instance)
-        withdrawn = self._withdrawn_by_instance.get(backend.instance)
-        if withdrawn is not None and backend.incarnation <= withdrawn[0]:
+        if self._is_outdated(backend):
             return False
         if registered is not None and backend.freshness <= registered.backend.freshness:
             return False
@@ -243,6 +229,7 @@
             else self.version,
             load_version=self.version,
             load_row=LoadRow.from_backend(backend),
+            leaving_from=_leaving_from(backend, registered),
         )
         return changed
 
@@ -270,6 +257,14 @@
             self._oldest_version = self._departures_by_instance.pop(instance)
 
 
+def _leaving_from(backend: Backend, earlier: RegisteredBackend | None) -> int | None:
+    if backend.state == 'serving':
+        return None
+    if earlier is None or earlier.backend.incarnation != backend.incarnation:
+        return backend.sequence
+    return backend.sequence if earlier.leaving_from is None else earlier.leaving_from
+
+
 def _without_load(backend: Backend) -> Backend:
     return dataclasses.replace(backend, sequence=0, load=LoadReport(), cache_events=())
 
--- a/geraniumrail/control/control.py
+++ b/geraniumrail/control/control.py
@@ -15,6 +15,7 @@
 from geraniumrail.control import events
 from geraniumrail.control.booking_reassignment import BookingReassignment
 from geraniumrail.control.booking_waiters import BookingWaiters
+from geraniumrail.control.departures import Departures
 from geraniumrail.control.group_repair import GroupRepair
 from geraniumrail.control.joiner import Joiner
 from geraniumrail.control.leader_job import LeaderJob
@@ -84,8 +85,12 @@
         self.leadership = Leadership(self.replica)
         self.proposer = Proposer(self.replica)
         self.publisher = Publisher(self.machine, self.leadership, clock, self.addresses, window_s)
+        self.departures = Departures(
+            self.machine, self.publisher, self.proposer, self.agreed_wall_time
+        )
         self.jobs: list[LeaderJob] = [
-            Quarantines(self.machine, self.publisher, self.proposer, clock, self.agreed_wall_time)
+            self.departures,
+            Quarantines(self.machine, self.publisher, self.proposer, clock, self.agreed_wall_time),
         ]
         self.members = Members(self.replica, transport, config.control.seeds)
         self.orders = OrderSender(
--- a/geraniumrail/control/entry_session.py
+++ b/geraniumrail/control/entry_session.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import itertools
 
 from geraniumrail.control.backend_registry import BackendRegistry
 from geraniumrail.control.entry_leases import LEASE_S, EntryLeases
@@ -9,6 +10,7 @@
 from geraniumrail.control.part_hazards import PartHazards
 from geraniumrail.control.usage_shares import UsageShares
 from geraniumrail.core.backend import Backend
+from geraniumrail.core.departure import Departure
 from geraniumrail.deployment.deployment import Deployment
 from geraniumrail.links.messages import ControlUpdate, EntryInfo, EntryReport
 from geraniumrail.settings.node import Node
@@ -39,6 +41,7 @@
         self._sent_members: tuple[str, ...] = ()
         self._sent_moves: tuple[Move, ...] | None = None
         self._sent_entries: tuple[EntryInfo, ...] | None = None
+        self._sent_departure = 0
         self._sent_hazards: PartHazards | None = None
         self._sent_rates: dict[str, float] | None = None
 
@@ -88,6 +91,7 @@
             backends=difference.backends,
             loads=difference.loads,
             gone=difference.gone,
+            departures=self._departures(tables),
             noted=noted,
             entries=self._entries(leases, tables),
             share=usage_shares.share(self.info.entry),
@@ -127,6 +131,13 @@
         self._sent_deployment_version = current.version
         return dataclasses.replace(current, source=b'')
 
+    def _departures(self, tables: Tables) -> tuple[Departure, ...]:
+        newest_first = reversed(tables.departures_by_instance.values())
+        unsent = itertools.takewhile(lambda each: each.number > self._sent_departure, newest_first)
+        departures = tuple(unsent)
+        self._sent_departure = tables.last_departure
+        return departures
+
     def _nodes(self, tables: Tables) -> tuple[Node, ...]:
         return tuple(
             tables.tree.nodes_by_path[path]
--- a/geraniumrail/control/publisher.py
+++ b/geraniumrail/control/publisher.py
@@ -18,11 +18,13 @@
 from geraniumrail.control.usage_shares import UsageShares
 from geraniumrail.core.backend import Backend
 from geraniumrail.core.clock import Clock
+from geraniumrail.core.departure import Departure
 from geraniumrail.errors.consensus import NotLeaderError
 from geraniumrail.links.messages import ControlUpdate, EntryReport
 from geraniumrail.quarantine.crash_ledger import CrashLedger
 from geraniumrail.state import commands
 from geraniumrail.state.machine import Machine
+from geraniumrail.state.record_departures import RecordDepartures
 from geraniumrail.state.set_quarantines import SetQuarantines
 
 # Load reports are sent with the answer to a report; other changes are sent at once, but not more
@@ -43,6 +45,7 @@
     commands.EndMove,
     commands.SetDrain,
     commands.ReplaceDeployment,
+    RecordDepartures,
     SetQuarantines,
 )
 
@@ -70,7 +73,7 @@
         self.usage_ledger = UsageLedger()
         self._members = members
         self._window_s = window_s
-        self.registry = BackendRegistry()
+        self.registry = BackendRegistry(departures=self._departures)
         self.leases = EntryLeases()
         self.usage_shares = UsageShares()
         self.crash_ledger = CrashLedger()
@@ -90,7 +93,7 @@
         :param term: the new term.
         """
         self._leader_since = self._clock.now()
-        self.registry = BackendRegistry(term << REGISTRY_VERSION_BITS)
+        self.registry = BackendRegistry(term << REGISTRY_VERSION_BITS, self._departures)
         self.usage_shares = UsageShares()
         self.usage_ledger = UsageLedger()
         self.crash_ledger = CrashLedger()
@@ -107,17 +110,6 @@
         if self.registry.observe((backend,), self._clock.now()):
             self.wake_sessions()
 
-    def receive_withdrawal(self, instance: str, incarnation: int) -> None:
-        """Records that a backend server accepts no more work.
-
-        :param instance: the backend server.
-        :param incarnation: its incarnation.
-        """
-        now = self._clock.now()
-        wall = self.median_clock.wall(self._clock.wall(), now)
-        if self.registry.withdraw(instance, incarnation, now, wall):
-            self.wake_sessions()
-
     def tick(self) -> None:
         """Removes expired leases; called a few times a second on the leader."""
         now = self._clock.now()
@@ -192,9 +184,12 @@
         return tuple(
             dataclasses.replace(note, lease_s=remaining_s)
             for instance, note in self._machine.tables.noted_by_instance.items()
-            if instance not in known and not self.registry.has_left(instance)
+            if instance not in known and not self.registry.has_left(note)
         )
 
+    def _departures(self) -> dict[str, Departure]:
+        return self._machine.tables.departures_by_instance
+
     def _part_hazards(self, entry: str) -> PartHazards:
         quarantines = tuple(self._machine.tables.quarantines_by_label.values())
         return PartHazards.from_evidence(
@@ -253,6 +248,8 @@
         return any(news)
 
     def _on_applied(self, command: object, answer: object) -> None:
+        if isinstance(command, RecordDepartures):
+            self.registry.remove_departed(command.added)
         # Changes of bookings concern one entry each, and are too frequent to update all entries.
         if command is None or isinstance(command, PUBLISHED_COMMANDS):
             self.wake_sessions()
--- a/geraniumrail/entry/cluster_view.py
+++ b/geraniumrail/entry/cluster_view.py
@@ -10,6 +10,7 @@
 from geraniumrail.deployment.deployment import Deployment
 from geraniumrail.deployment.route_table import RouteTable
 from geraniumrail.entry import events
+from geraniumrail.entry.known_departures import KnownDepartures
 from geraniumrail.fairness.entry_share import EntryShare
 from geraniumrail.links.messages import ControlUpdate, EntryInfo
 from geraniumrail.routing.backend_tracker import BackendTracker
@@ -51,6 +52,7 @@
         self._term = 0
         self._lease_until: float = 0
         self._unconfirmed: set[str] = set()
+        self._departures = KnownDepartures()
         self._confirm_until: float = 0
         self._lease_gained = asyncio.Event()
         self._lease_lost_at = clock.now()
@@ -148,6 +150,8 @@
             known = self.backends_by_instance.get(backend.instance)
             if known is not None and backend.freshness < known.freshness:
                 continue
+            if self._departures.has_left(backend):
+                continue
             if backend.state == 'leaving' and (known is None or known.state != 'leaving'):
                 log(events.BACKEND_LEAVING, instance=backend.instance, service=backend.service)
             self.backends_by_instance[backend.instance] = backend
@@ -227,8 +231,12 @@
             # A new leader hears of backend servers little by little, so none is dropped at once.
             self._unconfirmed = set(self.backends_by_instance)
             self._confirm_until = self._clock.now() + CONFIRM_S
-        self.observe(update.backends)
         now = self._clock.now()
+        self._departures.add(update.departures, now)
+        for backend in update.backends:
+            # Control has checked it against all departures, some of which may have ended there.
+            self._departures.remove(backend.instance)
+        self.observe(update.backends)
         for note in update.noted:
             if note.instance not in self.backends_by_instance:
                 # Its lease is short: until it has announced itself, or is gone.
@@ -240,7 +248,13 @@
             if known is not None and known.sequence < row.s:
                 self.backends_by_instance[row.i] = row.renew(known)
                 self.knowledge.observe(self.backends_by_instance[row.i], now)
-        for instance in update.gone:
+        departed = (
+            departure.instance
+            for departure in update.departures
+            if (known := self.backends_by_instance.get(departure.instance)) is not None
+            and departure.covers(known)
+        )
+        for instance in dict.fromkeys((*update.gone, *departed)):
             log(events.BACKEND_DROPPED, instance=instance, registry=update.registry_version)
             self._drop(instance)
 
--- a/geraniumrail/links/messages.py
+++ b/geraniumrail/links/messages.py
@@ -2,6 +2,7 @@
 
 from geraniumrail.core.backend import Backend
 from geraniumrail.core.codec import record
+from geraniumrail.core.departure import Departure
 from geraniumrail.core.load_row import LoadRow
 from geraniumrail.deployment.deployment import Deployment
 from geraniumrail.fairness.entry_share import EntryShare
@@ -129,6 +130,7 @@
     backends: tuple[Backend, ...] = ()
     loads: tuple[LoadRow, ...] = ()
     gone: tuple[str, ...] = ()
+    departures: tuple[Departure, ...] = ()  # recorded since the last update of this stream
     noted: tuple[Backend, ...] = ()  # served under an earlier leader, not announced to this one
     entries: tuple[EntryInfo, ...] = ()
     share: EntryShare = EntryShare(entries=1, share_by_organisation={})
--- a/geraniumrail/state/machine.py
+++ b/geraniumrail/state/machine.py
@@ -7,6 +7,7 @@
 from geraniumrail.errors.base import GeraniumrailError
 from geraniumrail.state import (
     apply_bookings,
+    apply_departures,
     apply_deployment,
     apply_moves,
     apply_operations,
@@ -15,7 +16,14 @@
 from geraniumrail.state.apply import apply
 from geraniumrail.state.tables import Tables, TablesImage
 
-REGISTERED = (apply_bookings, apply_deployment, apply_moves, apply_operations, apply_settings)
+REGISTERED = (
+    apply_bookings,
+    apply_departures,
+    apply_deployment,
+    apply_moves,
+    apply_operations,
+    apply_settings,
+)
 
 Listener = Callable[[object, object], None]
 
--- a/geraniumrail/state/results.py
+++ b/geraniumrail/state/results.py
@@ -102,3 +102,10 @@
     """How many quarantines are in force."""
 
     count: int
+
+
+@record
+class DeparturesRecorded:
+    """The number of the last departure that was ever recorded."""
+
+    last: int
--- a/geraniumrail/state/tables.py
+++ b/geraniumrail/state/tables.py
@@ -4,6 +4,7 @@
 
 from geraniumrail.core.backend import Backend
 from geraniumrail.core.codec import record
+from geraniumrail.core.departure import Departure
 from geraniumrail.core.refused import Refused
 from geraniumrail.deployment.deployment import Deployment
 from geraniumrail.quarantine.quarantine import Quarantine
@@ -54,6 +55,8 @@
     noted_by_instance: dict[str, Backend] = dataclasses.field(default_factory=dict)
     reporting_instances: tuple[str, ...] = ()  # when the last usage window was fixed
     quarantines_by_label: dict[str, Quarantine] = dataclasses.field(default_factory=dict)
+    departures_by_instance: dict[str, Departure] = dataclasses.field(default_factory=dict)
+    last_departure: int = 0  # number of the last departure
 
     def last_move(self, service: str) -> Move | None:
         """Returns the move of a service that was started last, or None.
@@ -90,6 +93,8 @@
     noted: tuple[Backend, ...] = ()
     reporting_instances: tuple[str, ...] = ()
     quarantines: tuple[Quarantine, ...] = ()
+    departures: tuple[Departure, ...] = ()
+    last_departure: int = 0
 
     @classmethod
     def from_tables(cls, tables: Tables) -> 'TablesImage':
@@ -112,6 +117,8 @@
             noted=tuple(tables.noted_by_instance.values()),
             reporting_instances=tables.reporting_instances,
             quarantines=tuple(tables.quarantines_by_label.values()),
+            departures=tuple(tables.departures_by_instance.values()),
+            last_departure=tables.last_departure,
         )
 
     def to_tables(self) -> Tables:
@@ -134,4 +141,6 @@
             noted_by_instance={each.instance: each for each in self.noted},
             reporting_instances=self.reporting_instances,
             quarantines_by_label={each.label: each for each in self.quarantines},
+            departures_by_instance={each.instance: each for each in self.departures},
+            last_departure=self.last_departure,
         )
