--- a/geraniumrail/backends/connections.py
+++ b/geraniumrail/backends/connections.py
@@ -8,7 +8,6 @@
 from typing import Any
 
 from aiohttp import (
-    ClientResponse,
     ClientSession,
     ClientTimeout,
     DummyCookieJar,
@@ -18,6 +17,7 @@
 
 from geraniumrail.backends.exchange import Exchange, trace_exchanges
 from geraniumrail.backends.guarded_handler import GuardedHandler, IdleLimits
+from geraniumrail.backends.held_response import HeldResponse
 from geraniumrail.core.backend import Backend
 
 # The client closes a fresh connection itself: after `Connection: close` the parser would refuse
@@ -41,8 +41,8 @@
 class Connections:
     """Keeps idle connections for reuse; the owner closes it.
 
-    A connection whose response was not read to its end, or that brought more than its response, is
-    closed and never reused.
+    A connection whose response was not accepted or not read to its end, or that brought more than
+    its response, is closed and never reused.
     """
 
     def __init__(self, reused: ClientSession, fresh: ClientSession, idle: IdleLimits) -> None:
@@ -79,11 +79,11 @@
         headers: Iterable[tuple[str, str]],
         exchange: Exchange,
         fresh: bool = False,
-    ) -> ClientResponse:
+    ) -> HeldResponse:
         """Sends one request and returns when the head of the response has arrived.
 
-        The caller limits the time and calls `close` on the response, which closes the connection
-        unless the response was read to its end.
+        The caller limits the time, calls `accept` on a response that belongs to the request, and
+        calls `close`, which closes the connection unless an accepted response was read to its end.
 
         :param backend: where to send it.
         :param method: HTTP method.
@@ -143,4 +143,5 @@
         auto_decompress=False,
         skip_auto_headers=('Accept-Encoding', 'User-Agent', 'Content-Type'),
         trace_configs=[trace_exchanges()],
+        response_class=HeldResponse,
     )
--- a/geraniumrail/backends/engine_client.py
+++ b/geraniumrail/backends/engine_client.py
@@ -5,7 +5,6 @@
 from typing import Any
 
 import msgspec
-from aiohttp import ClientResponse
 
 from geraniumrail.backends.attempt import attempt, read_limited
 from geraniumrail.backends.chunk import Chunk
@@ -15,6 +14,7 @@
 from geraniumrail.backends.engine_call import EngineCall
 from geraniumrail.backends.engine_control import EngineControl
 from geraniumrail.backends.exchange import Exchange
+from geraniumrail.backends.held_response import HeldResponse
 from geraniumrail.core.backend import Backend
 from geraniumrail.errors.backend import BackendError, RefusedError
 
@@ -66,11 +66,12 @@
                     progress.resume(progressed=chunk.tokens > 0)
             progress.stop()
             await reader.finish()
+            response.accept()
         finally:
             progress.stop()
             response.close()
 
-    async def _open(self, backend: Backend, call: EngineCall) -> ClientResponse:
+    async def _open(self, backend: Backend, call: EngineCall) -> HeldResponse:
         exchange = Exchange()
         async with attempt(backend, exchange, call.first_token_timeout_s, FIRST_TOKEN):
             response = await self._connections.request(
@@ -91,7 +92,7 @@
         raise _error_answer(backend, response, payload)
 
 
-def _error_answer(backend: Backend, response: ClientResponse, payload: bytes) -> BackendError:
+def _error_answer(backend: Backend, response: HeldResponse, payload: bytes) -> BackendError:
     try:
         error = msgspec.json.decode(payload, type=dict[str, Any])['error']['type']
     except (msgspec.MsgspecError, LookupError, TypeError):
--- a/geraniumrail/backends/service_client.py
+++ b/geraniumrail/backends/service_client.py
@@ -2,11 +2,10 @@
 
 from urllib.parse import quote
 
-from aiohttp import ClientResponse
-
 from geraniumrail.backends.attempt import attempt, read_limited
 from geraniumrail.backends.connections import Connections
 from geraniumrail.backends.exchange import Exchange
+from geraniumrail.backends.held_response import HeldResponse
 from geraniumrail.backends.service_answer import ServiceAnswer, StillRunning
 from geraniumrail.backends.service_call import ServiceCall, end_to_end
 from geraniumrail.core.backend import Backend
@@ -85,12 +84,16 @@
         return answer
 
 
-def _check_head(backend: Backend, call: ServiceCall, response: ClientResponse) -> None:
+def _check_head(backend: Backend, call: ServiceCall, response: HeldResponse) -> None:
     answered = response.headers.get(_REQUEST_ID)
     if answered and call.request_id and answered != call.request_id:
         raise CrossedAnswerError(backend=backend.instance, found=answered, expected=call.request_id)
-    refused = response.headers.get(_NOT_RUN, '').lower() == 'true'
-    if response.status == _UNAVAILABLE and refused:
+    refused = (
+        response.status == _UNAVAILABLE and response.headers.get(_NOT_RUN, '').lower() == 'true'
+    )
+    if answered or not refused:
+        response.accept()
+    if refused:
         raise RefusedError(
             backend=backend.instance,
             reason=f'status {response.status} with {_NOT_RUN}',
--- a/geraniumrail/forwarding/attempt.py
+++ b/geraniumrail/forwarding/attempt.py
@@ -4,11 +4,12 @@
 import contextlib
 from collections.abc import AsyncIterator
 
-from aiohttp import ClientError, ClientResponse
+from aiohttp import ClientError
 from aiohttp.http_exceptions import HttpProcessingError
 
 from geraniumrail.backends.connections import Connections
 from geraniumrail.backends.exchange import Exchange, ResendError
+from geraniumrail.backends.held_response import HeldResponse
 from geraniumrail.backends.service_call import CONNECTION_HEADERS, end_to_end
 from geraniumrail.core.backend import Backend
 from geraniumrail.errors.backend import (
@@ -42,7 +43,7 @@
         self.exchange = Exchange()
         self._inbound = inbound
         self._dialect = dialect
-        self._response: ClientResponse | None = None
+        self._response: HeldResponse | None = None
 
     @property
     def backend(self) -> Backend:
@@ -95,16 +96,16 @@
             yield part
 
     def close(self) -> None:
-        """Closes the connection if the answer was not read to its end."""
+        """Closes the connection unless the answer names this request and was read to its end."""
         if self._response is not None:
             self._response.close()
 
-    def _opened(self) -> ClientResponse:
+    def _opened(self) -> HeldResponse:
         if self._response is None:
             raise NotSentError(backend=self.backend.instance, reason='the request was not sent')
         return self._response
 
-    def _take_head(self, response: ClientResponse, connections: Connections) -> None:
+    def _take_head(self, response: HeldResponse, connections: Connections) -> None:
         self.status = response.status
         self.headers = end_to_end(
             tuple(
@@ -118,7 +119,7 @@
             connections.idle.announce(self.backend.address, self.head.idle_s)
         self._check_head(response)
 
-    def _check_head(self, response: ClientResponse) -> None:
+    def _check_head(self, response: HeldResponse) -> None:
         answered = self.head.request_id
         if answered and answered != self._inbound.request_id:
             response.close()
@@ -134,6 +135,8 @@
             raise ConnectionLostError(
                 backend=self.backend.instance, reason='a refusal that names no request'
             )
+        if answered:
+            response.accept()
         if is_refusal:
             raise RefusedError(
                 backend=self.backend.instance,
--- a/geraniumrail/forwarding/forwarder_test.py
+++ b/geraniumrail/forwarding/forwarder_test.py
@@ -101,6 +101,45 @@
                     self.assertEqual([reply.status for reply in replies], [200, 502])
                     self.assertEqual((len(stand.requests), stand.connections), (2, 1))
 
+    async def test_late_copy_of_an_earlier_answer_ends_its_connection(self):
+        """The copy had come whole, so its connection was idle again before it was read: closing
+        the answer did nothing. The engine ran on while the stream went on elsewhere, and the
+        answer that it owed was read as that of the next request."""
+        copies = (
+            head('req-1', body=b''),
+            head('req-1', body=b'again'),
+            b'HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n',
+            b'HTTP/1.1 421 Misdirected\r\nContent-Length: 2\r\n\r\nno',
+        )
+        for copy in copies:
+            with self.subTest(copy=copy):
+                whole = head('req-1', body=b'x')
+                stands = await self.started(StandIn('i-1', [whole], [copy, HANG]), StandIn('i-2'))
+                stands[1].scripts = [[head('req-2', body=b'y')], [head('req-3', body=b'z')]]
+                forwarder = testing.make_forwarder([testing.route()], [stands[0].backend()])
+                await self.serve(forwarder)
+                forwarder.parts.view.observe((stands[1].backend(),))
+                knowledge = forwarder.parts.view.knowledge
+                knowledge.mark_unresponsive('i-2', forwarder.parts.clock.now())
+                reply = await self.serve(forwarder, request_id='req-2')
+                self.assertEqual((reply.status, reply.content), (200, b'y'))
+                async with asyncio.timeout(LIMIT_S):
+                    await stands[0].closed.wait()
+                self.assertEqual(len(stands[0].requests), 2)
+
+    async def test_kept_connection_is_used_again_after_answers_and_refusals(self):
+        """A connection that is held until its answer is accepted must still go back to the pool."""
+        refused = head('req-1', '503 Full', b'', 'X-Not-Run: 1\r\n')
+        bodiless = head('req-1', body=b'')
+        chunked = head('req-1') + chunk(b'hello') + END
+        late = [head('req-1', body=b'x' * 9)[:-4], 0.05, b'xxxx']
+        scripts = ([refused], [bodiless], [chunked], late, [head('req-1', body=b'x')])
+        (stand,) = await self.started(StandIn('i-1', *scripts))
+        forwarder = testing.make_forwarder([testing.route(kind='unsafe')], [stand.backend()])
+        statuses = [(await self.serve(forwarder)).status for _ in scripts]
+        self.assertEqual(statuses, [503, 200, 200, 200, 200])
+        self.assertEqual(stand.connections, 1)
+
     async def test_unsafe_request_that_may_have_run_is_not_repeated(self):
         route = testing.route(kind='unsafe')
         stands, reply = await self.two([RESET], [head('req-1', body=b'x')], route)
