Pass on no status that promises more than the server said (REFUSED)

Callers saw: 503 for an unsafe request that a server had run and answered with 503 without a refusal; callers repeat a request after it.

Cause: a failure of a server was passed on with its status, also if the status is a promise to callers (408, 421, 429, 503) and the server did not give it.

Change: without a refusal the outcome is unknown, and the answer is a 502 of the entry's own without the signature, on all routes.

--- a/geraniumrail/forwarding/forwarder_test.py
+++ b/geraniumrail/forwarding/forwarder_test.py
@@ -166,6 +166,21 @@
         self.assertEqual((first.status, again.status), (503, 503))
         self.assertEqual([len(stand.requests) for stand in stands], [1, 1])
 
+    async def test_status_without_a_refusal_promises_nothing(self):
+        """A server that had run a booking answered 503 without saying that it had not; the caller
+        took the status for the promise that it had not run, and booked again."""
+        for status in ('408 Timeout', '429 Busy', '503 Full'):
+            for kind in ('unsafe', 'stream', 'safe'):
+                with self.subTest(status=status, kind=kind):
+                    failed = head('req-1', status, b'no')
+                    bare = failed.replace(b'X-Sealed: 1\r\n', b'')
+                    route = testing.route(kind=kind, attempts=1)
+                    replies = [
+                        (await self.one(answer, route=route))[1] for answer in (failed, bare)
+                    ]
+                    self.assertEqual([reply.status for reply in replies], [502, 502])
+                    self.assertNotIn(('X-Sealed', '1'), replies[0].headers)
+
     async def test_refusal_by_all_promises_that_it_did_not_run(self):
         refused = head('req-1', '503 Full', b'', 'X-Not-Run: 1\r\n')
         _, reply = await self.one(refused, route=testing.route(kind='unsafe', attempts=1))
--- a/geraniumrail/forwarding/run.py
+++ b/geraniumrail/forwarding/run.py
@@ -36,6 +36,8 @@
 MAX_LOST = 2
 MAX_LOGGED_PARTS = 8  # of one prompt in a line of the log
 _SERVER_ERROR = 500
+# Callers take these statuses for the promise that a request did not run, and send it again.
+_PROMISES = frozenset((408, 421, 429, 503))
 
 
 class ForwardRun:
@@ -131,6 +133,9 @@
             return BackendError(backend=attempt.backend.instance, reason=f'status {attempt.status}')
         if self._reply.started:
             raise IncompleteAnswerError(reason=f'status {attempt.status} after the first event')
+        if attempt.status in _PROMISES:
+            # A refusal would have been raised: the backend server doesn't say that it did not run.
+            raise OutcomeUnknownError(reason=f'status {attempt.status} without a refusal')
         await self._reply.answer(attempt.status, attempt.headers, body)
         self._log_end(attempt)
         return None
