--- a/geraniumrail/backends/chunk_filter.py
+++ b/geraniumrail/backends/chunk_filter.py
@@ -10,9 +10,10 @@
 from geraniumrail.backends.engine_call import EngineCall
 from geraniumrail.backends.events import CHUNK_DROPPED
 from geraniumrail.core import events
+from geraniumrail.core.malformed import MALFORMED
 
 DONE = b'[DONE]'
-_MALFORMED = (msgspec.DecodeError, AttributeError, LookupError, TypeError)
+_MALFORMED = (*MALFORMED, AttributeError, LookupError, TypeError)
 _decoder = msgspec.json.Decoder(dict[str, Any])
 
 
--- a/geraniumrail/backends/engine_client.py
+++ b/geraniumrail/backends/engine_client.py
@@ -16,6 +16,7 @@
 from geraniumrail.backends.exchange import Exchange
 from geraniumrail.backends.held_response import HeldResponse
 from geraniumrail.core.backend import Backend
+from geraniumrail.core.malformed import MALFORMED
 from geraniumrail.errors.backend import BackendError, RefusedError
 
 _HEADERS = (
@@ -26,6 +27,7 @@
 _OK = 200
 _REFUSALS = frozenset((429, 503))
 _ERROR_LIMIT_BYTES = 64 * 1024
+_NO_ERROR_TYPE = (*MALFORMED, LookupError, TypeError)
 
 
 class EngineClient(EngineControl):
@@ -95,7 +97,7 @@
 def _error_answer(backend: Backend, response: HeldResponse, payload: bytes) -> BackendError:
     try:
         error = msgspec.json.decode(payload, type=dict[str, Any])['error']['type']
-    except (msgspec.MsgspecError, LookupError, TypeError):
+    except _NO_ERROR_TYPE:
         error = None
     fields = {'backend': backend.instance, 'http_status': response.status, 'error_type': error}
     if error is not None and response.status in _REFUSALS:
--- a/geraniumrail/backends/engine_control.py
+++ b/geraniumrail/backends/engine_control.py
@@ -11,6 +11,7 @@
 from geraniumrail.backends.exchange import Exchange
 from geraniumrail.backends.kv_export import KvExport
 from geraniumrail.core.backend import Backend
+from geraniumrail.core.malformed import MALFORMED
 from geraniumrail.errors.backend import BackendError, InvalidStreamError, StaleOrderError
 
 _HEADERS = (('Content-Type', 'application/json'),)
@@ -119,7 +120,7 @@
 def _decode(backend: Backend, payload: bytes) -> dict[str, Any]:
     try:
         return msgspec.json.decode(payload, type=dict[str, Any])
-    except msgspec.MsgspecError as error:
+    except MALFORMED as error:
         raise InvalidStreamError(backend=backend.instance, reason=str(error)) from error
 
 
--- a/geraniumrail/callers/bodies.py
+++ b/geraniumrail/callers/bodies.py
@@ -5,6 +5,7 @@
 import msgspec
 from aiohttp import web
 
+from geraniumrail.core.malformed import MALFORMED
 from geraniumrail.errors.request import BodyTooLargeError, InvalidRequestError, SlowRequestError
 
 BODY_TIMEOUT_S = web.AppKey('body_timeout_s', float)
@@ -41,7 +42,7 @@
     """
     try:
         parsed = msgspec.json.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except MALFORMED as error:
         raise InvalidRequestError(reason=f'malformed JSON: {error}') from error
     if not isinstance(parsed, dict):
         raise InvalidRequestError(reason='the body must be a JSON object')
--- a/geraniumrail/callers/info_routes.py
+++ b/geraniumrail/callers/info_routes.py
@@ -8,7 +8,9 @@
 from geraniumrail.callers.failures import json_response
 from geraniumrail.callers.serving import Serving
 from geraniumrail.config.address import split_address
+from geraniumrail.core import codec
 from geraniumrail.core.backend import Backend
+from geraniumrail.core.malformed import MALFORMED
 from geraniumrail.errors.request import InvalidRequestError, NotRunError
 
 MAX_ANNOUNCE_BYTES = 262_144
@@ -66,7 +68,7 @@
         body = await read_body(request, MAX_ANNOUNCE_BYTES)
         try:
             backend = msgspec.json.decode(body, type=Backend)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except MALFORMED as error:
             raise InvalidRequestError(reason=f'announcement: {error}') from error
         _check(backend)
         return json_response({'renew_in_s': self._serving.announce(backend)})
@@ -93,6 +95,11 @@
         split_address(backend.address)
     except ValueError as error:
         raise InvalidRequestError(reason=f'announcement: address: {error}') from error
+    try:
+        codec.encode(backend)
+    except OverflowError as error:
+        # The report that relays it could not be sent, nor any later one.
+        raise InvalidRequestError(reason=f'announcement: {error}') from error
     faults = {
         'state must be serving or leaving': backend.state not in STATES,
         f'lease_s must be in (0, {MAX_LEASE_S}]': not 0 < backend.lease_s <= MAX_LEASE_S,
--- a/geraniumrail/cloud/cloud_client.py
+++ b/geraniumrail/cloud/cloud_client.py
@@ -9,6 +9,7 @@
 from geraniumrail.cloud.instance import CloudInstance
 from geraniumrail.cloud.notice import CloudNotice
 from geraniumrail.cloud.price import Price
+from geraniumrail.core.malformed import MALFORMED
 from geraniumrail.errors.cloud import (
     PlatformError,
     PlatformUnreachableError,
@@ -127,7 +128,7 @@
 def _decode(payload: bytes) -> dict[str, Any]:
     try:
         return msgspec.json.decode(payload, type=dict[str, Any])
-    except msgspec.MsgspecError as error:
+    except MALFORMED as error:
         raise PlatformError(service=_SERVICE, reason=str(error)) from error
 
 
--- a/geraniumrail/control/access.py
+++ b/geraniumrail/control/access.py
@@ -12,6 +12,7 @@
 from geraniumrail.entry.control_link import ControlLink
 from geraniumrail.entry.leader_finder import LeaderFinder
 from geraniumrail.errors.deployment import UnknownServiceMoveError
+from geraniumrail.errors.request import InvalidRequestError
 from geraniumrail.links.messages import Accepted
 from geraniumrail.links.pool import LinkPool
 from geraniumrail.links.requests import (
@@ -29,6 +30,9 @@
 # Operators and backend servers try another process after 1 s.
 CALL_LIMIT_S = 0.8
 OPERATOR = 'operator'
+# Far above the error of any clock that is set, so that a wrong clock here keeps nobody out.
+MAX_CLOCK_ERROR_S = 86_400.0
+MS_PER_S = 1000
 
 
 class ControlAccess:
@@ -99,6 +103,10 @@
         return await handler(request)
 
     async def _announce(self, request: Announce) -> Accepted:
+        latest_start_ms = (self._control.agreed_wall_time() + MAX_CLOCK_ERROR_S) * MS_PER_S
+        if request.backend.incarnation > latest_start_ms:
+            # It would outdate all announcements of the instance itself.
+            raise InvalidRequestError(reason=f'{request.backend.instance} starts in the future')
         self._control.publisher.receive_announcement(request.backend)
         if request.backend.state == 'leaving':
             await self._control.departures.record_leaving(request.backend)
--- a/geraniumrail/links/datagrams.py
+++ b/geraniumrail/links/datagrams.py
@@ -12,10 +12,9 @@
 from collections.abc import Callable
 from typing import Any
 
-import msgspec
-
-from geraniumrail.core.codec import UnknownRecordError, record
+from geraniumrail.core.codec import record
 from geraniumrail.core.events import log
+from geraniumrail.core.malformed import MALFORMED
 from geraniumrail.errors.link import LinkError
 from geraniumrail.links import events, wire
 
@@ -116,7 +115,7 @@
         """
         try:
             self._take(wire.decode(data), addr)
-        except (msgspec.MsgspecError, UnknownRecordError) as error:
+        except MALFORMED as error:  # also a record that this version does not know
             log(events.DATAGRAM_DROPPED, sender=addr[0], size=len(data), reason=str(error))
 
     def error_received(self, exc: OSError) -> None:
