Take no request that could outlive a planned stop (LOST)

Cause: a stopping entry took plain requests for a constant 6 s, whatever their time-out and the grace.

Change: a plain request is taken only if its answer is due before the entry ends, else refused at once as not run; what is in progress shortly before the end is answered with 504 instead of being cut.

--- a/geraniumrail/daemon/hosted_daemon.py
+++ b/geraniumrail/daemon/hosted_daemon.py
@@ -26,6 +26,8 @@
 # Callers keep an answer of the directory for at most this multiple of its time.
 KEPT_TIMES = 3
 EXIT_MARGIN_S = 0.8
+# For the final answers of requests that are still in progress.
+ANSWER_MARGIN_S = 0.3
 STEP_S = 0.1
 # Members that restart together elect a leader within this time; otherwise it is not waited for.
 ELECTION_WAIT_S = 0.6
@@ -126,13 +128,16 @@
 
     async def _drain(self) -> None:
         """Serves until nobody has this address any more and nothing is in progress."""
-        self._entry.leave()
         began = self._clock.now()
         last = self._config.grace_s - EXIT_MARGIN_S
+        answered_s = max(0, last - ANSWER_MARGIN_S)
+        self._entry.leave(began + answered_s)
         kept_s = min(last, KEPT_TIMES * self._config.keep_for_s)
         while (spent_s := self._clock.now() - began) < last:
             if spent_s >= kept_s and not self._entry.in_progress:
                 return
+            if spent_s >= answered_s:
+                self._entry.forwarder.expire()
             await asyncio.sleep(STEP_S)
 
     def _build_control(self) -> Any:
--- a/geraniumrail/entry/entry.py
+++ b/geraniumrail/entry/entry.py
@@ -255,11 +255,14 @@
             await self._clock.sleep(0.2)
         log(events.PLANNED_STOP, step='no request in progress')
 
-    def leave(self) -> None:
-        """Begins a planned stop without waiting for its end."""
+    def leave(self, ends_at: float) -> None:
+        """Begins a planned stop without waiting for its end.
+
+        :param ends_at: when the answers of all requests are due, by the entry's clock.
+        """
         self._reporter.state = 'leaving'
         self.directory.is_leaving = True
-        self.forwarder.leave()
+        self.forwarder.leave(ends_at)
         self._follower.poke()
 
     @property
--- a/geraniumrail/forwarding/config.py
+++ b/geraniumrail/forwarding/config.py
@@ -14,8 +14,9 @@
     retry_share: float = 0.18  # repeats for each request; below the ratio of 0.2 that is allowed
     quota_headroom: float = QUOTA_HEADROOM
     quota_slack: Slack = Slack()  # of all entries together
-    drain_s: float = 6.0  # how long requests are served after a planned stop has begun
-    new_streams_s: float = 2.5  # how long a new stream is taken after that
+    # How long a new stream is taken after a planned stop has begun, and the part of its time.
+    new_streams_s: float = 2.5
+    new_streams_part: float = 0.3
     probe_timeout_s: float = 0.3  # of a connection that shows whether a backend server has ended
     # An entry that has just started, or lost its leader, has a lease again within two seconds. A
     # request waits for it, since most callers come back only once, and after their objective; what
--- a/geraniumrail/forwarding/forwarder.py
+++ b/geraniumrail/forwarding/forwarder.py
@@ -11,6 +11,7 @@
 from geraniumrail.forwarding.inbound import Inbound
 from geraniumrail.forwarding.limit_check import check_limit
 from geraniumrail.forwarding.parts import Parts
+from geraniumrail.forwarding.planned_stop import PlannedStop
 from geraniumrail.forwarding.recorder import CALLER_GONE, OK
 from geraniumrail.forwarding.reply import Reply
 from geraniumrail.forwarding.run import ForwardRun
@@ -31,7 +32,8 @@
         self.parts = parts
         self._arriving = 0
         self._served = 0
-        self._leaving_since: float | None = None
+        self._runs: set[ForwardRun] = set()
+        self._stop: PlannedStop | None = None
 
     @property
     def in_progress(self) -> int:
@@ -50,11 +52,21 @@
     @property
     def leaving(self) -> bool:
         """Whether a planned stop has begun."""
-        return self._leaving_since is not None
+        return self._stop is not None
 
-    def leave(self) -> None:
-        """Begins a planned stop: requests that could outlive it are not taken any more."""
-        self._leaving_since = self.parts.clock.now()
+    def leave(self, ends_at: float) -> None:
+        """Begins a planned stop: requests that could outlive it are not taken any more.
+
+        :param ends_at: when the answers of all requests are due, by the entry's clock.
+        """
+        now, config = self.parts.clock.now(), self.parts.config
+        new_streams_s = min(config.new_streams_s, config.new_streams_part * (ends_at - now))
+        self._stop = PlannedStop(now, ends_at, new_streams_s)
+
+    def expire(self) -> None:
+        """Ends all requests in progress as if their time had passed, each with an answer."""
+        for run in self._runs:
+            run.expire()
 
     async def serve(self, inbound: Inbound, reply: Reply) -> None:
         """Answers a request.
@@ -109,15 +121,17 @@
         )
         await check_limit(inbound, admitted, self.parts)
         self.parts.demand.asked(admitted.service, inbound.tokens or 0)
-        if self._leaving_since is not None:
-            gone_s = self.parts.clock.now() - self._leaving_since
-            streams = gone_s > self.parts.config.new_streams_s and admitted.route.gap_s > 0
-            if streams or gone_s > self.parts.config.drain_s:
-                raise NotRunError(
-                    reason='this entry is stopping',
-                    retry_after_s=spread(LEAVING_RETRY_S, self.parts.rng),
-                )
-        await ForwardRun(inbound, admitted, reply, self.parts).answer()
+        if self._stop is not None and not self._stop.takes(admitted, self.parts.clock.now()):
+            raise NotRunError(
+                reason='this entry is stopping',
+                retry_after_s=spread(LEAVING_RETRY_S, self.parts.rng),
+            )
+        run = ForwardRun(inbound, admitted, reply, self.parts)
+        self._runs.add(run)
+        try:
+            await run.answer()
+        finally:
+            self._runs.remove(run)
 
     def _record(self, inbound: Inbound, outcome: str) -> None:
         table = self.parts.view.table
--- a/geraniumrail/forwarding/forwarder_test.py
+++ b/geraniumrail/forwarding/forwarder_test.py
@@ -237,6 +237,38 @@
             await forwarder.serve(testing.inbound(forwarder.parts.clock), reply)
         self.assertEqual(forwarder.in_progress, 0)
 
+    async def test_request_that_could_outlive_a_planned_stop_is_refused_at_once(self):
+        """A booking that came late in the grace was passed on, and cut off without an answer when
+        the process ended."""
+        routes = [
+            testing.route(name='long', kind='unsafe', timeout_s=9),
+            testing.route(name='short', prefix='/desk/short/', kind='unsafe', timeout_s=1),
+        ]
+        (stand,) = await self.started(StandIn('i-1', [head('req-1', body=b'x')]))
+        forwarder = testing.make_forwarder(routes, [stand.backend()])
+        forwarder.leave(forwarder.parts.clock.now() + 8)
+        refused = await self.serve(forwarder)
+        self.assertEqual((refused.status, refused.error.type_name), (503, 'not_run'))
+        self.assertEqual(stand.requests, [])
+        served = await self.serve(forwarder, target='/desk/short/1')
+        self.assertEqual(served.status, 200)
+        hurried = await self.serve(forwarder, deadline_s=0.2)
+        self.assertNotEqual(hurried.error.type_name, 'not_run')
+
+    async def test_request_that_is_in_progress_at_the_end_of_a_planned_stop_is_answered(self):
+        """Its connection was cut, and the caller knew nothing of its booking."""
+        (stand,) = await self.started(StandIn('i-1', [HANG]))
+        forwarder = testing.make_forwarder([testing.route(kind='unsafe')], [stand.backend()])
+        task = asyncio.create_task(self.serve(forwarder))
+        async with asyncio.timeout(LIMIT_S):
+            await stand.asked.wait()
+            forwarder.leave(forwarder.parts.clock.now() + 1)
+            forwarder.expire()
+            reply = await task
+            await stand.closed.wait()
+        self.assertEqual((reply.status, reply.ended), (504, 'refused'))
+        self.assertEqual(forwarder.in_progress, 0)
+
     async def test_caller_that_leaves_ends_the_work(self):
         (stand,) = await self.started(StandIn('i-1', [HANG]))
         forwarder = testing.make_forwarder([testing.route()], [stand.backend()])
--- a/geraniumrail/forwarding/run.py
+++ b/geraniumrail/forwarding/run.py
@@ -55,6 +55,8 @@
         self._admitted = admitted
         self._reply = reply
         self._parts = parts
+        self._ends_at = admitted.ends_at
+        self._limit = asyncio.timeout(None)  # of the present attempt
         self._draw = parts.rng.random()
         self._splitter = EventSplitter(inbound.last_event_id)
         self._excluded: frozenset[str] = frozenset()
@@ -89,6 +91,12 @@
             )
             raise
 
+    def expire(self) -> None:
+        """Ends the request as if its time had passed."""
+        self._ends_at = min(self._ends_at, self._now())
+        if self._limit.when() is not None and not self._limit.expired():
+            self._limit.reschedule(asyncio.get_running_loop().time())
+
     async def _try_once(self, failure: BackendError | None) -> BackendError | None:
         """Makes one attempt and returns its failure, or None if the answer was delivered."""
         backend = self._choose(failure)
@@ -105,7 +113,8 @@
         self._sent += 1
         self._notes.sent(backend, name)
         try:
-            async with asyncio.timeout(max(0, self._left_s())):
+            self._limit = asyncio.timeout(max(0, self._left_s()))
+            async with self._limit:
                 return await self._exchange(attempt, sent_at)
         except TimeoutError:
             raise self._deadline_error(attempt) from None
@@ -137,7 +146,7 @@
             # A refusal would have been raised: the backend server doesn't say that it did not run.
             raise OutcomeUnknownError(reason=f'status {attempt.status} without a refusal')
         await self._reply.answer(attempt.status, attempt.headers, body)
-        self._log_end(attempt)
+        self._notes.log_end(attempt, self._sent, self._splitter.events)
         return None
 
     async def _relay(self, attempt: Attempt, sent_at: float) -> None:
@@ -169,7 +178,7 @@
             )
         await self._reply.finish()
         self._notes.ended_whole(attempt.backend)
-        self._log_end(attempt)
+        self._notes.log_end(attempt, self._sent, self._splitter.events)
 
     def _stall_s(self) -> float | None:
         """Returns how long a stream may be without a whole event, or None for no limit.
@@ -348,11 +357,8 @@
             return IncompleteAnswerError(reason=str(failure))
         return OutcomeUnknownError(reason=str(failure))
 
-    def _log_end(self, attempt: Attempt) -> None:
-        self._notes.log_end(attempt, self._sent, self._splitter.events)
-
     def _left_s(self) -> float:
-        return self._admitted.ends_at - self._now()
+        return self._ends_at - self._now()
 
     def _now(self) -> float:
         return self._parts.clock.now()
