--- a/geraniumrail/forwarding/forwarder_test.py
+++ b/geraniumrail/forwarding/forwarder_test.py
@@ -206,6 +206,25 @@
         async with asyncio.timeout(LIMIT_S):
             await stand.closed.wait()
 
+    async def test_nothing_follows_an_answer_that_is_delivered_slowly(self):
+        """The time of the route ended while a whole answer was being delivered, and a 504 was sent
+        right behind it on the connection."""
+        (stand,) = await self.started(StandIn('i-1', [head('req-1', body=b'x')]))
+        route = testing.route(timeout_s=0.3, kind='unsafe')
+        forwarder = testing.make_forwarder([route], [stand.backend()])
+        self.addAsyncCleanup(forwarder.parts.connections.close)
+        reply = testing.Reply()
+        answer = reply.answer
+
+        async def answer_slowly(*fields):
+            reply.status = fields[0]
+            await asyncio.sleep(0.6)
+            await answer(*fields)
+
+        reply.answer = answer_slowly
+        await forwarder.serve(testing.inbound(forwarder.parts.clock), reply)
+        self.assertEqual((reply.status, reply.content, reply.ended), (200, b'x', 'whole'))
+
     async def test_unexpected_error_ends_one_request_with_an_answer(self):
         """Pattern: a fault of ours in one request; nobody may be told that it did not run."""
         (stand,) = await self.started(StandIn('i-1', [head('req-1', body=b'x')]))
--- a/geraniumrail/forwarding/reply.py
+++ b/geraniumrail/forwarding/reply.py
@@ -11,7 +11,7 @@
 
     @property
     def started(self) -> bool:
-        """Whether the head was sent."""
+        """Whether an answer has begun, of which a part may be on its way."""
 
     async def answer(self, status: int, headers: Headers, body: bytes) -> None:
         """Sends a whole answer.
--- a/geraniumrail/forwarding/run.py
+++ b/geraniumrail/forwarding/run.py
@@ -35,6 +35,8 @@
 # A request that has lost so many backend servers may be what ends them.
 MAX_LOST = 2
 MAX_LOGGED_PARTS = 8  # of one prompt in a line of the log
+# For a caller that takes a whole answer slowly; the largest takes a few seconds on a slow link.
+DELIVERY_LIMIT_S = 60.0
 _SERVER_ERROR = 500
 # Callers take these statuses for the promise that a request did not run, and send it again.
 _PROMISES = frozenset((408, 421, 429, 503))
@@ -94,7 +96,7 @@
     def expire(self) -> None:
         """Ends the request as if its time had passed."""
         self._ends_at = min(self._ends_at, self._now())
-        if self._limit.when() is not None and not self._limit.expired():
+        if self._limit.when() is not None and not self._reply.started:
             self._limit.reschedule(asyncio.get_running_loop().time())
 
     async def _try_once(self, failure: BackendError | None) -> BackendError | None:
@@ -145,6 +147,8 @@
         if attempt.status in _PROMISES:
             # A refusal would have been raised: the backend server doesn't say that it did not run.
             raise OutcomeUnknownError(reason=f'status {attempt.status} without a refusal')
+        # The answer is whole; nothing else may follow a part of it.
+        self._limit.reschedule(asyncio.get_running_loop().time() + DELIVERY_LIMIT_S)
         await self._reply.answer(attempt.status, attempt.headers, body)
         self._notes.log_end(attempt, self._sent, self._splitter.events)
         return None
