Expire requests at the end of a planned stop also between two attempts

The limit of an attempt that has ended can't be rescheduled: asyncio raises RuntimeError, which would have ended the planned stop of the process at that moment. Found when the change was read. The new test fails without the reset (502 for an unexpected error instead of 504).

--- a/geraniumrail/daemon/hosted_daemon.py
+++ b/geraniumrail/daemon/hosted_daemon.py
@@ -137,6 +137,7 @@
             if spent_s >= kept_s and not self._entry.in_progress:
                 return
             if spent_s >= answered_s:
+                # Again for a request that was between two attempts.
                 self._entry.forwarder.expire()
             await asyncio.sleep(STEP_S)
 
--- a/geraniumrail/forwarding/forwarder_test.py
+++ b/geraniumrail/forwarding/forwarder_test.py
@@ -283,11 +283,29 @@
             await stand.asked.wait()
             forwarder.leave(forwarder.parts.clock.now() + 1)
             forwarder.expire()
+            await asyncio.sleep(0)  # its time has passed, and it has not ended yet
+            forwarder.expire()
             reply = await task
             await stand.closed.wait()
         self.assertEqual((reply.status, reply.ended), (504, 'refused'))
         self.assertEqual(forwarder.in_progress, 0)
 
+    async def test_request_between_two_attempts_can_be_expired(self):
+        """The limit of an attempt that has ended can't be changed; the stop must go on."""
+        (stand,) = await self.started(StandIn('i-1', [head('req-1', '500 Oops', b'no')]))
+        forwarder = testing.make_forwarder([testing.route()], [stand.backend()])
+        retries = forwarder.parts.retries
+
+        def expire_and_allow(*fields):
+            forwarder.expire()
+            return True
+
+        retries.take_retry = expire_and_allow
+        stands = await self.started(StandIn('i-2', [RESET], [RESET]), StandIn('i-3', [RESET]))
+        forwarder.parts.view.observe(stand.backend() for stand in stands)
+        reply = await self.serve(forwarder)
+        self.assertEqual((reply.status, reply.ended), (504, 'refused'))
+
     async def test_caller_that_leaves_ends_the_work(self):
         (stand,) = await self.started(StandIn('i-1', [HANG]))
         forwarder = testing.make_forwarder([testing.route()], [stand.backend()])
--- a/geraniumrail/forwarding/run.py
+++ b/geraniumrail/forwarding/run.py
@@ -58,7 +58,7 @@
         self._reply = reply
         self._parts = parts
         self._ends_at = admitted.ends_at
-        self._limit = asyncio.timeout(None)  # of the present attempt
+        self._limit: asyncio.Timeout | None = None  # of the present attempt
         self._draw = parts.rng.random()
         self._splitter = EventSplitter(inbound.last_event_id)
         self._excluded: frozenset[str] = frozenset()
@@ -96,7 +96,8 @@
     def expire(self) -> None:
         """Ends the request as if its time had passed."""
         self._ends_at = min(self._ends_at, self._now())
-        if self._limit.when() is not None and not self._reply.started:
+        is_over = self._limit is None or self._limit.expired()
+        if not is_over and not self._reply.started:
             self._limit.reschedule(asyncio.get_running_loop().time())
 
     async def _try_once(self, failure: BackendError | None) -> BackendError | None:
@@ -207,6 +208,7 @@
 
         :raises GeraniumrailError: the final answer otherwise.
         """
+        self._limit = None
         unreachable = self._unsent >= self._parts.config.connect_attempts
         unrepeatable = self._may_have_run and not self._admitted.route.repeatable
         if self._left_s() <= 0 or unreachable or unrepeatable:
