--- a/geraniumrail/daemon/hosted_daemon.py
+++ b/geraniumrail/daemon/hosted_daemon.py
@@ -47,6 +47,7 @@
         """
         self._config = config
         self._adapter = adapter
+        self._settings_stamp = adapter.stamp()
         self._started_at = started_at
         self._clock = SystemClock()
         self._links = LinkPool()
@@ -225,11 +226,10 @@
         log(events.RELOADED, seeds=seeds)
 
     async def _watch(self) -> None:
-        """Notices a changed file without a signal."""
-        seen = self._adapter.stamp()
+        """Notices a changed file without a signal, also one that changed during the start."""
         while True:
             await asyncio.sleep(WATCH_INTERVAL_S)
             found = self._adapter.stamp()
-            if found != seen:
-                seen = found
+            if found != self._settings_stamp:
+                self._settings_stamp = found
                 self._reload()
