--- a/geraniumrail/daemon/hosted_daemon.py
+++ b/geraniumrail/daemon/hosted_daemon.py
@@ -74,6 +74,9 @@
         log(events.STOPPING, instance=self._config.daemon.instance)
         await self._stop()
         log(events.STOPPED, instance=self._config.daemon.instance)
+        # A loop that is closed gives the signal its default action, which ends the process.
+        loop.remove_signal_handler(signal.SIGHUP)
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
     async def _start(self) -> None:
         await self._link_server.start()
