--- a/geraniumrail/backends/connections.py
+++ b/geraniumrail/backends/connections.py
@@ -11,11 +11,11 @@
     ClientSession,
     ClientTimeout,
     DummyCookieJar,
-    TCPConnector,
 )
 from yarl import URL
 
-from geraniumrail.backends.exchange import Exchange, trace_exchanges
+from geraniumrail.backends.exchange import Exchange
+from geraniumrail.backends.exchange_connector import EXCHANGE, ExchangeConnector
 from geraniumrail.backends.guarded_handler import GuardedHandler, IdleLimits
 from geraniumrail.backends.held_response import HeldResponse
 from geraniumrail.core.backend import Backend
@@ -42,7 +42,8 @@
     """Keeps idle connections for reuse; the owner closes it.
 
     A connection whose response was not accepted or not read to its end, or that brought more than
-    its response, is closed and never reused.
+    its response, is closed and never reused. No connection carries one request id twice: a server
+    may send a copy of the answer that the id had before, and runs the request behind it.
     """
 
     def __init__(self, reused: ClientSession, fresh: ClientSession, idle: IdleLimits) -> None:
@@ -90,21 +91,24 @@
         :param path: path with query, already percent-encoded.
         :param payload: body.
         :param headers: HTTP headers.
-        :param exchange: shows how far the request has come, also after an error.
+        :param exchange: names the request, and shows how far it has come, also after an error.
         :param fresh: open a new connection, and close it afterwards.
         :raises aiohttp.ClientError: if there is no response.
         """
         # Without the slash, `@host` in a path would name another host.
         target = path if path.startswith('/') else f'/{path}'
         session = self._fresh if fresh else self._reused
-        return await session.request(
-            method,
-            URL(f'http://{backend.address}{target}', encoded=True),
-            data=payload,
-            headers=(*headers, *_FRESH_HEADERS) if fresh else tuple(headers),
-            allow_redirects=False,
-            trace_request_ctx=exchange,
-        )
+        token = EXCHANGE.set(exchange)
+        try:
+            return await session.request(
+                method,
+                URL(f'http://{backend.address}{target}', encoded=True),
+                data=payload,
+                headers=(*headers, *_FRESH_HEADERS) if fresh else tuple(headers),
+                allow_redirects=False,
+            )
+        finally:
+            EXCHANGE.reset(token)
 
 
 def make_socket(config: ConnectionsConfig, address: tuple[Any, ...]) -> socket.socket:
@@ -129,10 +133,11 @@
     if not force_close:
         keep_alive = {'keepalive_timeout': config.keep_alive_s}
     socket_factory = functools.partial(make_socket, config)
-    connector = TCPConnector(limit=0, socket_factory=socket_factory, **keep_alive)
-    # The library has no public way to choose the protocol of its connections.
-    connector._factory = functools.partial(  # noqa: SLF001
-        GuardedHandler, asyncio.get_running_loop(), idle
+    connector = ExchangeConnector(
+        factory=functools.partial(GuardedHandler, asyncio.get_running_loop(), idle),
+        limit=0,
+        socket_factory=socket_factory,
+        **keep_alive,
     )
     return ClientSession(
         connector=connector,
@@ -142,6 +147,5 @@
         # Bodies pass through as they are; decompression could exceed the size limit.
         auto_decompress=False,
         skip_auto_headers=('Accept-Encoding', 'User-Agent', 'Content-Type'),
-        trace_configs=[trace_exchanges()],
         response_class=HeldResponse,
     )
--- a/geraniumrail/backends/engine_client.py
+++ b/geraniumrail/backends/engine_client.py
@@ -74,7 +74,7 @@
             response.close()
 
     async def _open(self, backend: Backend, call: EngineCall) -> HeldResponse:
-        exchange = Exchange()
+        exchange = Exchange(request_id=call.request_id)
         async with attempt(backend, exchange, call.first_token_timeout_s, FIRST_TOKEN):
             response = await self._connections.request(
                 backend,
--- a/geraniumrail/backends/events.py
+++ b/geraniumrail/backends/events.py
@@ -16,3 +16,8 @@
     'the HTTP library was kept from sending a request a second time',
     logging.WARNING,
 )
+CONNECTION_LEFT = Event.define(
+    1102,
+    'backends.connection_left',
+    'A kept connection was closed because it had carried the id of the next request before.',
+)
--- /dev/null
+++ b/geraniumrail/backends/exchange_connector.py
@@ -0,0 +1,64 @@
+"""Chooses the connection of each request."""
+
+import contextvars
+from typing import Any
+
+from aiohttp import ClientRequest, ClientTimeout, TCPConnector
+from aiohttp.connector import Connection
+from aiohttp.tracing import Trace
+
+from geraniumrail.backends import events
+from geraniumrail.backends.exchange import Exchange, ResendError
+from geraniumrail.backends.guarded_handler import GuardedHandler
+from geraniumrail.core.events import log
+
+# The HTTP library passes nothing of the caller on to the connector but the request.
+EXCHANGE: contextvars.ContextVar[Exchange] = contextvars.ContextVar('exchange')
+
+
+class ExchangeConnector(TCPConnector):
+    """Gives the exchange in `EXCHANGE` one connection, which has not carried its request before.
+
+    aiohttp sends GET, PUT and DELETE requests again when the connection is lost before the answer.
+    A plain service's request may not be repeatable whatever its method, so a second connection for
+    the same exchange is refused.
+    """
+
+    def __init__(self, **params: Any) -> None:
+        """Creates the pool of connections.
+
+        :param params: of the HTTP library, and `factory`, which makes a `GuardedHandler`.
+        """
+        factory = params.pop('factory')
+        super().__init__(**params)
+        # The library has no public way to choose the protocol of its connections.
+        self._factory = factory
+
+    async def connect(
+        self, req: ClientRequest, traces: list[Trace], timeout: ClientTimeout
+    ) -> Connection:
+        """Returns an idle connection, or else a new one.
+
+        :param req: the request.
+        :param traces: of the HTTP library.
+        :param timeout: of the HTTP library.
+        :raises ResendError: if the exchange had a connection before.
+        """
+        exchange = EXCHANGE.get()
+        if exchange.connected:
+            log(events.RESEND_STOPPED)
+            raise ResendError
+        while True:
+            connection = await super().connect(req, traces, timeout)
+            handler = connection.protocol
+            if not isinstance(handler, GuardedHandler) or handler.claim(exchange.request_id):
+                break
+            log(
+                events.CONNECTION_LEFT,
+                request=exchange.request_id,
+                address=handler.address,
+                requests=handler.requests,
+            )
+            connection.close()
+        exchange.connected = True
+        return connection
--- a/geraniumrail/backends/guarded_handler.py
+++ b/geraniumrail/backends/guarded_handler.py
@@ -16,6 +16,10 @@
 # Answers with a status of 1xx before the final one; the HTTP library reads on for ever.
 MAX_INTERIM_ANSWERS = 8
 _INTERIM = range(100, 200)
+# A connection that has carried so many is closed, which bounds what it remembers of them: 8 bytes
+# of each.
+MAX_REQUESTS = 1000
+_HASH_BYTES = 8
 
 
 class IdleLimits:
@@ -46,7 +50,11 @@
 
 
 class GuardedHandler(ResponseHandler):
-    """Refuses reuse after stray bytes or a long pause, and notices answers that were reset."""
+    """Refuses reuse after stray bytes or a long pause, and notices answers that were reset.
+
+    A server may send the copy of an earlier answer where the next one is due. The copy names its
+    request, so it can only be told from the answer if no request comes twice on the connection.
+    """
 
     def __init__(self, loop: asyncio.AbstractEventLoop, limits: IdleLimits) -> None:
         """Creates the protocol of one connection.
@@ -55,12 +63,37 @@
         :param limits: of idle connections.
         """
         super().__init__(loop)
+        self.address = ''
         self._limits = limits
-        self._address = ''
+        self._carried = bytearray()  # a hash of the id of each request
         self._received_at = loop.time()
         self._answer_bytes = 0
         self._interim_answers = 0
 
+    @property
+    def requests(self) -> int:
+        """How many requests with an id the connection has carried."""
+        return len(self._carried) // _HASH_BYTES
+
+    @property
+    def should_close(self) -> bool:
+        """Whether the connection is closed when its answer has ended."""
+        return super().should_close or self.requests >= MAX_REQUESTS
+
+    def claim(self, request_id: str) -> bool:
+        """Returns whether the connection may carry a request, which it remembers.
+
+        :param request_id: empty if the answer names no request.
+        """
+        if not request_id:
+            return True
+        # Equal hashes of two ids cost a connection, nothing else.
+        hashed = hash(request_id).to_bytes(_HASH_BYTES, 'big', signed=True)
+        if hashed in self._carried:
+            return False
+        self._carried += hashed
+        return True
+
     def set_response_params(self, **params: Any) -> None:
         """Starts to count: a request is about to be sent.
 
@@ -87,7 +120,7 @@
         :param transport: the connection.
         """
         peer = transport.get_extra_info('peername')
-        self._address = f'{peer[0]}:{peer[1]}' if peer else ''
+        self.address = f'{peer[0]}:{peer[1]}' if peer else ''
         super().connection_made(transport)
 
     def data_received(self, data: bytes) -> None:
@@ -118,7 +151,7 @@
         """
         idle_s = self._loop.time() - self._received_at
         stray = bool(self._tail or self._buffer)
-        fresh = idle_s < self._limits.limit_s(self._address)
+        fresh = idle_s < self._limits.limit_s(self.address)
         return super().is_connected() and not stray and fresh
 
     def connection_lost(self, exc: BaseException | None) -> None:
--- a/geraniumrail/backends/service_client.py
+++ b/geraniumrail/backends/service_client.py
@@ -40,7 +40,7 @@
         :raises StalledError: if the time limit has passed: it may have run.
         :raises ConnectionLostError: for all other failures: it may have run.
         """
-        exchange = Exchange()
+        exchange = Exchange(request_id=call.request_id)
         async with attempt(backend, exchange, call.limit_s, 'answer'):
             response = await self._connections.request(
                 backend,
--- a/geraniumrail/forwarding/attempt.py
+++ b/geraniumrail/forwarding/attempt.py
@@ -40,7 +40,7 @@
         self.head = Head()
         self.status = 0
         self.headers: Headers = ()
-        self.exchange = Exchange()
+        self.exchange = Exchange(request_id=inbound.request_id)
         self._inbound = inbound
         self._dialect = dialect
         self._response: HeldResponse | None = None
--- a/geraniumrail/forwarding/testing.py
+++ b/geraniumrail/forwarding/testing.py
@@ -157,6 +157,38 @@
             await writer.drain()
 
 
+class CopyingStandIn(StandIn):
+    """Runs a request that comes again on its connection behind a copy of the earlier answer.
+
+    The scripts are the answers to the first requests, as functions of the request's id; all others
+    run and succeed.
+    """
+
+    def __init__(self, instance, *scripts):
+        super().__init__(instance, *scripts)
+        self.runs = []  # ids of the requests that it ran
+        self._answers_by_writer = {}
+        self.copies = 0
+
+    async def _play(self, script, writer, reader):
+        lines = self.requests[-1]
+        request_id = next(ln for ln in lines if ln.startswith('X-Request-Id')).split()[1]
+        answers = self._answers_by_writer.setdefault(writer, {})
+        earlier = answers.get(request_id)
+        if earlier is not None:
+            self.copies += 1
+            self.runs.append(request_id)
+            writer.write(earlier)
+            script = [HANG]
+        elif script == [HANG]:
+            self.runs.append(request_id)
+            script = [head(request_id, body=event(1))]
+        else:
+            script = [step(request_id) if callable(step) else step for step in script]
+            answers[request_id] = b''.join(step for step in script if isinstance(step, bytes))
+        await super()._play(script, writer, reader)
+
+
 class Reply:
     """Records an answer."""
 
