--- a/geraniumrail/cloud/cloud_test.py
+++ b/geraniumrail/cloud/cloud_test.py
@@ -1,5 +1,6 @@
 """Guards the platform clients: refused starts and cut transfers must not look like successes."""
 
+import asyncio
 import contextlib
 import unittest
 
@@ -92,6 +93,30 @@
                 async for _ in pieces:
                     continue
 
+    async def test_late_copy_is_not_taken_for_other_weights(self):
+        """Answers name no weights, and the copy of an earlier one is whole: another version would
+        have been loaded, or a wait that was over would have begun again."""
+
+        async def answer(reader, writer):
+            request = await reader.readuntil(b'\r\n\r\n')
+            body = request.split()[1]
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                while True:
+                    writer.write(
+                        b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(body) + body
+                    )
+                    await reader.readuntil(b'\r\n\r\n')
+            writer.close()
+
+        server = await asyncio.start_server(answer, '127.0.0.1', 0)
+        self.addCleanup(server.close)
+        host, port = server.sockets[0].getsockname()
+        client = WeightClient.from_url(f'http://{host}:{port}', silence_limit_s=20)
+        self.addAsyncCleanup(client.close)
+        for name in ('bench-v1', 'bench-v2'):
+            pieces = [piece async for piece in client.read(name)]
+            self.assertEqual(b''.join(pieces), f'/weights/{name}'.encode())
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/geraniumrail/cloud/weight_client.py
+++ b/geraniumrail/cloud/weight_client.py
@@ -3,7 +3,14 @@
 from collections.abc import AsyncIterator
 from urllib.parse import quote
 
-from aiohttp import ClientError, ClientPayloadError, ClientResponse, ClientSession, ClientTimeout
+from aiohttp import (
+    ClientError,
+    ClientPayloadError,
+    ClientResponse,
+    ClientSession,
+    ClientTimeout,
+    TCPConnector,
+)
 
 from geraniumrail.errors.cloud import (
     PlatformError,
@@ -34,7 +41,10 @@
         :param silence_limit_s: limit of the time without a byte; a transfer may take long.
         """
         timeout = ClientTimeout(total=None, sock_connect=silence_limit_s, sock_read=silence_limit_s)
-        return cls(url, ClientSession(timeout=timeout, auto_decompress=False))
+        # Answers name no weights: a late second one on a kept connection would be taken for others.
+        connector = TCPConnector(force_close=True)
+        session = ClientSession(connector=connector, timeout=timeout, auto_decompress=False)
+        return cls(url, session)
 
     async def close(self) -> None:
         """Closes the connections."""
