--- a/geraniumrail/consensus/file_storage.py
+++ b/geraniumrail/consensus/file_storage.py
@@ -73,6 +73,7 @@
         self._lock = lock
         self._log = -1  # descriptor of the log file
         self._size = 0
+        self._is_torn = False  # whether the file may hold a part of a record after `_size`
         self._stopped = False
         self._executor = ThreadPoolExecutor(1, f'log-{initial.replica_id}')
 
@@ -173,12 +174,12 @@
         self._retry_until_written(functools.partial(self._append_once, content))
 
     def _append_once(self, content: bytes) -> None:
-        try:
-            write_all(self._log, content)
-            os.fdatasync(self._log)
-        except OSError:
-            os.ftruncate(self._log, self._size)  # part of the record may have been written
-            raise
+        if self._is_torn:
+            os.ftruncate(self._log, self._size)
+        self._is_torn = True
+        write_all(self._log, content)
+        os.fdatasync(self._log)
+        self._is_torn = False
 
     def _retry_until_written(self, work: Callable[[], None]) -> None:
         """Retries a write until it succeeds; the other replicas can continue meanwhile."""
@@ -219,6 +220,7 @@
         path = self._folder / 'log'
         self._log = os.open(path, os.O_WRONLY | os.O_APPEND)
         self._size = path.stat().st_size
+        self._is_torn = False
 
     def _load_snapshot(self) -> Snapshot | None:
         path = self._folder / 'snapshot'
