--- a/geraniumrail/consensus/disk_full_test.py
+++ b/geraniumrail/consensus/disk_full_test.py
@@ -95,6 +95,49 @@
         """The next attempt was appended to the part, and the folder could not be loaded."""
         await self.write_around(FullDisk('write', part=9), FullDisk('ftruncate'))
 
+    async def test_new_folder_on_a_full_disk_waits_for_room(self):
+        """A process that started with an empty folder on a full disk ended."""
+        for name in ('mkdir', 'open', 'fsync'):
+            with self.subTest(refused=name), refused(disk := FullDisk(name)):
+                storage = FileStorage.open(self.folder.parent / name, 'a')
+                stored = storage.load()
+                await storage.close()
+                self.assertEqual(disk.left, 0)
+                again = FileStorage.open(self.folder.parent / name, 'a')
+                self.assertEqual(again.load(), stored)
+                await again.close()
+
+    async def test_torn_tail_on_a_full_disk_waits_for_room(self):
+        """A process that started with a torn tail on a full disk ended."""
+        await self.storage.write(self.hard, entries(1, 2))
+        with (self.folder / 'log').open('ab') as log:
+            log.write(b'part')
+        await self.storage.close()
+        self.storage = FileStorage.open(self.folder, 'a')
+        with refused(disk := FullDisk('fsync')):
+            self.storage.load()
+        self.assertEqual(disk.left, 0)
+        await self.assert_loaded(2)
+
+    async def test_damaged_files_on_a_full_disk_wait_for_room(self):
+        """A process that renamed a damaged log on a full disk ended."""
+        await self.storage.close()
+        (self.folder / 'log').write_bytes(b'damage')
+        for name in ('replace', 'fsync'):
+            with self.subTest(refused=name), refused(disk := FullDisk(name)):
+                storage = FileStorage.open(self.folder, 'a', rename_damaged=True)
+                self.assertNotEqual(storage.load().replica_id, self.replica_id)
+                await storage.close()
+                self.assertEqual(disk.left, 0)
+            (self.folder / 'log').write_bytes(b'damage')
+
+    async def test_folder_that_may_not_be_written_is_reported(self):
+        """A wrong folder must end the start instead of being waited for."""
+        refusal = PermissionError(errno.EACCES, 'refused')
+        with mock.patch.object(os, 'mkdir', side_effect=refusal):
+            with self.assertRaises(PermissionError):
+                FileStorage.open(self.folder.parent / 'other', 'a')
+
     async def test_snapshot_is_stored_after_refusals(self):
         """A snapshot on a full disk must leave the old files or the new ones."""
         state = Stored(
--- a/geraniumrail/consensus/file_storage.py
+++ b/geraniumrail/consensus/file_storage.py
@@ -9,6 +9,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import errno
 import fcntl
 import functools
 import os
@@ -16,6 +17,7 @@
 import time
 from collections.abc import Callable, Sequence
 from concurrent.futures import ThreadPoolExecutor
+from typing import TypeVar
 
 from geraniumrail.consensus import events, frames
 from geraniumrail.consensus.durable_files import replace_file, sync_folder, truncate_file, write_all
@@ -25,6 +27,8 @@
 from geraniumrail.core.events import log
 from geraniumrail.errors.consensus import FolderInUseError, LogDamagedError
 
+Result = TypeVar('Result')
+
 
 @record
 class LogStart:
@@ -47,6 +51,8 @@
 
 # A failed write is retried after this pause; nothing is acknowledged until it succeeds.
 RETRY_PAUSE_S = 0.25
+# Of a full or faulty disk; other errors of a start are mistakes in the settings and end it.
+DISK_ERRORS = frozenset((errno.ENOSPC, errno.EDQUOT, errno.EFBIG, errno.EIO))
 
 
 class FileStorage:
@@ -96,9 +102,11 @@
         :raises FolderInUseError: if another process or replica has the folder open.
         """
         if not folder.exists():
-            folder.mkdir(parents=True)
-            sync_folder(folder.parent)
-        lock = os.open(folder / 'lock', os.O_RDWR | os.O_CREAT, 0o600)
+            _wait_for_room(folder, functools.partial(folder.mkdir, parents=True))
+            _wait_for_room(folder, functools.partial(sync_folder, folder.parent))
+        lock_flags = os.O_RDWR | os.O_CREAT
+        open_lock = functools.partial(os.open, folder / 'lock', lock_flags, 0o600)
+        lock = _wait_for_room(folder, open_lock)
         try:
             fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except BlockingIOError as error:
@@ -121,13 +129,16 @@
             log(events.DAMAGED_LOG_RENAMED, folder=self._folder, reason=str(error))
         # The damaged log may hold votes and acknowledged entries, so the replica must not continue
         # under its old id. It does not found a group either.
+        _wait_for_room(self._folder, self._rename_files)
+        instance = self._initial.replica_id.partition('.')[0]
+        self._initial = Stored(replica_id=new_replica_id(instance))
+        return self._load()
+
+    def _rename_files(self) -> None:
         for file in ('log', 'snapshot'):
             with contextlib.suppress(FileNotFoundError):
                 (self._folder / file).replace(self._folder / f'{file}.damaged')
         sync_folder(self._folder)
-        instance = self._initial.replica_id.partition('.')[0]
-        self._initial = Stored(replica_id=new_replica_id(instance))
-        return self._load()
 
     def _load(self) -> Stored:
         path = self._folder / 'log'
@@ -136,7 +147,8 @@
             stored = self._load_log(path, snapshot)
         elif snapshot is None:
             stored = self._initial
-            replace_file(path, _log_content(stored))
+            content = _log_content(stored)
+            _wait_for_room(self._folder, functools.partial(replace_file, path, content))
         else:
             raise LogDamagedError(file=str(path), offset=0, reason='missing')
         self._open_log()
@@ -183,21 +195,7 @@
 
     def _retry_until_written(self, work: Callable[[], None]) -> None:
         """Retries a write until it succeeds; the other replicas can continue meanwhile."""
-        failed = False
-        while True:
-            try:
-                work()
-            except OSError as error:
-                if self._stopped:
-                    raise
-                if not failed:
-                    log(events.DISK_FAILED, folder=self._folder, reason=str(error))
-                failed = True
-                time.sleep(RETRY_PAUSE_S)
-            else:
-                break
-        if failed:
-            log(events.DISK_RECOVERED, folder=self._folder)
+        _retry(self._folder, work, lambda error: not self._stopped)
 
     def _compact(self, state: Stored) -> None:
         replace_file(
@@ -245,10 +243,38 @@
             raise LogDamagedError(file=str(path), offset=0, reason=reason)
         if end < len(content):
             log(events.TAIL_TRUNCATED, file=path, offset=end, bytes=len(content) - end)
-            truncate_file(path, end)
+            _wait_for_room(self._folder, functools.partial(truncate_file, path, end))
         return _replay(start, batches, snapshot or Snapshot())
 
 
+def _wait_for_room(folder: pathlib.Path, work: Callable[[], Result]) -> Result:
+    """Retries a write of the start while the disk refuses it."""
+    return _retry(folder, work, lambda error: error.errno in DISK_ERRORS)
+
+
+def _retry(
+    folder: pathlib.Path,
+    work: Callable[[], Result],
+    may_retry: Callable[[OSError], bool],
+) -> Result:
+    failed = False
+    while True:
+        try:
+            outcome = work()
+        except OSError as error:
+            if not may_retry(error):
+                raise
+            if not failed:
+                log(events.DISK_FAILED, folder=folder, reason=str(error))
+            failed = True
+            time.sleep(RETRY_PAUSE_S)
+        else:
+            break
+    if failed:
+        log(events.DISK_RECOVERED, folder=folder)
+    return outcome
+
+
 def _replay(start: LogStart, batches: Sequence[LogBatch], snapshot: Snapshot) -> Stored:
     hard = start.hard
     entries: list[Entry] = []
