--- a/geraniumrail/control/quarantines.py
+++ b/geraniumrail/control/quarantines.py
@@ -1,4 +1,4 @@
-"""Begins and ends the quarantines of prompt parts; a job of the leader."""
+"""Begins and ends the quarantines of prompt parts and requests; a job of the leader."""
 
 import dataclasses
 from collections.abc import Callable
@@ -10,11 +10,14 @@
 from geraniumrail.links.messages import EntryReport
 from geraniumrail.quarantine import events
 from geraniumrail.quarantine.crash_ledger import Finding
+from geraniumrail.quarantine.fingerprint import is_fingerprint
 from geraniumrail.quarantine.quarantine import Quarantine
 from geraniumrail.state.machine import Machine
 from geraniumrail.state.set_quarantines import SetQuarantines
 
-# A failed trial ends all requests of an engine, so trials are rare and become rarer.
+# What was held back may only have stood beside the cause, so the first trial is early. A failed one
+# ends all requests of an engine, so the next ones are rare and become rarer.
+EARLY_S = 5.0
 FIRST_S = 300.0
 LONGEST_S = 4 * 3600.0
 # One entry after the other may send a trial; its outcome is known well within this time.
@@ -71,10 +74,11 @@
         """Records what has changed in the log."""
         held = self._machine.tables.quarantines_by_label
         removed = [label for label, each in held.items() if self._is_over(each)]
+        narrowed = [less for each in held.values() if (less := self._narrowed(each))]
         added = [
-            *(narrowed for each in held.values() if (narrowed := self._narrowed(each))),
+            *narrowed,
             *(renewed for each in held.values() if (renewed := self._renewed(each))),
-            *self._found(tuple(held.values()))[: max(0, MAX_QUARANTINES - len(held))],
+            *self._found((*held.values(), *narrowed))[: max(0, MAX_QUARANTINES - len(held))],
         ]
         self._grant_trials()
         if added or removed:
@@ -103,7 +107,7 @@
             service=found.service,
             parts=found.parts,
             since=wall - self._clock.now() + found.last_at,
-            until=wall + FIRST_S,
+            until=wall + EARLY_S,
         )
 
     def _renewed(self, quarantine: Quarantine) -> Quarantine | None:
@@ -113,7 +117,7 @@
         crashed_at = wall - self._clock.now() + last_at
         if wall < quarantine.until or crashed_at < quarantine.until:
             return None
-        length_s = min(LONGEST_S, FIRST_S * 2**quarantine.failures)
+        length_s = min(LONGEST_S, FIRST_S * 2 ** (quarantine.failures - 1))
         log(
             events.QUARANTINED,
             quarantine=quarantine.label,
@@ -131,11 +135,20 @@
         if self._wall() >= quarantine.until + UNUSED_S:
             log(events.RELEASED, quarantine=quarantine.label, reason='unused')
             return True
+        if self._is_refuted(quarantine):
+            log(events.RELEASED, quarantine=quarantine.label, reason='refuted')
+            return True
         if self._answered(quarantine):
             log(events.RELEASED, quarantine=quarantine.label, reason='answered')
             return True
         return False
 
+    def _is_refuted(self, quarantine: Quarantine) -> bool:
+        """Returns whether later evidence explains the crashes that a request was held back for."""
+        return any(map(is_fingerprint, quarantine.parts)) and (
+            self._publisher.crash_ledger.is_refuted(quarantine.service, quarantine.parts)
+        )
+
     def _narrowed(self, quarantine: Quarantine) -> Quarantine | None:
         """Returns the quarantine without the parts that have been answered, or None."""
         answered = self._answered(quarantine)
--- a/geraniumrail/forwarding/admitted.py
+++ b/geraniumrail/forwarding/admitted.py
@@ -10,6 +10,7 @@
 from geraniumrail.errors.request import NotRunError, UnauthorizedError
 from geraniumrail.forwarding.inbound import Inbound
 from geraniumrail.forwarding.parts import Parts
+from geraniumrail.quarantine.fingerprint import fingerprint_of
 
 # Callers come back this long after a refusal by an entry that has lost control; by then another
 # entry is given out, or a leader is elected.
@@ -25,6 +26,8 @@
     organisation: str
     priority: int
     ends_at: float  # seconds of this process's clock; the answer is due then
+    # Shared prompt parts and the fingerprint: what is known of crashes is known of these.
+    traits: tuple[str, ...] = ()
     holder: Organisation | None = None  # whose limit the request counts towards
 
 
@@ -50,15 +53,18 @@
     organisation = _organisation(inbound, route, table)
     service = draw_service(route, parts.rng)
     limit_s = min(route.timeout_s, inbound.deadline_s or route.timeout_s)
+    name = '' if organisation is None else organisation.name
+    fingerprint = fingerprint_of(name, inbound.method, inbound.target, inbound.body)
     urgent = route.priority
     if organisation is not None and organisation.priority is not None:
         urgent = organisation.priority
     return Admitted(
         route=route,
         service=service,
-        organisation='' if organisation is None else organisation.name,
+        organisation=name,
         priority=urgent,
         ends_at=inbound.arrived_at + limit_s,
+        traits=(*inbound.shared_part_ids, fingerprint),
         holder=organisation,
     )
 
--- a/geraniumrail/forwarding/crashes_test.py
+++ b/geraniumrail/forwarding/crashes_test.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from geraniumrail.forwarding import testing
+from geraniumrail.forwarding.admitted import admit
 from geraniumrail.forwarding.forwarder_test import END, ForwarderCase
 from geraniumrail.forwarding.inbound import PromptPart
 from geraniumrail.forwarding.run import MAX_LOST
@@ -37,6 +38,11 @@
             made.parts.retries.record_request(testing.SERVICE, 1, made.parts.clock.now())
         return made
 
+    def fingerprint(self, forwarder, **changes):
+        """Returns what is remembered of a request of its own."""
+        inbound = testing.inbound(forwarder.parts.clock, **changes)
+        return admit(inbound, forwarder.parts).traits[-1]
+
     async def crashing(self, count, route, script=BEGINS):
         """Serves one request by backend servers that all end on it."""
         stands = await self.started(
@@ -62,11 +68,43 @@
         self.assertIn(reply.status, {502, 504})
 
     async def test_crash_is_noted_with_the_shared_parts(self):
-        """The last part is of the request alone and says nothing about others."""
-        _, forwarder, _ = await self.crashing(1, stream_route(attempts=1))
+        """The last part is of the request alone and says nothing about others; the fingerprint
+        names the request."""
+        stands, forwarder, _ = await self.crashing(1, stream_route(attempts=1))
         await asyncio.sleep(0.2)
         crashes, _ = forwarder.parts.watch.report()
-        self.assertEqual([note.requests for note in crashes], [(SHARED,)])
+        own = self.fingerprint(forwarder, prompt_tokens=24, output_tokens=8, parts=PARTS)
+        self.assertEqual([note.requests for note in crashes], [((*SHARED, own),)])
+        self.assertEqual(len(stands[0].requests), 1)
+
+    async def test_crash_by_a_plain_request_is_noted(self):
+        """Nothing was remembered of a request without parts, repeatable or not, that had crashed
+        its server: it came again and crashed one server after the other."""
+        for kind in ('safe', 'unsafe'):
+            with self.subTest(kind=kind):
+                (stand,) = await self.started(Crashing('i-1', [RESET]))
+                route = testing.route(kind=kind, attempts=1)
+                forwarder = self.forwarder(route, [stand])
+                await self.serve(forwarder, body=b'deadly')
+                await asyncio.sleep(0.2)
+                crashes, _ = forwarder.parts.watch.report()
+                own = self.fingerprint(forwarder, body=b'deadly')
+                self.assertEqual([note.requests for note in crashes], [((own,),)])
+
+    async def test_quarantined_plain_request_is_refused_unsent(self):
+        """Pattern: other requests of the same route and caller go on, and an answer to one of them
+        doesn't count for the request that is held back."""
+        (stand,) = await self.started(StandIn('i-1', [head('req-1', body=b'done')]))
+        forwarder = self.forwarder(testing.route(), [stand])
+        deadly = self.fingerprint(forwarder, body=b'deadly')
+        held = Quarantine(service=testing.SERVICE, parts=(deadly,), since=0, until=1e12)
+        forwarder.parts.watch.take((held,), {testing.SERVICE: (deadly,)}, ())
+        reply = await self.serve(forwarder, body=b'deadly')
+        self.assertEqual((reply.status, reply.error.type_name), (503, 'not_run'))
+        self.assertGreater(reply.error.fields['retry_after_s'], 0)
+        reply = await self.serve(forwarder, body=b'sound')
+        self.assertEqual((reply.status, len(stand.requests)), (200, 1))
+        self.assertEqual(forwarder.parts.watch.report(), ((), ()))
 
     async def test_lost_connection_is_no_crash(self):
         """Answers get lost while their engine goes on; its requests are not to blame."""
--- a/geraniumrail/forwarding/forwarder.py
+++ b/geraniumrail/forwarding/forwarder.py
@@ -117,7 +117,7 @@
         await self.parts.view.wait_for_lease(limit_s, config.lease_lost_s)
         admitted = admit(inbound, self.parts)
         self.parts.watch.require_sound(
-            admitted.service, inbound.shared_part_ids, self.parts.view.true_wall()
+            admitted.service, admitted.traits, self.parts.view.true_wall()
         )
         await check_limit(inbound, admitted, self.parts)
         self.parts.demand.asked(admitted.service, inbound.tokens or 0)
--- a/geraniumrail/forwarding/run.py
+++ b/geraniumrail/forwarding/run.py
@@ -215,9 +215,7 @@
             raise self._given_up(failure)
         if isinstance(failure, NotSentError):
             return
-        quarantine = self._parts.watch.quarantine_of(
-            self._admitted.service, self._inbound.shared_part_ids
-        )
+        quarantine = self._parts.watch.quarantine_of(self._admitted.service, self._admitted.traits)
         if quarantine is not None:
             raise self._given_up(failure)
         misdirected = failure.fields.get('wrong_instance')
@@ -335,6 +333,7 @@
             status=attempt.status,
             last_event=self._splitter.last_id,
             shared_parts=list(self._inbound.shared_part_ids[:MAX_LOGGED_PARTS]),
+            fingerprint=self._admitted.traits[-1],
             type=error.type_name,
             reason=str(error),
         )
--- a/geraniumrail/forwarding/run_notes.py
+++ b/geraniumrail/forwarding/run_notes.py
@@ -170,7 +170,7 @@
         :param backend: the backend server.
         """
         if not self.is_proved and not self.is_leaving(backend):
-            self._parts.watch.record_loss(backend, self._inbound.shared_part_ids)
+            self._parts.watch.record_loss(backend, self._admitted.traits)
 
     def is_leaving(self, backend: Backend) -> bool:
         """Returns whether a backend server has left or said that it leaves.
@@ -208,9 +208,7 @@
     def _prove(self, backend: Backend, began_at: float) -> None:
         if not self.is_proved:
             self.is_proved = True
-            self._parts.watch.record_answer(
-                backend.service, self._inbound.shared_part_ids, began_at
-            )
+            self._parts.watch.record_answer(backend.service, self._admitted.traits, began_at)
 
     def _record_first(self, seconds: float) -> None:
         recorder = self._parts.recorder
--- a/geraniumrail/quarantine/crash_ledger.py
+++ b/geraniumrail/quarantine/crash_ledger.py
@@ -1,4 +1,4 @@
-"""Finds the prompt parts that crash backend servers: evidence of all entries, on the leader."""
+"""Finds what crashes backend servers, prompt parts or requests, on the control leader."""
 
 import collections
 import dataclasses
@@ -7,27 +7,30 @@
 from collections.abc import Iterable, Iterator, Sequence
 
 from geraniumrail.quarantine.crash_note import CrashNote
+from geraniumrail.quarantine.fingerprint import is_fingerprint
 from geraniumrail.quarantine.sound_part import SoundPart
+from geraniumrail.quarantine.sound_times import Key
 
 # Two crashes can have a rare part in common by chance; a third with the same part and no answer in
 # between cannot, in practice.
 MIN_CRASHES = 3
 # Backend servers that are lost together, such as a whole data centre, count as one crash.
 SEPARATE_S = 0.2
+# Copies of one request that crash several backend servers together, and do so again, are no loss of
+# a data centre.
+MIN_REPEATED = 2
 MEMORY_S = 600.0
-MAX_CRASHES = 64
-MAX_REQUESTS = 32  # of one crash
-MAX_WATCHED = 128  # parts, of the newest crashes
-
-Key = tuple[str, str]  # service and part
+MAX_CRASHES = 128
+MAX_REQUESTS = 256  # of one crash
+MAX_WATCHED = 128  # parts, of the newest crashes; and as many fingerprints
 
 
 @dataclasses.dataclass(frozen=True)
 class Finding:
-    """Parts that the requests at several crashes have in common, and no answered request has."""
+    """What requests at several crashes have in common, and no answered request has."""
 
     service: str
-    parts: tuple[str, ...]
+    parts: tuple[str, ...]  # prompt parts, and the fingerprint if it was always the same request
     crashes: int
     last_at: float
 
@@ -39,10 +42,13 @@
     requests: set[frozenset[str]]
 
 
+_CrashesByKey = dict[Key, list[_Crash]]
+
+
 class CrashLedger:
-    """Crashes and answered parts.
+    """Crashes and answered requests; a trait is a prompt part or the fingerprint of a request.
 
-    Invariant: a part that was part of an answered request after a crash is no suspect of it.
+    Invariant: a trait of a request that was answered after a crash is no suspect of it.
     """
 
     def __init__(self) -> None:
@@ -61,12 +67,12 @@
         :param now: monotonic seconds.
         """
         self._expire(now)
-        requests = {frozenset(parts) for parts in note.requests if parts}
+        requests = dict.fromkeys(frozenset(traits) for traits in note.requests if traits)
         if not requests:
             return False
         key = (note.service, note.instance, note.incarnation)
         crash = self._crashes.setdefault(key, _Crash(note.service, now - note.age_s, set()))
-        fresh = requests - crash.requests
+        fresh = [request for request in requests if request not in crash.requests]
         room = max(0, MAX_REQUESTS - len(crash.requests))
         crash.requests.update(itertools.islice(fresh, room))
         while len(self._crashes) > MAX_CRASHES:
@@ -76,79 +82,139 @@
         return bool(fresh)
 
     def observe_sound(self, sounds: Iterable[SoundPart], now: float) -> bool:
-        """Records that requests with some parts were answered. Tells whether one was a suspect.
+        """Records that requests with some traits were answered. Tells whether one was a suspect.
 
         :param sounds: report of one entry.
         :param now: monotonic seconds.
         """
-        before = self._suspects
-        known = [sound for sound in sounds if (sound.service, sound.part) in before]
+        known = [sound for sound in sounds if (sound.service, sound.part) in self._suspects]
+        is_news = False
         for sound in known:
             key = (sound.service, sound.part)
-            self._sound_at[key] = max(self._sound_at.get(key, -math.inf), now - sound.age_s)
-        if known:
+            earlier_at, at = self._sound_at.get(key, -math.inf), now - sound.age_s
+            self._sound_at[key] = max(earlier_at, at)
+            is_news = is_news or any(
+                earlier_at <= crash.at < at
+                for crash in self._crashes_with(key[0], frozenset(key[1:]))
+            )
+        if is_news:
             self._conclude()
-        return self._suspects.keys() != before.keys()
+        return is_news
 
     def watched(self) -> dict[str, tuple[str, ...]]:
-        """Returns the parts, by service, of which the entries report answered requests."""
-        parts_by_service: dict[str, tuple[str, ...]] = {}
-        for service, part in itertools.islice(self._suspects, MAX_WATCHED):
-            parts_by_service[service] = (*parts_by_service.get(service, ()), part)
-        return parts_by_service
+        """Returns the traits, by service, of which the entries report answered requests."""
+        parts = (key for key in self._suspects if not is_fingerprint(key[1]))
+        fingerprints = (key for key in self._suspects if is_fingerprint(key[1]))
+        traits_by_service: dict[str, tuple[str, ...]] = {}
+        for service, trait in (
+            *itertools.islice(parts, MAX_WATCHED),
+            *itertools.islice(fingerprints, MAX_WATCHED),
+        ):
+            traits_by_service[service] = (*traits_by_service.get(service, ()), trait)
+        return traits_by_service
 
     def findings(self) -> tuple[Finding, ...]:
         """Returns what the crashes have in common, if there are enough of them."""
         return self._findings
 
+    def is_refuted(self, service: str, parts: Iterable[str]) -> bool:
+        """Returns whether enough crashes are known, and answers or other requests explain them.
+
+        :param service: name of the service.
+        :param parts: of an earlier finding.
+        """
+        wanted = frozenset(parts)
+        crashes = self._crashes_with(service, wanted)
+        if not _is_repeated(crashes):
+            return False
+        requests = [request for crash in crashes for request in crash.requests if request >= wanted]
+        return not any(
+            finding.service == service
+            and any(request.issuperset(finding.parts) for request in requests)
+            for finding in self._findings
+        )
+
     def _conclude(self) -> None:
         """Draws the conclusions once for each change of the evidence; they are read often."""
-        self._suspects = self._find_suspects()
-        self._findings = self._find_common_parts()
+        crashes_by_key = self._suspected_crashes()
+        # Those of most crashes first, then those of the newest.
+        ordered = sorted(crashes_by_key, key=lambda key: -len(crashes_by_key[key]))
+        self._suspects = dict.fromkeys(ordered)
+        by_part, by_fingerprint = _split(crashes_by_key)
+        repeated = {key: each for key, each in by_fingerprint.items() if _is_repeated(each)}
+        findings = self._find_parts(by_part, repeated)
+        self._findings = (*findings, *self._find_requests(repeated, findings))
+
+    def _suspected_crashes(self) -> _CrashesByKey:
+        crashes_by_key: _CrashesByKey = {}
+        for crash in reversed(self._crashes.values()):
+            for trait in sorted(frozenset().union(*self._open_requests(crash))):
+                crashes_by_key.setdefault((crash.service, trait), []).append(crash)
+        return crashes_by_key
 
-    def _find_common_parts(self) -> tuple[Finding, ...]:
+    def _find_parts(self, crashes_by_key: _CrashesByKey, repeated: _CrashesByKey) -> list[Finding]:
         """Finds the parts that explain most crashes first.
 
-        A crash that is explained is no evidence against the other parts of its requests.
+        A crash that is explained is no evidence against the other parts of its requests. Parts all
+        of whose crashes are those of repeated requests may be sound: other requests have them too.
         """
-        crashes_by_key: dict[Key, list[_Crash]] = {}
-        for crash in self._crashes.values():
-            for part in frozenset().union(*self._open_requests(crash)):
-                crashes_by_key.setdefault((crash.service, part), []).append(crash)
-        ranks = sorted(self._rank(key, crashes) for key, crashes in crashes_by_key.items())
+        of_repeated = {id(crash) for crashes in repeated.values() for crash in crashes}
+        ranks = sorted(
+            self._rank(key, crashes)
+            for key, crashes in crashes_by_key.items()
+            if len(crashes) >= MIN_CRASHES
+            and any(id(crash) not in of_repeated for crash in crashes)
+        )
         findings: list[Finding] = []
         for _, _, suspect in ranks:
             left = _unexplained(crashes_by_key[suspect], findings)
             if _separate(left) >= MIN_CRASHES:
                 findings.append(self._finding(suspect, left))
-        return tuple(findings)
+        return findings
+
+    def _find_requests(self, repeated: _CrashesByKey, findings: list[Finding]) -> list[Finding]:
+        """Finds the requests that crash backend servers, whatever parts they have.
+
+        Requests that stood beside each other at the same crashes are found alike; one that was at
+        fewer crashes than another is explained by it.
+        """
+        ranks = sorted(self._rank(key, crashes) for key, crashes in repeated.items())
+        found: list[Finding] = []
+        stronger: list[Finding] = []
+        for _, group in itertools.groupby(ranks, key=lambda rank: rank[0]):
+            stronger = [*findings, *found]
+            for _, _, suspect in group:
+                left = _unexplained(repeated[suspect], stronger)
+                if _is_repeated(left):
+                    found.append(self._finding(suspect, left))
+        return found
 
     def _rank(self, key: Key, crashes: Sequence[_Crash]) -> tuple[int, int, Key]:
         """Orders suspects: most crashes first, then those of the fewest requests."""
-        _, part = key
-        requests = sum(part in request for crash in crashes for request in crash.requests)
+        _, trait = key
+        requests = sum(trait in request for crash in crashes for request in crash.requests)
         return (-_separate(crashes), requests, key)
 
     def _finding(self, key: Key, crashes: Sequence[_Crash]) -> Finding:
-        service, part = key
+        service, trait = key
         last_at = max(crash.at for crash in crashes)
-        return Finding(service, self._common_parts(crashes, part), len(crashes), last_at)
+        return Finding(service, self._common_parts(crashes, trait), len(crashes), last_at)
 
     def last_crash(self, service: str, parts: Iterable[str]) -> float:
         """Returns when the newest crash with a request of all these parts was; -inf: never.
 
         :param service: name of the service.
-        :param parts: prompt parts.
+        :param parts: prompt parts and fingerprints.
         """
-        wanted = frozenset(parts)
-        return max(
-            (
-                crash.at
-                for crash in self._crashes.values()
-                if crash.service == service and any(request >= wanted for request in crash.requests)
-            ),
-            default=-math.inf,
-        )
+        crashes = self._crashes_with(service, frozenset(parts))
+        return max((crash.at for crash in crashes), default=-math.inf)
+
+    def _crashes_with(self, service: str, wanted: frozenset[str]) -> list[_Crash]:
+        return [
+            crash
+            for crash in self._crashes.values()
+            if crash.service == service and any(request >= wanted for request in crash.requests)
+        ]
 
     def _expire(self, now: float) -> None:
         before = now - MEMORY_S
@@ -157,14 +223,6 @@
             self._crashes.pop(expired)
         self._sound_at = {key: at for key, at in self._sound_at.items() if at >= before}
 
-    def _find_suspects(self) -> dict[Key, None]:
-        """Returns the suspects of all crashes, those of the newest first."""
-        suspects: dict[Key, None] = {}
-        for crash in reversed(self._crashes.values()):
-            suspected = frozenset().union(*self._open_requests(crash))
-            suspects.update(dict.fromkeys((crash.service, part) for part in sorted(suspected)))
-        return suspects
-
     def _open_requests(self, crash: _Crash) -> Iterator[frozenset[str]]:
         """Yields what is still suspected of each request at a crash."""
         for request in crash.requests:
@@ -195,6 +253,17 @@
     return count
 
 
+def _is_repeated(crashes: Sequence[_Crash]) -> bool:
+    """Returns whether one request was at enough crashes to be their cause."""
+    return len(crashes) >= MIN_CRASHES and _separate(crashes) >= MIN_REPEATED
+
+
+def _split(crashes_by_key: _CrashesByKey) -> tuple[_CrashesByKey, _CrashesByKey]:
+    """Returns the crashes by prompt part, and those by fingerprint."""
+    by_part = {key: each for key, each in crashes_by_key.items() if not is_fingerprint(key[1])}
+    return by_part, {key: each for key, each in crashes_by_key.items() if key not in by_part}
+
+
 def _unexplained(crashes: Iterable[_Crash], findings: Iterable[Finding]) -> list[_Crash]:
     return [
         crash for crash in crashes if not any(_explains(finding, crash) for finding in findings)
--- a/geraniumrail/quarantine/crash_note.py
+++ b/geraniumrail/quarantine/crash_note.py
@@ -10,5 +10,6 @@
     service: str
     instance: str
     incarnation: int
-    requests: tuple[tuple[str, ...], ...]  # shared prompt parts of each of these requests
+    # Of each of these requests: its shared prompt parts and its fingerprint.
+    requests: tuple[tuple[str, ...], ...]
     age_s: float = 0  # since the crash, when the note was sent
--- a/geraniumrail/quarantine/part_watch.py
+++ b/geraniumrail/quarantine/part_watch.py
@@ -1,7 +1,8 @@
-"""What one entry knows of prompt parts that crash backend servers."""
+"""What one entry knows of requests that crash backend servers."""
 
 import asyncio
 import collections
+import itertools
 from collections.abc import Awaitable, Callable, Iterable
 
 from geraniumrail.core.backend import Backend
@@ -10,8 +11,10 @@
 from geraniumrail.errors.request import NotRunError
 from geraniumrail.quarantine import events
 from geraniumrail.quarantine.crash_note import CrashNote
+from geraniumrail.quarantine.fingerprint import is_fingerprint
 from geraniumrail.quarantine.quarantine import Quarantine
 from geraniumrail.quarantine.sound_part import SoundPart
+from geraniumrail.quarantine.sound_times import Key, SoundTimes
 
 # An engine that crashes on a request does so as its answer begins; one that has gone on for so long
 # has proved the request harmless.
@@ -20,11 +23,11 @@
 COLLECT_S = 0.02
 MAX_NOTES = 32
 NOTE_S = 600.0  # a new leader is told of crashes of so long ago
-MAX_SOUND_PARTS = 4096
+MAX_NOTED_REQUESTS = 256  # different ones, of one crash
+MAX_LOGGED_REQUESTS = 8
 LEAST_RETRY_S = 5.0  # a trial may end the quarantine within this time
 
-Key = tuple[str, str]  # service and part
-Parts = tuple[str, ...]
+Traits = tuple[str, ...]  # shared prompt parts, and the fingerprint of the whole request
 Probe = Callable[[Backend], Awaitable[bool]]
 _Noted = tuple[CrashNote, float]  # and when it was taken down
 
@@ -49,11 +52,11 @@
         self._watched: frozenset[Key] = frozenset()
         self._trials: frozenset[str] = frozenset()
         self._used_trials: set[tuple[str, float]] = set()
-        self._sound_at: collections.OrderedDict[Key, float] = collections.OrderedDict()
+        self._sound_times = SoundTimes()
         self._reported_sound_at: dict[Key, float] = {}
         self._noted: collections.deque[_Noted] = collections.deque(maxlen=MAX_NOTES)
         self._unsent_notes = 0
-        self._lost_requests: dict[str, list[Parts]] = {}
+        self._lost_requests: dict[str, dict[Traits, None]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     @property
@@ -61,59 +64,57 @@
         """The quarantines in force."""
         return self._quarantines
 
-    def require_sound(self, service: str, parts: Iterable[str], wall: float) -> None:
+    def require_sound(self, service: str, traits: Iterable[str], wall: float) -> None:
         """Checks that a request may be sent, and uses up a trial if it is one.
 
         :param service: the service that the request is for.
-        :param parts: shared parts of its prompt.
+        :param traits: shared parts of its prompt, and its fingerprint.
         :param wall: time of day that the processes agree on.
         :raises NotRunError: if it would crash a backend server.
         """
-        found = self.quarantine_of(service, parts)
-        if found is not None and not self._use_trial(found):
+        found = self._covering(service, traits)
+        if found and not self._use_trials(found, service, traits):
+            ends_at = max(each.until for each in found)
             raise NotRunError(
-                reason='requests with these prompt parts crash backend servers',
-                retry_after_s=round(max(LEAST_RETRY_S, found.until - wall), 3),
+                reason='requests like this one crash backend servers',
+                retry_after_s=round(max(LEAST_RETRY_S, ends_at - wall), 3),
             )
 
-    def quarantine_of(self, service: str, parts: Iterable[str]) -> Quarantine | None:
+    def quarantine_of(self, service: str, traits: Iterable[str]) -> Quarantine | None:
         """Returns the quarantine that holds back a request, or None.
 
         :param service: the service that the request is for.
-        :param parts: shared parts of its prompt.
+        :param traits: shared parts of its prompt, and its fingerprint.
         """
-        if not self._quarantines:
-            return None
-        wanted = frozenset(parts)
-        return next((each for each in self._quarantines if each.covers(service, wanted)), None)
+        return next(iter(self._covering(service, traits)), None)
 
-    def record_answer(self, service: str, parts: Iterable[str], began_at: float) -> None:
+    def record_answer(self, service: str, traits: Iterable[str], began_at: float) -> None:
         """Records a request whose answer has begun and whose backend server went on.
 
         :param service: the service that answered.
-        :param parts: shared parts of the prompt.
+        :param traits: shared parts of its prompt, and its fingerprint.
         :param began_at: when the answer began, seconds of this process's clock.
         """
-        for part in parts:
-            key = (service, part)
-            self._sound_at[key] = max(began_at, self._sound_at.pop(key, began_at))
+        for trait in traits:
+            key = (service, trait)
+            self._sound_times.record(key, began_at)
             if key in self._watched and began_at > self._reported_sound_at.get(key, 0):
                 self.on_news()
-        while len(self._sound_at) > MAX_SOUND_PARTS:
-            self._sound_at.popitem(last=False)
 
-    def record_loss(self, backend: Backend, parts: Iterable[str]) -> None:
+    def record_loss(self, backend: Backend, traits: Iterable[str]) -> None:
         """Records a connection that was lost before the answer was proved sound.
 
         :param backend: the backend server.
-        :param parts: shared parts of the prompt.
+        :param traits: shared parts of its prompt, and its fingerprint.
         """
-        named = tuple(parts)
+        named = tuple(traits)
         if not named:
             return
-        waiting = self._lost_requests.setdefault(backend.instance, [])
-        waiting.append(named)
-        if len(waiting) == 1:
+        is_first = backend.instance not in self._lost_requests
+        waiting = self._lost_requests.setdefault(backend.instance, {})
+        if len(waiting) < MAX_NOTED_REQUESTS:
+            waiting[named] = None
+        if is_first:
             task = asyncio.create_task(self._confirm(backend), name='crash-probe')
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
@@ -127,7 +128,7 @@
         """Applies an update of the control leader.
 
         :param quarantines: in force from now on; None: unchanged.
-        :param watched: parts of which answers are reported, by service; None: unchanged.
+        :param watched: traits of which answers are reported, by service; None: unchanged.
         :param trials: quarantines of which this entry may send one request.
         """
         self._trials = frozenset(trials)
@@ -138,7 +139,7 @@
             log(events.APPLIED, quarantines=[each.label for each in quarantines])
         if watched is not None:
             self._watched = frozenset(
-                (service, part) for service, parts in watched.items() for part in parts
+                (service, trait) for service, traits in watched.items() for trait in traits
             )
             self._reported_sound_at = {
                 key: at for key, at in self._reported_sound_at.items() if key in self._watched
@@ -153,12 +154,12 @@
         self._unsent_notes = 0
         crashes = tuple(_aged(note, now - at) for note, at in notes if now - at < NOTE_S)
         due = [key for key in self._watched if self._is_due(key)]
-        self._reported_sound_at.update({key: self._sound_at[key] for key in due})
+        self._reported_sound_at.update({key: self._sound_times.last(key) for key in due})
         sounds = tuple(
             SoundPart(
-                service=service, part=part, age_s=round(now - self._sound_at[service, part], 3)
+                service=key[0], part=key[1], age_s=round(now - self._sound_times.last(key), 3)
             )
-            for service, part in due
+            for key in due
         )
         return crashes, sounds
 
@@ -169,14 +170,34 @@
 
     def _is_due(self, key: Key) -> bool:
         """Returns whether there is an answer that the leader has not been told of."""
-        return self._sound_at.get(key, 0) > self._reported_sound_at.get(key, 0)
+        return self._sound_times.last(key) > self._reported_sound_at.get(key, 0)
+
+    def _covering(self, service: str, traits: Iterable[str]) -> tuple[Quarantine, ...]:
+        if not self._quarantines:
+            return ()
+        wanted = frozenset(traits)
+        return tuple(each for each in self._quarantines if each.covers(service, wanted))
 
-    def _use_trial(self, quarantine: Quarantine) -> bool:
-        trial = (quarantine.label, quarantine.until)
-        if quarantine.label not in self._trials or trial in self._used_trials:
+    def _use_trials(
+        self, quarantines: tuple[Quarantine, ...], service: str, traits: Iterable[str]
+    ) -> bool:
+        """Uses up a trial of each quarantine that holds a request back, if all have one.
+
+        A request that was at a crash itself proves nothing about its parts by one more.
+        """
+        trials = frozenset((each.label, each.until) for each in quarantines)
+        if trials & self._used_trials or not self._trials.issuperset(
+            each.label for each in quarantines
+        ):
+            return False
+        suspects = {
+            trait for trait in traits if is_fingerprint(trait) and (service, trait) in self._watched
+        }
+        if not all(suspects.issubset(each.parts) for each in quarantines):
             return False
-        self._used_trials.add(trial)
-        log(events.TRIAL, quarantine=quarantine.label, failures=quarantine.failures)
+        self._used_trials |= trials
+        for quarantine in quarantines:
+            log(events.TRIAL, quarantine=quarantine.label, failures=quarantine.failures)
         return True
 
     async def _confirm(self, backend: Backend) -> None:
@@ -196,7 +217,8 @@
             events.CRASH_NOTED,
             backend=backend.instance,
             service=backend.service,
-            requests=[list(parts) for parts in requests],
+            count=len(requests),
+            requests=[list(traits) for traits in itertools.islice(requests, MAX_LOGGED_REQUESTS)],
         )
         self._noted.append((note, self._clock.now()))
         self._unsent_notes = min(MAX_NOTES, self._unsent_notes + 1)
--- a/geraniumrail/quarantine/quarantine.py
+++ b/geraniumrail/quarantine/quarantine.py
@@ -1,4 +1,4 @@
-"""Prompt parts whose requests are not sent to backend servers."""
+"""Requests that are not sent to backend servers: those with some prompt parts or fingerprint."""
 
 from collections.abc import Set
 
@@ -10,7 +10,7 @@
     """Requests of a service that have all of these parts crash their backend servers."""
 
     service: str
-    parts: tuple[str, ...]  # sorted
+    parts: tuple[str, ...]  # sorted; prompt parts, and the fingerprint of one request
     since: float  # time of day of the last crash, seconds since 1970
     until: float  # time of day from which one request at a time is sent as a trial
     failures: int = 1  # the first finding and the failed trials
@@ -24,7 +24,7 @@
         """Returns whether a request is held back.
 
         :param service: the service that the request is for.
-        :param parts: shared parts of its prompt.
+        :param parts: shared parts of its prompt, and its fingerprint.
         """
         return service == self.service and parts.issuperset(self.parts)
 
