--- a/geraniumrail/entry/booking_run.py
+++ b/geraniumrail/entry/booking_run.py
@@ -12,10 +12,20 @@
 from geraniumrail.entry import events
 from geraniumrail.entry.cluster_view import ClusterView
 from geraniumrail.entry.control_link import ControlLink
+from geraniumrail.entry.leaving_backend import is_leaving
 from geraniumrail.entry.outcomes import Outcomes
 from geraniumrail.entry.service_headers import content_type_of, request_headers
-from geraniumrail.errors.backend import BackendError, NoBackendError, NotSentError, RefusedError
+from geraniumrail.errors.backend import (
+    BackendError,
+    ConnectionLostError,
+    NoBackendError,
+    NotSentError,
+    RefusedError,
+)
 from geraniumrail.errors.link import NoControlError
+from geraniumrail.errors.request import NotRunError
+from geraniumrail.quarantine.fingerprint import fingerprint_of
+from geraniumrail.quarantine.part_watch import PartWatch
 from geraniumrail.routing.choice import choose
 from geraniumrail.routing.events import log_decision
 from geraniumrail.routing.request import PlainRequest
@@ -45,6 +55,7 @@
         entry: str,
         view: ClusterView,
         outcomes: Outcomes,
+        watch: PartWatch,
         control: ControlLink,
         client: ServiceClient,
         clock: Clock,
@@ -55,6 +66,7 @@
         :param entry: id of this entry with its incarnation.
         :param view: settings and backend servers.
         :param outcomes: breaker and outcome log.
+        :param watch: requests that crash backend servers.
         :param control: the control leader.
         :param client: sends to plain services.
         :param clock: time.
@@ -63,6 +75,7 @@
         self._entry = entry
         self._view = view
         self._outcomes = outcomes
+        self._watch = watch
         self._draw = rng.random()
         self._control = control
         self._client = client
@@ -86,6 +99,12 @@
             if not self._view.holds_lease():
                 await self._pause()
                 continue
+            try:
+                self._watch.require_sound(
+                    booking.key.service, _traits(booking), self._view.true_wall()
+                )
+            except NotRunError as error:
+                return await self._finish(booking, phases.NOT_RUN, _failure(str(error)))
             try:
                 backend = self._choose(booking)
             except NoBackendError as error:
@@ -115,17 +134,20 @@
                 pauses.begin_as_told(backend, error.fields, self._clock.now())
             return await self._release(sent, str(error))
         except BackendError as error:
+            if isinstance(error, ConnectionLostError) and not is_leaving(self._view, backend):
+                self._watch.record_loss(backend, _traits(sent))
             self._failed(sent, backend)
             return await self._resolve(sent, str(error))
         failed = answer.status >= SERVER_ERROR
+        if not failed:
+            self._watch.record_answer(backend.service, _traits(sent), sent_at)
         self._observe(sent, backend, failed, self._clock.now() - sent_at)
         return await self._finish(sent, phases.DONE, stored(answer))
 
     def _failed(self, booking: Booking, backend: Backend) -> None:
         self._view.knowledge.record_failure(backend.instance, self._clock.now())
         self._excluded |= {backend.instance}
-        known = self._view.backends_by_instance.get(backend.instance)
-        if known is not None and known.state != 'leaving':
+        if not is_leaving(self._view, backend):
             self._observe(booking, backend, failed=True)
 
     def _observe(
@@ -298,5 +320,10 @@
     )
 
 
+def _traits(booking: Booking) -> tuple[str, ...]:
+    call = booking.call
+    return (fingerprint_of(booking.key.organisation, call.method, call.path, call.body),)
+
+
 def _failure(reason: str) -> StoredAnswer:
     return StoredAnswer(status=0, reason=reason)
--- a/geraniumrail/entry/bookings.py
+++ b/geraniumrail/entry/bookings.py
@@ -18,6 +18,7 @@
 from geraniumrail.errors.request import IncompleteAnswerError, NotRunError, OutcomeUnknownError
 from geraniumrail.errors.state import NotOwnerError, UnknownBookingError, WrongPhaseError
 from geraniumrail.links.messages import AwaitBooking
+from geraniumrail.quarantine.part_watch import PartWatch
 from geraniumrail.state import booking as phases
 from geraniumrail.state import commands, results
 from geraniumrail.state.booking import Booking
@@ -40,6 +41,7 @@
         entry: str,
         view: ClusterView,
         outcomes: Outcomes,
+        watch: PartWatch,
         control: ControlLink,
         client: ServiceClient,
         clock: Clock,
@@ -50,6 +52,7 @@
         :param entry: id of this entry with its incarnation.
         :param view: settings and backend servers.
         :param outcomes: breaker and outcome log.
+        :param watch: requests that crash backend servers.
         :param control: the control leader.
         :param client: sends to plain services.
         :param clock: time.
@@ -58,6 +61,7 @@
         self._entry = entry
         self._view = view
         self._outcomes = outcomes
+        self._watch = watch
         self._control = control
         self._client = client
         self._clock = clock
@@ -172,6 +176,7 @@
             self._entry,
             self._view,
             self._outcomes,
+            self._watch,
             self._control,
             self._client,
             self._clock,
--- a/geraniumrail/entry/completion_run.py
+++ b/geraniumrail/entry/completion_run.py
@@ -12,6 +12,7 @@
 from geraniumrail.entry import events
 from geraniumrail.entry.completion_call import CompletionCall
 from geraniumrail.entry.completions import Completions
+from geraniumrail.entry.leaving_backend import is_leaving
 from geraniumrail.errors.backend import (
     BackendError,
     ConnectionLostError,
@@ -67,7 +68,7 @@
         :raises IncompleteAnswerError: if it could not be completed before its deadline.
         """
         shared = self.shared
-        shared.watch.require_sound(self.call.service, self.call.prefixes, shared.view.true_wall())
+        shared.watch.require_sound(self.call.service, self.call.traits, shared.view.true_wall())
         shared.admit(self.call, self.settings)
         shared.in_progress += 1
         try:
@@ -142,7 +143,7 @@
             raise
         else:
             ended = True
-            shared.watch.record_answer(call.service, call.prefixes, timing.first_at or sent_at)
+            shared.watch.record_answer(call.service, call.traits, timing.first_at or sent_at)
             self._ended(backend, attempt, timing, failed=False)
         finally:
             if not ended:
@@ -154,12 +155,12 @@
     def _note_answer(self, timing: '_Timing') -> None:
         if timing.is_proved and not self._is_noted:
             self._is_noted = True
-            self.shared.watch.record_answer(self.call.service, self.call.prefixes, timing.first_at)
+            self.shared.watch.record_answer(self.call.service, self.call.traits, timing.first_at)
 
     def _disconnected(self, backend: Backend) -> None:
         if not self._announced(backend):
             self._lost_engines += 1
-            self.shared.watch.record_loss(backend, self.call.prefixes)
+            self.shared.watch.record_loss(backend, self.call.traits)
 
     def _engine_call(self) -> EngineCall:
         settings = self.settings
@@ -194,8 +195,7 @@
         self._observe(backend, failed=failed, between_tokens_s=timing.between_tokens_s)
 
     def _announced(self, backend: Backend) -> bool:
-        known = self.shared.view.backends_by_instance.get(backend.instance)
-        return known is None or known.state == 'leaving'
+        return is_leaving(self.shared.view, backend)
 
     def _observe(
         self,
@@ -252,7 +252,7 @@
         :raises IncompleteAnswerError: if it is.
         """
         watch = self.shared.watch
-        if watch.quarantine_of(self.call.service, self.call.prefixes) is not None:
+        if watch.quarantine_of(self.call.service, self.call.traits) is not None:
             raise self._given_up(str(error)) from error
         if self._lost_engines >= MAX_LOST and await watch.refuses_connections(backend):
             raise self._given_up(str(error)) from error
--- a/geraniumrail/entry/crashing_completion_test.py
+++ b/geraniumrail/entry/crashing_completion_test.py
@@ -7,6 +7,7 @@
 from geraniumrail.entry.completion_run import CompletionRun
 from geraniumrail.errors.backend import ConnectionLostError
 from geraniumrail.errors.base import GeraniumrailError
+from geraniumrail.quarantine.fingerprint import is_fingerprint
 from geraniumrail.quarantine.quarantine import Quarantine
 from geraniumrail.testing.streams import SERVICE, StreamSchedule
 
@@ -27,9 +28,8 @@
         raise ConnectionLostError(backend=backend.instance, reason='reset')
         yield
 
-    async def complete(self, **options):
-        """Runs one completion to its end and returns its failure."""
-        call = CompletionCall(
+    def call(self):
+        return CompletionCall(
             request_id='r1',
             organisation='salon-a',
             service=SERVICE,
@@ -42,6 +42,10 @@
             prompt_tokens=3,
             answer_tokens=4,
         )
+
+    async def complete(self):
+        """Runs one completion to its end and returns its failure."""
+        call = self.call()
         for _ in range(ENGINES * 2):
             self.day.completions.retries.record_request(SERVICE, 1, self.day.clock.now())
         self.day.announce()
@@ -72,11 +76,14 @@
         self.assertEqual((failure.type_name, self.ended), ('not_run', []))
 
     async def test_crash_is_noted_with_the_prefixes(self):
-        """Pattern: the evidence for the leader comes from completions too."""
+        """Pattern: the evidence for the leader comes from completions too; the fingerprint of the
+        whole completion belongs to it."""
         await self.complete()
         await self.day.clock.advance(1)
         crashes, _ = self.day.completions.watch.report()
-        self.assertEqual({note.requests for note in crashes}, {(PREFIXES,)})
+        self.assertEqual({note.requests for note in crashes}, {(self.call().traits,)})
+        self.assertEqual(self.call().traits[:-1], PREFIXES)
+        self.assertTrue(is_fingerprint(self.call().traits[-1]))
 
 
 if __name__ == '__main__':
--- a/geraniumrail/entry/entry.py
+++ b/geraniumrail/entry/entry.py
@@ -111,6 +111,7 @@
             self.entry_id,
             self.view,
             self._outcomes,
+            self._watch,
             self.control,
             service_client,
             clock,
@@ -122,7 +123,7 @@
             limits=self._completions.limits,
             retries=self._completions.retries,
             client=service_client,
-            refuses_connections=refuses_connections,
+            watch=self._watch,
             clock=clock,
             rng=rng,
         )
--- a/geraniumrail/entry/plain_call.py
+++ b/geraniumrail/entry/plain_call.py
@@ -1,6 +1,9 @@
 """One request to a plain service and its answer."""
 
 import dataclasses
+import functools
+
+from geraniumrail.quarantine.fingerprint import fingerprint_of
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -17,6 +20,11 @@
     body: bytes = b''
     idempotency_key: str = ''
 
+    @functools.cached_property
+    def traits(self) -> tuple[str, ...]:
+        """What is remembered of it at a crash: the whole request."""
+        return (fingerprint_of(self.organisation, self.method, self.path, self.body),)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class PlainAnswer:
--- a/geraniumrail/entry/plain_calls.py
+++ b/geraniumrail/entry/plain_calls.py
@@ -4,7 +4,6 @@
 import hashlib
 import itertools
 import random
-from collections.abc import Awaitable, Callable
 
 from geraniumrail.backends.service_answer import ServiceAnswer
 from geraniumrail.backends.service_call import ServiceCall
@@ -14,6 +13,7 @@
 from geraniumrail.core.ids import new_id
 from geraniumrail.entry.bookings import Bookings
 from geraniumrail.entry.cluster_view import ClusterView
+from geraniumrail.entry.leaving_backend import is_leaving
 from geraniumrail.entry.outcomes import Outcomes
 from geraniumrail.entry.plain_call import PlainAnswer, PlainCall
 from geraniumrail.entry.service_headers import content_type_of, request_headers
@@ -27,6 +27,7 @@
 from geraniumrail.fairness.limits import Limits
 from geraniumrail.fairness.organisation_limit import OrganisationLimit
 from geraniumrail.fairness.retry_budget import RetryBudget, retry_delay_s
+from geraniumrail.quarantine.part_watch import PartWatch
 from geraniumrail.routing.choice import choose
 from geraniumrail.routing.events import log_decision
 from geraniumrail.routing.request import PlainRequest
@@ -49,7 +50,7 @@
     limits: Limits
     retries: RetryBudget
     client: ServiceClient
-    refuses_connections: Callable[[Backend], Awaitable[bool]]
+    watch: PartWatch
     clock: Clock
     rng: random.Random
 
@@ -127,6 +128,7 @@
 
     async def _repeat(self, call: PlainCall, settings: Effective) -> PlainAnswer:
         parts = self._parts
+        parts.watch.require_sound(call.service, call.traits, parts.view.true_wall())
         end = parts.clock.now() + settings.deadline_ms / 1000
         parts.retries.record_request(call.service, settings.retry_budget, parts.clock.now())
         excluded: frozenset[str] = frozenset()
@@ -160,7 +162,9 @@
         :raises IncompleteAnswerError: if it may not.
         """
         parts = self._parts
-        if lost >= MAX_LOST and await parts.refuses_connections(backend):
+        if parts.watch.quarantine_of(call.service, call.traits) is not None:
+            raise IncompleteAnswerError(reason=str(error)) from error
+        if lost >= MAX_LOST and await parts.watch.refuses_connections(backend):
             raise IncompleteAnswerError(reason=str(error)) from error
         if not parts.retries.take_retry(call.service, parts.clock.now()):
             raise IncompleteAnswerError(reason=f'{error}; retry budget used up') from error
@@ -191,12 +195,17 @@
             parts.view.knowledge.record_failure(backend.instance, now)
             if isinstance(error, RefusedError):
                 parts.view.knowledge.pauses.begin_as_told(backend, error.fields, now)
+            if isinstance(error, ConnectionLostError) and not is_leaving(parts.view, backend):
+                parts.watch.record_loss(backend, call.traits)
             self._observe(call, backend, failed=True)
             raise
         finally:
             parts.view.knowledge.record_finished(backend.instance, 1, parts.clock.now())
         elapsed_s = parts.clock.now() - sent_at
-        self._observe(call, backend, answer.status >= SERVER_ERROR, elapsed_s)
+        failed = answer.status >= SERVER_ERROR
+        if not failed:
+            parts.watch.record_answer(call.service, call.traits, sent_at)
+        self._observe(call, backend, failed, elapsed_s)
         return answer
 
     def _observe(
--- a/geraniumrail/entry/plain_calls_test.py
+++ b/geraniumrail/entry/plain_calls_test.py
@@ -1,5 +1,7 @@
 """Guards repeatable calls of plain services: what they may end, and what their callers are told."""
 
+import asyncio
+import dataclasses
 import logging
 import random
 import unittest
@@ -11,9 +13,11 @@
 from geraniumrail.entry.plain_call import PlainCall
 from geraniumrail.entry.plain_calls import PlainCalls, PlainParts
 from geraniumrail.errors.backend import ConnectionLostError
-from geraniumrail.errors.request import IncompleteAnswerError
+from geraniumrail.errors.request import IncompleteAnswerError, NotRunError
 from geraniumrail.fairness.limits import Limits
 from geraniumrail.fairness.retry_budget import RetryBudget
+from geraniumrail.quarantine.part_watch import PartWatch
+from geraniumrail.quarantine.quarantine import Quarantine
 from geraniumrail.routing.backend_tracker import BackendTracker
 
 SERVICE = 'repair-desk'
@@ -47,7 +51,7 @@
         self.sent.append(backend.instance)
         raise ConnectionLostError(backend=backend.instance, reason='reset')
 
-    async def call(self, servers, *, ended=True):
+    async def call(self, servers, *, ended=True, quarantines=(), call=CALL):
         """Sends one call to servers that end on it."""
         clock = NoWaitClock()
         view = ClusterView(clock, BackendTracker())
@@ -70,17 +74,20 @@
         async def refuses_connections(backend):
             return ended
 
+        self.watch = PartWatch(clock, refuses_connections)
+        self.watch.take(quarantines, None, ())
+
         parts = PlainParts(
             view=view,
             outcomes=Outcomes(view, clock),
             limits=Limits(),
             retries=retries,
             client=self,
-            refuses_connections=refuses_connections,
+            watch=self.watch,
             clock=clock,
             rng=random.Random(1),
         )
-        await PlainCalls(parts, None, '', '').call(CALL)
+        await PlainCalls(parts, None, '', '').call(call)
 
     async def test_call_does_not_end_one_server_after_the_other(self):
         """A call whose server was lost was sent to the next one, and then to all of them again."""
@@ -88,6 +95,29 @@
             await self.call(SERVERS)
         self.assertEqual(len(self.sent), MOST_SERVERS)
 
+    async def test_crash_is_noted(self):
+        """Nothing was remembered of a call beyond its own run."""
+        with self.assertRaises(IncompleteAnswerError):
+            await self.call(SERVERS)
+        await asyncio.gather(*self.watch_tasks())
+        crashes, _ = self.watch.report()
+        self.assertEqual({note.requests for note in crashes}, {(CALL.traits,)})
+        self.assertEqual(len(crashes), MOST_SERVERS)
+
+    async def test_quarantined_call_is_refused_unsent(self):
+        """Pattern: the same path with another body is another call."""
+        held = Quarantine(service=SERVICE, parts=CALL.traits, since=0, until=1e12)
+        with self.assertRaises(NotRunError):
+            await self.call(SERVERS, quarantines=(held,))
+        self.assertEqual(self.sent, [])
+        with self.assertRaises(IncompleteAnswerError):
+            other = dataclasses.replace(CALL, body=b'other')
+            await self.call(SERVERS, quarantines=(held,), call=other)
+        self.assertEqual(len(self.sent), MOST_SERVERS)
+
+    def watch_tasks(self):
+        return [task for task in asyncio.all_tasks() if task.get_name() == 'crash-probe']
+
     async def test_lost_answers_are_asked_for_again(self):
         """Pattern: the connections are lost, and the servers go on."""
         with self.assertRaises(IncompleteAnswerError):
--- a/geraniumrail/entry/testing.py
+++ b/geraniumrail/entry/testing.py
@@ -34,6 +34,7 @@
 from geraniumrail.errors.consensus import NotLeaderError
 from geraniumrail.errors.link import LinkError
 from geraniumrail.links.messages import EntryInfo, EntryReport, Propose, Proposed
+from geraniumrail.quarantine.part_watch import PartWatch
 from geraniumrail.routing.backend_tracker import BackendTracker
 from geraniumrail.state import booking as phases
 from geraniumrail.state import commands
@@ -353,7 +354,8 @@
         control = ControlLink(LeaderFinder(['leader']), self.links, self, rng)
         client = Client(self, services)
         outcomes = Outcomes(self.view, self)
-        self.bookings = Bookings(self.entry, self.view, outcomes, control, client, self, rng)
+        watch = PartWatch(self, self.goes_on)
+        self.bookings = Bookings(self.entry, self.view, outcomes, watch, control, client, self, rng)
         self.tasks: dict[asyncio.Task, None] = {}  # ordered, for equal histories
         self.spawn(self.heartbeat())
 
@@ -367,6 +369,10 @@
         await asyncio.sleep(seconds)
         await self.step()
 
+    async def goes_on(self, backend: Backend) -> bool:
+        """Answers the probe after a lost connection: the services don't crash."""
+        return False
+
     async def step(self) -> None:
         """Ends here if the process was killed, and waits while it is frozen."""
         if not self.dead:
