--- a/geraniumrail/backends/attempt.py
+++ b/geraniumrail/backends/attempt.py
@@ -55,9 +55,12 @@
     """
     parts = []
     size = 0
-    async for part in response.content.iter_any():
-        size += len(part)
-        if size > limit_bytes:
-            raise ResponseTooLongError(backend=backend.instance, limit_bytes=limit_bytes)
-        parts.append(part)
-    return b''.join(parts)
+    try:
+        async for part in response.content.iter_any():
+            size += len(part)
+            if size > limit_bytes:
+                raise ResponseTooLongError(backend=backend.instance, limit_bytes=limit_bytes)
+            parts.append(part)
+        return b''.join(parts)
+    finally:
+        parts.clear()  # the traceback of a failure would keep them
--- a/geraniumrail/backends/chunk_stream.py
+++ b/geraniumrail/backends/chunk_stream.py
@@ -3,13 +3,12 @@
 import asyncio
 import contextlib
 
-from aiohttp import ClientResponse
-
 from geraniumrail.backends.attempt import FAILURES
 from geraniumrail.backends.chunk import Chunk
 from geraniumrail.backends.chunk_filter import ChunkFilter, DropCounts, InvalidChunkError
 from geraniumrail.backends.engine_call import EngineCall
 from geraniumrail.backends.event_lines import EventLines, LineTooLongError
+from geraniumrail.backends.held_response import HeldResponse
 from geraniumrail.backends.progress import Phase, Progress
 from geraniumrail.core.backend import Backend
 from geraniumrail.errors.backend import ConnectionLostError, InvalidStreamError, StalledError
@@ -28,7 +27,7 @@
         self,
         backend: Backend,
         call: EngineCall,
-        response: ClientResponse,
+        response: HeldResponse,
         counts: DropCounts,
         spent_s: float,
     ) -> None:
@@ -41,6 +40,7 @@
         :param spent_s: time since the request was sent, in seconds.
         """
         self._backend = backend
+        self._response = response
         self._content = response.content
         self._filter = ChunkFilter(call, counts)
         self._lines = EventLines(_LINE_LIMIT_BYTES)
@@ -73,6 +73,7 @@
             received = await self._content.readany()
         except FAILURES as error:
             raise self._lost(repr(error)) from error
+        self._response.pass_on(self._response.held_bytes)
         if not received:
             raise self._lost('end of stream without [DONE]')
         chunks: list[Chunk] = []
--- a/geraniumrail/backends/connections.py
+++ b/geraniumrail/backends/connections.py
@@ -15,10 +15,12 @@
 )
 from yarl import URL
 
+from geraniumrail.backends.answer_budget import AnswerBudget
 from geraniumrail.backends.exchange import Exchange, trace_exchanges
 from geraniumrail.backends.guarded_handler import GuardedHandler, IdleLimits
 from geraniumrail.backends.held_response import HeldResponse
 from geraniumrail.core.backend import Backend
+from geraniumrail.core.byte_budget import DEFAULT_BUDGET_BYTES
 
 # The client closes a fresh connection itself: after `Connection: close` the parser would refuse
 # the whole answer if another answer follows it in the same packet.
@@ -36,6 +38,7 @@
     # Silence after which a probe is sent, and between probes, also without unacknowledged data.
     probe_s: int = 1
     probes: int = 3
+    answer_budget_bytes: int = DEFAULT_BUDGET_BYTES  # of all answers together
 
 
 class Connections:
@@ -45,9 +48,12 @@
     its response, is closed and never reused.
     """
 
-    def __init__(self, reused: ClientSession, fresh: ClientSession, idle: IdleLimits) -> None:
+    def __init__(
+        self, reused: ClientSession, fresh: ClientSession, idle: IdleLimits, budget: AnswerBudget
+    ) -> None:
         """Use `from_config`."""
         self.idle = idle
+        self.budget = budget
         self._reused = reused
         self._fresh = fresh
 
@@ -58,10 +64,12 @@
         :param config: limits.
         """
         idle = IdleLimits(config.keep_alive_s)
+        budget = AnswerBudget(config.answer_budget_bytes)
         return cls(
-            _session(config, idle, force_close=False),
-            _session(config, idle, force_close=True),
+            _session(config, idle, budget, force_close=False),
+            _session(config, idle, budget, force_close=True),
             idle,
+            budget,
         )
 
     async def close(self) -> None:
@@ -124,7 +132,9 @@
     return made
 
 
-def _session(config: ConnectionsConfig, idle: IdleLimits, *, force_close: bool) -> ClientSession:
+def _session(
+    config: ConnectionsConfig, idle: IdleLimits, budget: AnswerBudget, *, force_close: bool
+) -> ClientSession:
     keep_alive: dict[str, Any] = {'force_close': True}
     if not force_close:
         keep_alive = {'keepalive_timeout': config.keep_alive_s}
@@ -132,7 +142,7 @@
     connector = TCPConnector(limit=0, socket_factory=socket_factory, **keep_alive)
     # The library has no public way to choose the protocol of its connections.
     connector._factory = functools.partial(  # noqa: SLF001
-        GuardedHandler, asyncio.get_running_loop(), idle
+        GuardedHandler, asyncio.get_running_loop(), idle, budget
     )
     return ClientSession(
         connector=connector,
--- a/geraniumrail/backends/events.py
+++ b/geraniumrail/backends/events.py
@@ -16,3 +16,9 @@
     'the HTTP library was kept from sending a request a second time',
     logging.WARNING,
 )
+ANSWER_BROKEN_OFF = Event.define(
+    1102,
+    'backends.answer_broken_off',
+    'an answer was broken off for its size; the reason says which limit it exceeded',
+    logging.WARNING,
+)
--- a/geraniumrail/backends/guarded_handler.py
+++ b/geraniumrail/backends/guarded_handler.py
@@ -5,6 +5,17 @@
 
 from aiohttp import ClientPayloadError
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.http import RawResponseMessage
+from aiohttp.streams import EMPTY_PAYLOAD
+
+from geraniumrail.backends.answer_budget import (
+    ANNOUNCED,
+    INTERIM,
+    NO_ROOM,
+    TOO_LONG,
+    AnswerBudget,
+)
+from geraniumrail.core.byte_budget import Hold
 
 # Closes idle connections before the backend server does: a request that crosses its close may
 # have run. The part leaves room for the way of the request and of the close.
@@ -16,6 +27,7 @@
 # Answers with a status of 1xx before the final one; the HTTP library reads on for ever.
 MAX_INTERIM_ANSWERS = 8
 _INTERIM = range(100, 200)
+_MAX_DIGITS = 19  # of a length; longer ones are too large by their first digits
 
 
 class IdleLimits:
@@ -48,18 +60,26 @@
 class GuardedHandler(ResponseHandler):
     """Refuses reuse after stray bytes or a long pause, and notices answers that were reset."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, limits: IdleLimits) -> None:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, limits: IdleLimits, budget: AnswerBudget
+    ) -> None:
         """Creates the protocol of one connection.
 
         :param loop: the event loop.
         :param limits: of idle connections.
+        :param budget: of the bytes of all answers.
         """
         super().__init__(loop)
+        self._hold = budget.hold('', self._give_up)  # of the present answer
+        self._is_hold_taken = False
+        self._budget = budget
         self._limits = limits
         self._address = ''
         self._received_at = loop.time()
         self._answer_bytes = 0
         self._interim_answers = 0
+        self._is_broken_off = False
+        self._has_head = False  # of the final answer
 
     def set_response_params(self, **params: Any) -> None:
         """Starts to count: a request is about to be sent.
@@ -68,17 +88,32 @@
         """
         self._answer_bytes = 0
         self._interim_answers = 0
+        self._is_broken_off = False
+        self._has_head = False
+        if not self._is_hold_taken:
+            self._hold.end()
+        self._hold = self._budget.hold(self._address, self._give_up)
+        self._is_hold_taken = False
         super().set_response_params(**params)
 
+    def take_hold(self) -> Hold:
+        """Returns what counts the bytes of the present answer; its owner ends it."""
+        self._is_hold_taken = True
+        return self._hold
+
     def feed_data(self, data: Any, size: int = 0) -> None:
-        """Counts the heads that are not of the final answer.
+        """Counts the heads that are not of the final answer, and refuses a body that is too long.
 
         :param data: head and body of an answer.
         :param size: of the HTTP library.
         """
-        self._interim_answers += data[0].code in _INTERIM
+        is_interim = data[0].code in _INTERIM
+        self._interim_answers += is_interim
+        self._has_head = self._has_head or not is_interim
         if self._interim_answers > MAX_INTERIM_ANSWERS:
-            self._break_off('too many interim answers')
+            self._break_off(INTERIM)
+        if data[1] is not EMPTY_PAYLOAD and _announced(data[0]) > MAX_ANSWER_BYTES:
+            self._break_off(ANNOUNCED)
         super().feed_data(data, size)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -98,11 +133,22 @@
         self._received_at = self._loop.time()
         self._answer_bytes += len(data)
         if self._answer_bytes > MAX_ANSWER_BYTES:
-            self._break_off(f'more than {MAX_ANSWER_BYTES} bytes')
+            self._break_off(TOO_LONG)
+        self._hold.add(len(data))
+        if self._is_broken_off:
             return
         super().data_received(data)
+        if self._has_head and self._payload is not None and self._payload.is_eof():
+            self._hold.settle()
+
+    def _give_up(self) -> None:
+        self._break_off(NO_ROOM)
 
     def _break_off(self, reason: str) -> None:
+        if self._is_broken_off:
+            return
+        self._is_broken_off = True
+        self._budget.note_broken_off(reason, self._address, self._answer_bytes)
         failure = ClientPayloadError(f'the answer was broken off: {reason}')
         if self._payload is not None and not self._payload.is_eof():
             self._payload.set_exception(failure)
@@ -129,4 +175,14 @@
         payload = self._payload
         if exc is not None and payload is not None and not payload.is_eof():
             payload.set_exception(ClientPayloadError(f'the connection was reset: {exc!r}'))
+        if self._is_hold_taken:
+            self._hold.settle()
+        else:
+            self._hold.end()
         super().connection_lost(exc)
+
+
+def _announced(message: RawResponseMessage) -> int:
+    """Returns the length that the head of an answer names, in bytes."""
+    length = message.headers.get('Content-Length', '')
+    return int(length[:_MAX_DIGITS]) if length.isdecimal() else 0
--- a/geraniumrail/backends/held_response.py
+++ b/geraniumrail/backends/held_response.py
@@ -3,6 +3,9 @@
 from typing import Any
 
 from aiohttp import ClientResponse
+from aiohttp.connector import Connection
+
+from geraniumrail.core.byte_budget import Hold
 
 
 class HeldResponse(ClientResponse):
@@ -21,6 +24,49 @@
         """
         super().__init__(*args, **params)
         self._accepted = False
+        self._hold: Hold | None = None
+
+    async def start(self, connection: Connection) -> ClientResponse:
+        """Reads the head; the bytes of the answer count until `close`.
+
+        :param connection: of the HTTP library.
+        """
+        self._hold = connection.protocol.take_hold()
+        return await super().start(connection)
+
+    async def read(self) -> bytes:
+        """Returns the whole body."""
+        if self._body is None:
+            parts: list[bytes] = []
+            try:
+                while part := await self.content.readany():
+                    parts.append(part)
+                self._body = b''.join(parts)
+            except BaseException:
+                self.close()
+                raise
+            finally:
+                parts.clear()  # the traceback of a failure would keep them
+        return await super().read()
+
+    @property
+    def held_bytes(self) -> int:
+        """Bytes that have arrived and were not passed on."""
+        return 0 if self._hold is None else self._hold.size
+
+    def pass_on(self, count: int) -> None:
+        """Notes that a part of a stream is not kept any longer.
+
+        :param count: bytes, as `held_bytes` told them when the part was read.
+        """
+        if self._hold is not None:
+            self._hold.give_back(count)
+
+    def close(self) -> None:
+        """Ends the answer and returns its bytes to the budget."""
+        super().close()
+        if self._hold is not None:
+            self._hold.end()
 
     def accept(self) -> None:
         """Notes that the answer belongs to the request."""
--- a/geraniumrail/daemon/gauges.py
+++ b/geraniumrail/daemon/gauges.py
@@ -8,6 +8,7 @@
 from geraniumrail.metrics.instruments import Instruments
 
 if TYPE_CHECKING:  # a role that is not configured is not loaded
+    from geraniumrail.backends.answer_budget import AnswerBudget
     from geraniumrail.control.control import Control
     from geraniumrail.entry.entry import Entry
 
@@ -34,6 +35,7 @@
         self._control = control
         self._sent = 0
         self._received = 0
+        self._broken_off: collections.Counter[str] = collections.Counter()
 
     async def run(self) -> None:
         """Refreshes until cancelled."""
@@ -69,12 +71,23 @@
         )
         held = entry.forwarder.parts.watch.quarantines
         self._instruments.quarantines.replace(collections.Counter((each.service,) for each in held))
+        self.show_answers(entry.forwarder.parts.connections.budget)
         self._instruments.settings_revision.set(view.tree.revision)
         self._instruments.lease_left.set(view.lease_left_s())
         self._instruments.queue_depth.replace(
             {(service,): depth for service, depth in entry.queue_depths().items()},
         )
 
+    def show_answers(self, budget: 'AnswerBudget') -> None:
+        """Sets what is known of the answers of backend servers.
+
+        :param budget: of the entry.
+        """
+        self._instruments.held_answer_bytes.set(budget.held_bytes)
+        for reason, count in (budget.broken_off - self._broken_off).items():
+            self._instruments.answers_broken_off.add(count, reason)
+        self._broken_off = budget.broken_off.copy()
+
     def _show_control(self, control: 'Control') -> None:
         status = control.replica.status()
         self._instruments.log_term.set(status.term)
--- /dev/null
+++ b/geraniumrail/daemon/gauges_test.py
@@ -0,0 +1,27 @@
+"""Tests of the gauges."""
+
+import unittest
+from unittest import mock
+
+from geraniumrail.backends.answer_budget import NO_ROOM, AnswerBudget
+from geraniumrail.daemon.gauges import Gauges
+
+
+class GaugesTest(unittest.TestCase):
+    def test_answers_that_were_broken_off_are_counted_once(self):
+        """Nothing showed that an entry had stopped reading answers for their size."""
+        instruments = mock.Mock()
+        gauges = Gauges(instruments, None, None)
+        budget = AnswerBudget(100)
+        hold = budget.hold('127.0.0.1:80', mock.Mock())
+        hold.add(60)
+        for _ in range(2):
+            budget.note_broken_off(NO_ROOM, '127.0.0.1:80', 1)
+        for _ in range(2):
+            gauges.show_answers(budget)
+        instruments.held_answer_bytes.set.assert_called_with(60)
+        instruments.answers_broken_off.add.assert_called_once_with(2, NO_ROOM)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/geraniumrail/daemon/hosted_config.py
+++ b/geraniumrail/daemon/hosted_config.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from geraniumrail.config.daemon import DaemonConfig
+from geraniumrail.core.byte_budget import DEFAULT_BUDGET_BYTES
 from geraniumrail.fairness.slack import Slack
 
 # A group on small machines that are close to each other; a common restart is over in two of these.
@@ -12,6 +13,10 @@
 # Part of the tolerated slack that is used; the rest covers entries that start with full buckets and
 # the one request by which a ledger exceeds its bucket.
 QUOTA_SLACK_PART = 0.75
+# Parts of the memory limit. An answer that is delivered is kept twice, and joining one takes as
+# much as the largest once more; the rest is for the process itself.
+ANSWERS_PART = 0.2
+BYTES_PER_MB = 1_000_000
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -25,9 +30,18 @@
     duty_lease_s: float = 3  # within which two holders of a duty must not alternate
     quota_slack: Slack = Slack()  # by which limits may be exceeded by all entries together
     grace_s: float = 8  # between the signal to stop and the kill
+    memory_mb: float = 0  # above which the process is killed; 0: not known
     keep_for_s: float = KEEP_FOR_S  # how long callers may keep an answer of the directory
 
 
+def answer_budget_bytes(memory_mb: float) -> int:
+    """Returns how many bytes of answers of backend servers an entry keeps, all together.
+
+    :param memory_mb: limit of the process; 0 if it is not known.
+    """
+    return int(ANSWERS_PART * memory_mb * BYTES_PER_MB) or DEFAULT_BUDGET_BYTES
+
+
 def voters_for(losses: int) -> int:
     """Returns the number of voters whose majority outlives a number of losses.
 
--- a/geraniumrail/forwarding/attempt.py
+++ b/geraniumrail/forwarding/attempt.py
@@ -87,13 +87,15 @@
 
         :raises ConnectionLostError: if it is not complete.
         """
-        content = self._opened().content
+        response = self._opened()
         while True:
             async with self._typed_failures():
-                part = await content.readany()
+                part = await response.content.readany()
             if not part:
                 return
+            held = response.held_bytes
             yield part
+            response.pass_on(held)
 
     def close(self) -> None:
         """Closes the connection unless the answer names this request and was read to its end."""
--- a/geraniumrail/forwarding/forwarder.py
+++ b/geraniumrail/forwarding/forwarder.py
@@ -19,6 +19,8 @@
 
 # Callers that come to a leaving entry are sent away for so long; other entries take them at once.
 LEAVING_RETRY_S = 0.05
+# Answers that wait for slow callers leave room within some seconds.
+NO_ROOM_RETRY_S = 1.0
 
 
 class Forwarder:
@@ -126,6 +128,11 @@
                 reason='this entry is stopping',
                 retry_after_s=spread(LEAVING_RETRY_S, self.parts.rng),
             )
+        if self.parts.connections.budget.is_full:
+            raise NotRunError(
+                reason='no room for its answer',
+                retry_after_s=spread(NO_ROOM_RETRY_S, self.parts.rng),
+            )
         run = ForwardRun(inbound, admitted, reply, self.parts)
         self._runs.add(run)
         try:
--- a/geraniumrail/metrics/catalogue.py
+++ b/geraniumrail/metrics/catalogue.py
@@ -112,6 +112,19 @@
         labels=('service',),
         about='sets of prompt parts whose requests this entry holds back',
     ),
+    Spec(
+        name='geraniumrail.held_answer_bytes',
+        kind='gauge',
+        unit='By',
+        about='bytes of answers of backend servers that this entry holds until they are sent on',
+    ),
+    Spec(
+        name='geraniumrail.answers_broken_off',
+        kind='counter',
+        unit='{answer}',
+        labels=('reason',),
+        about='answers of backend servers that were broken off for their size',
+    ),
 )
 _CONTROL = (
     Spec(
--- a/geraniumrail/metrics/instruments.py
+++ b/geraniumrail/metrics/instruments.py
@@ -31,6 +31,8 @@
     backends: Gauge
     limited_backends: Gauge
     quarantines: Gauge
+    held_answer_bytes: Gauge
+    answers_broken_off: Counter
     settings_revision: Gauge
     lease_left: Gauge
     control_bytes: Counter
