--- a/geraniumrail/callers/http_reply.py
+++ b/geraniumrail/callers/http_reply.py
@@ -7,6 +7,8 @@
 from geraniumrail.errors.base import GeraniumrailError
 from geraniumrail.forwarding.inbound import Headers
 
+PART_BYTES = 64 * 1024  # of a large answer
+
 
 class HttpReply:
     """Implements `forwarding.reply.Reply`."""
@@ -34,8 +36,17 @@
         :param headers: end-to-end headers.
         :param body: whole body.
         """
-        self.response = web.Response(status=status, headers=CIMultiDict(headers), body=body)
+        if len(body) <= PART_BYTES:
+            self.response = web.Response(status=status, headers=CIMultiDict(headers), body=body)
+            await self._send_head(self.response)
+            await self.response.write_eof()
+            return
+        self.response = web.StreamResponse(status=status, headers=CIMultiDict(headers))
+        self.response.content_length = len(body)
         await self._send_head(self.response)
+        # The transport copies what the caller has not taken.
+        for start in range(0, len(body), PART_BYTES):
+            await self.response.write(body[start : start + PART_BYTES])
         await self.response.write_eof()
 
     async def refuse(self, error: GeraniumrailError) -> None:
