--- a/geraniumrail/callers/limited_server.py
+++ b/geraniumrail/callers/limited_server.py
@@ -5,9 +5,11 @@
 
 from aiohttp import web
 
+from geraniumrail.core.byte_budget import Hold
 from geraniumrail.deployment.http_limits import HttpLimits
 from geraniumrail.errors.headers import HeadersTooLargeError
 from geraniumrail.errors.request import BodyTooLargeError, SlowRequestError
+from geraniumrail.forwarding.body_budget import ArrivingBody
 
 Limits = Callable[[], HttpLimits]
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
@@ -77,15 +79,17 @@
 
 
 async def read_request(
-    request: web.BaseRequest, limits: HttpLimits, limit_s: float | None
+    request: web.BaseRequest, limits: HttpLimits, limit_s: float | None, body: ArrivingBody
 ) -> bytes:
     """Returns the whole body.
 
     :param request: the request.
     :param limits: in force.
     :param limit_s: how long the caller waits for its answer, seconds.
+    :param body: counts the body.
     :raises HeadersTooLargeError: if the headers are larger than allowed.
     :raises BodyTooLargeError: if the body is.
+    :raises NotRunError: if other bodies leave no room for it.
     :raises SlowRequestError: if it does not arrive in time, however steadily it comes.
     """
     size = sum(len(name) + len(text) + _COLON_AND_END for name, text in request.raw_headers)
@@ -95,19 +99,23 @@
         return b''
     allowed_s = min(BODY_LIMIT_S, limit_s or BODY_LIMIT_S)
     try:
-        async with asyncio.timeout(allowed_s):
-            return await _read_body(request, limits.body_bytes)
+        async with body.reading(allowed_s) as hold:
+            return await _read_body(request, limits.body_bytes, hold)
     except TimeoutError as error:
         raise SlowRequestError(limit_s=allowed_s) from error
 
 
-async def _read_body(request: web.BaseRequest, limit_bytes: int) -> bytes:
+async def _read_body(request: web.BaseRequest, limit_bytes: int, hold: Hold) -> bytes:
     parts = []
     size = 0
-    while part := await request.content.readany():
-        size += len(part)
-        if size > limit_bytes:
-            raise BodyTooLargeError(limit_bytes=limit_bytes)
-        parts.append(part)
-        await asyncio.sleep(0)  # other requests go on beside a body that is already here
-    return b''.join(parts)
+    try:
+        while part := await request.content.readany():
+            size += len(part)
+            if size > limit_bytes:
+                raise BodyTooLargeError(limit_bytes=limit_bytes)
+            parts.append(part)
+            hold.add(len(part))
+            await asyncio.sleep(0)  # other requests go on beside a body that is already here
+        return b''.join(parts)
+    finally:
+        parts.clear()  # the traceback of a failure would keep them
--- a/geraniumrail/daemon/gauges.py
+++ b/geraniumrail/daemon/gauges.py
@@ -71,6 +71,7 @@
         )
         held = entry.forwarder.parts.watch.quarantines
         self._instruments.quarantines.replace(collections.Counter((each.service,) for each in held))
+        self._instruments.held_body_bytes.set(entry.forwarder.bodies.held_bytes)
         self.show_answers(entry.forwarder.parts.connections.budget)
         self._instruments.settings_revision.set(view.tree.revision)
         self._instruments.lease_left.set(view.lease_left_s())
--- a/geraniumrail/daemon/hosted_config.py
+++ b/geraniumrail/daemon/hosted_config.py
@@ -13,9 +13,10 @@
 # Part of the tolerated slack that is used; the rest covers entries that start with full buckets and
 # the one request by which a ledger exceeds its bucket.
 QUOTA_SLACK_PART = 0.75
-# Parts of the memory limit. An answer that is delivered is kept twice, and joining one takes as
-# much as the largest once more; the rest is for the process itself.
+# Parts of the memory limit. Joining an answer takes as much as the largest once more, and a body
+# that is sent is kept twice; the rest is for the process itself.
 ANSWERS_PART = 0.2
+BODIES_PART = 0.15
 BYTES_PER_MB = 1_000_000
 
 
@@ -42,6 +43,14 @@
     return int(ANSWERS_PART * memory_mb * BYTES_PER_MB) or DEFAULT_BUDGET_BYTES
 
 
+def body_budget_bytes(memory_mb: float) -> int:
+    """Returns how many bytes of callers' bodies an entry keeps, all together.
+
+    :param memory_mb: limit of the process; 0 if it is not known.
+    """
+    return int(BODIES_PART * memory_mb * BYTES_PER_MB) or DEFAULT_BUDGET_BYTES
+
+
 def voters_for(losses: int) -> int:
     """Returns the number of voters whose majority outlives a number of losses.
 
--- a/geraniumrail/daemon/hosted_daemon.py
+++ b/geraniumrail/daemon/hosted_daemon.py
@@ -9,7 +9,7 @@
 from geraniumrail.core.events import log
 from geraniumrail.daemon import events
 from geraniumrail.daemon.hosted_adapter import Front, HostedAdapter
-from geraniumrail.daemon.hosted_config import HostedConfig, answer_budget_bytes
+from geraniumrail.daemon.hosted_config import HostedConfig, answer_budget_bytes, body_budget_bytes
 from geraniumrail.errors.base import GeraniumrailError
 from geraniumrail.links.datagrams import Datagrams
 from geraniumrail.links.pool import LinkPool
@@ -205,6 +205,7 @@
             self._adapter.dialect(),
             ForwardingConfig(
                 quota_slack=self._config.quota_slack,
+                body_budget_bytes=body_budget_bytes(self._config.memory_mb),
                 connections=ConnectionsConfig(
                     connect_timeout_s=CONNECT_TIMEOUT_S,
                     user_timeout_ms=USER_TIMEOUT_MS,
--- a/geraniumrail/forwarding/config.py
+++ b/geraniumrail/forwarding/config.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from geraniumrail.backends.connections import ConnectionsConfig
+from geraniumrail.core.byte_budget import DEFAULT_BUDGET_BYTES
 from geraniumrail.fairness.quota import QUOTA_HEADROOM
 from geraniumrail.fairness.slack import Slack
 
@@ -27,6 +28,7 @@
     limit_wait_part: float = 0.3  # of the time that the caller has
     lease_lost_s: float = 3.0  # no request waits when the lease was lost longer ago
     connections: ConnectionsConfig = ConnectionsConfig()
+    body_budget_bytes: int = DEFAULT_BUDGET_BYTES  # of callers' bodies, all together
     # A stream that stands still is not given up before this time: an engine that runs short of
     # memory reads a prompt again, which takes up to half a second.
     least_stall_s: float = 1.0
--- a/geraniumrail/forwarding/forwarder.py
+++ b/geraniumrail/forwarding/forwarder.py
@@ -8,6 +8,7 @@
 from geraniumrail.errors.request import NotRunError, OutcomeUnknownError
 from geraniumrail.forwarding import events
 from geraniumrail.forwarding.admitted import admit, spread
+from geraniumrail.forwarding.body_budget import BodyBudget
 from geraniumrail.forwarding.inbound import Inbound
 from geraniumrail.forwarding.limit_check import check_limit
 from geraniumrail.forwarding.parts import Parts
@@ -32,6 +33,7 @@
         :param parts: of the entry.
         """
         self.parts = parts
+        self.bodies = BodyBudget(parts.config.body_budget_bytes)
         self._arriving = 0
         self._served = 0
         self._runs: set[ForwardRun] = set()
--- a/geraniumrail/metrics/catalogue.py
+++ b/geraniumrail/metrics/catalogue.py
@@ -118,6 +118,12 @@
         unit='By',
         about='bytes of answers of backend servers that this entry holds until they are sent on',
     ),
+    Spec(
+        name='geraniumrail.held_body_bytes',
+        kind='gauge',
+        unit='By',
+        about="bytes of callers' bodies that this entry holds until their requests have ended",
+    ),
     Spec(
         name='geraniumrail.answers_broken_off',
         kind='counter',
--- a/geraniumrail/metrics/instruments.py
+++ b/geraniumrail/metrics/instruments.py
@@ -32,6 +32,7 @@
     limited_backends: Gauge
     quarantines: Gauge
     held_answer_bytes: Gauge
+    held_body_bytes: Gauge
     answers_broken_off: Counter
     settings_revision: Gauge
     lease_left: Gauge
