--- a/geraniumrail/cloud/cloud_client.py
+++ b/geraniumrail/cloud/cloud_client.py
@@ -6,6 +6,7 @@
 import msgspec
 from aiohttp import ClientError, ClientSession, ClientTimeout, TCPConnector
 
+from geraniumrail.cloud.bounded_answer import read_answer
 from geraniumrail.cloud.instance import CloudInstance
 from geraniumrail.cloud.notice import CloudNotice
 from geraniumrail.cloud.price import Price
@@ -116,7 +117,7 @@
         try:
             async with self._session.request(method, self._url + path, data=payload) as response:
                 status = response.status
-                answer = _decode(await response.read())
+                answer = _decode(await read_answer(response))
         except (ClientError, OSError) as error:
             raise PlatformUnreachableError(service=_SERVICE, reason=repr(error)) from error
         refused = status == accepted and 'error' in answer
--- a/geraniumrail/cloud/cloud_test.py
+++ b/geraniumrail/cloud/cloud_test.py
@@ -1,10 +1,12 @@
 """Guards the platform clients: refused starts and cut transfers must not look like successes."""
 
+import asyncio
 import contextlib
 import unittest
 
 import aiohttp
 
+from geraniumrail.cloud.bounded_answer import MAX_ANSWER_BYTES
 from geraniumrail.cloud.cloud_client import CloudClient
 from geraniumrail.cloud.price import Price
 from geraniumrail.cloud.weight_client import WeightClient
@@ -51,6 +53,28 @@
         self.assertEqual([notice.instance for notice in notices], [cheap.instance])
         self.assertEqual(await self.client.notices(after=notices[0].sequence), ())
 
+    async def test_answer_without_end_is_broken_off(self):
+        """A faulty interface could fill the memory of the process that calls it."""
+        sent, block = 0, b'x' * 65536
+
+        async def serve(reader, writer):
+            nonlocal sent
+            writer.write(b'HTTP/1.1 200 OK\r\n\r\n')
+            with contextlib.suppress(OSError):
+                while not writer.is_closing():
+                    writer.write(block)
+                    await writer.drain()
+                    sent += len(block)
+
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        self.addCleanup(server.close)
+        address = f'127.0.0.1:{server.sockets[0].getsockname()[1]}'
+        client = CloudClient.from_url(f'http://{address}', limit_s=20)
+        self.addAsyncCleanup(client.close)
+        with self.assertRaises(PlatformUnreachableError):
+            await client.prices()
+        self.assertLess(sent, 4 * MAX_ANSWER_BYTES)
+
     async def test_end_is_idempotent(self):
         started = await self.client.start('small', 'cheras', reclaimable=True)
         for _ in range(2):
