--- a/geraniumrail/callers/limited_server.py
+++ b/geraniumrail/callers/limited_server.py
@@ -98,11 +98,29 @@
     if not request.body_exists:
         return b''
     allowed_s = min(BODY_LIMIT_S, limit_s or BODY_LIMIT_S)
+    return await read_counted(request, limits.body_bytes, allowed_s, body)
+
+
+async def read_counted(
+    request: web.BaseRequest, limit_bytes: int, limit_s: float, body: ArrivingBody
+) -> bytes:
+    """Returns the whole body.
+
+    :param request: the request.
+    :param limit_bytes: largest body.
+    :param limit_s: limit in seconds.
+    :param body: counts the body.
+    :raises BodyTooLargeError: if it is larger.
+    :raises NotRunError: if other bodies leave no room for it.
+    :raises SlowRequestError: if it does not arrive in time.
+    """
+    if (request.content_length or 0) > limit_bytes:
+        raise BodyTooLargeError(limit_bytes=limit_bytes)
     try:
-        async with body.reading(allowed_s) as hold:
-            return await _read_body(request, limits.body_bytes, hold)
+        async with body.reading(limit_s) as hold:
+            return await _read_body(request, limit_bytes, hold)
     except TimeoutError as error:
-        raise SlowRequestError(limit_s=allowed_s) from error
+        raise SlowRequestError(limit_s=limit_s) from error
 
 
 async def _read_body(request: web.BaseRequest, limit_bytes: int, hold: Hold) -> bytes:
