--- a/geraniumrail/backends/connections.py
+++ b/geraniumrail/backends/connections.py
@@ -14,11 +14,13 @@
 )
 from yarl import URL
 
+from geraniumrail.backends.answer_budget import AnswerBudget
 from geraniumrail.backends.exchange import Exchange
 from geraniumrail.backends.exchange_connector import EXCHANGE, ExchangeConnector
 from geraniumrail.backends.guarded_handler import GuardedHandler, IdleLimits
 from geraniumrail.backends.held_response import HeldResponse
 from geraniumrail.core.backend import Backend
+from geraniumrail.core.byte_budget import DEFAULT_BUDGET_BYTES
 
 # The client closes a fresh connection itself: after `Connection: close` the parser would refuse
 # the whole answer if another answer follows it in the same packet.
@@ -36,6 +38,7 @@
     # Silence after which a probe is sent, and between probes, also without unacknowledged data.
     probe_s: int = 1
     probes: int = 3
+    answer_budget_bytes: int = DEFAULT_BUDGET_BYTES  # of all answers together
 
 
 class Connections:
@@ -46,9 +49,12 @@
     may send a copy of the answer that the id had before, and runs the request behind it.
     """
 
-    def __init__(self, reused: ClientSession, fresh: ClientSession, idle: IdleLimits) -> None:
+    def __init__(
+        self, reused: ClientSession, fresh: ClientSession, idle: IdleLimits, budget: AnswerBudget
+    ) -> None:
         """Use `from_config`."""
         self.idle = idle
+        self.budget = budget
         self._reused = reused
         self._fresh = fresh
 
@@ -59,10 +65,12 @@
         :param config: limits.
         """
         idle = IdleLimits(config.keep_alive_s)
+        budget = AnswerBudget(config.answer_budget_bytes)
         return cls(
-            _session(config, idle, force_close=False),
-            _session(config, idle, force_close=True),
+            _session(config, idle, budget, force_close=False),
+            _session(config, idle, budget, force_close=True),
             idle,
+            budget,
         )
 
     async def close(self) -> None:
@@ -128,13 +136,15 @@
     return made
 
 
-def _session(config: ConnectionsConfig, idle: IdleLimits, *, force_close: bool) -> ClientSession:
+def _session(
+    config: ConnectionsConfig, idle: IdleLimits, budget: AnswerBudget, *, force_close: bool
+) -> ClientSession:
     keep_alive: dict[str, Any] = {'force_close': True}
     if not force_close:
         keep_alive = {'keepalive_timeout': config.keep_alive_s}
     socket_factory = functools.partial(make_socket, config)
     connector = ExchangeConnector(
-        factory=functools.partial(GuardedHandler, asyncio.get_running_loop(), idle),
+        factory=functools.partial(GuardedHandler, asyncio.get_running_loop(), idle, budget),
         limit=0,
         socket_factory=socket_factory,
         **keep_alive,
--- a/geraniumrail/backends/events.py
+++ b/geraniumrail/backends/events.py
@@ -21,3 +21,9 @@
     'backends.connection_left',
     'A kept connection was closed because it had carried the id of the next request before.',
 )
+ANSWER_BROKEN_OFF = Event.define(
+    1103,
+    'backends.answer_broken_off',
+    'an answer was broken off for its size; the reason says which limit it exceeded',
+    logging.WARNING,
+)
--- a/geraniumrail/forwarding/forwarder.py
+++ b/geraniumrail/forwarding/forwarder.py
@@ -8,6 +8,7 @@
 from geraniumrail.errors.request import NotRunError, OutcomeUnknownError
 from geraniumrail.forwarding import events
 from geraniumrail.forwarding.admitted import admit, spread
+from geraniumrail.forwarding.body_budget import BodyBudget
 from geraniumrail.forwarding.inbound import Inbound
 from geraniumrail.forwarding.limit_check import check_limit
 from geraniumrail.forwarding.parts import Parts
@@ -19,6 +20,8 @@
 
 # Callers that come to a leaving entry are sent away for so long; other entries take them at once.
 LEAVING_RETRY_S = 0.05
+# Answers that wait for slow callers leave room within some seconds.
+NO_ROOM_RETRY_S = 1.0
 
 
 class Forwarder:
@@ -30,6 +33,7 @@
         :param parts: of the entry.
         """
         self.parts = parts
+        self.bodies = BodyBudget(parts.config.body_budget_bytes)
         self._arriving = 0
         self._served = 0
         self._runs: set[ForwardRun] = set()
@@ -126,6 +130,11 @@
                 reason='this entry is stopping',
                 retry_after_s=spread(LEAVING_RETRY_S, self.parts.rng),
             )
+        if self.parts.connections.budget.is_full:
+            raise NotRunError(
+                reason='no room for its answer',
+                retry_after_s=spread(NO_ROOM_RETRY_S, self.parts.rng),
+            )
         run = ForwardRun(inbound, admitted, reply, self.parts)
         self._runs.add(run)
         try:
