--- a/geraniumrail/backends/guarded_handler_test.py
+++ b/geraniumrail/backends/guarded_handler_test.py
@@ -4,14 +4,22 @@
 import sys
 import unittest
 
-from geraniumrail.backends.guarded_handler import MAX_REQUESTS, GuardedHandler, IdleLimits
+from geraniumrail.backends.answer_budget import AnswerBudget
+from geraniumrail.backends.guarded_handler import (
+    MAX_ANSWER_BYTES,
+    MAX_REQUESTS,
+    GuardedHandler,
+    IdleLimits,
+)
 
 BYTES_EACH = 16  # of one remembered request, with what the array has in reserve
 
 
 class ClaimTest(unittest.IsolatedAsyncioTestCase):
     def make_handler(self):
-        return GuardedHandler(asyncio.get_running_loop(), IdleLimits(15))
+        return GuardedHandler(
+            asyncio.get_running_loop(), IdleLimits(15), AnswerBudget(MAX_ANSWER_BYTES)
+        )
 
     async def test_connection_carries_a_request_once(self):
         handler = self.make_handler()
