--- a/geraniumrail/testing/process.py
+++ b/geraniumrail/testing/process.py
@@ -9,6 +9,7 @@
 
 READY_LIMIT_S = 30.0
 STOP_LIMIT_S = 60.0
+SHOWN_LINES = 40  # of a process that has ended
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 
 
@@ -73,8 +74,17 @@
 
     def freeze(self) -> None:
         """Stops the process from running, until `thaw`."""
-        self.process.send_signal(signal.SIGSTOP)
+        self._send(signal.SIGSTOP)
 
     def thaw(self) -> None:
         """Lets a frozen process run again."""
-        self.process.send_signal(signal.SIGCONT)
+        self._send(signal.SIGCONT)
+
+    def _send(self, number: int) -> None:
+        """Sends a signal; the error of a process that has ended shows its code and last output."""
+        try:
+            self.process.send_signal(number)
+        except ProcessLookupError as error:
+            lines = self.log.read_text(errors='replace').splitlines()[-SHOWN_LINES:]
+            error.add_note('\n'.join((f'{self.name} ended: {self.process.returncode}', *lines)))
+            raise
