--- a/geraniumrail/backends/connections.py
+++ b/geraniumrail/backends/connections.py
@@ -23,6 +23,8 @@
 # The client closes a fresh connection itself: after `Connection: close` the parser would refuse
 # the whole answer if another answer follows it in the same packet.
 _FRESH_HEADERS = (('Connection', 'keep-alive'),)
+# Answers repeat the id of their request, whose length only the limit of callers' headers bounds.
+_MAX_FIELD_BYTES = 65536
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -146,6 +148,7 @@
         cookie_jar=DummyCookieJar(),
         # Bodies pass through as they are; decompression could exceed the size limit.
         auto_decompress=False,
+        max_field_size=_MAX_FIELD_BYTES,
         skip_auto_headers=('Accept-Encoding', 'User-Agent', 'Content-Type'),
         response_class=HeldResponse,
     )
--- a/geraniumrail/forwarding/repeated_ids_test.py
+++ b/geraniumrail/forwarding/repeated_ids_test.py
@@ -144,6 +144,14 @@
         replies = await asyncio.gather(*(self.serve(forwarder) for _ in range(2)))
         self.assert_ran_once([stand], replies)
 
+    async def test_answer_that_repeats_a_long_id_is_read(self):
+        """The entry took longer header lines of callers than of servers: a request ran, and its
+        caller was told 502."""
+        stand = await self.started()
+        forwarder = self.make_forwarder(stand, ids_each=1)
+        reply = await self.serve(forwarder, 'x' * 15000)
+        self.assert_ran_once([stand], [reply])
+
     async def test_copy_of_a_failure_does_not_end_a_repeatable_request(self):
         """The server ran on while the request went elsewhere: two engines worked on one stream."""
         for kind in ({'kind': 'safe'}, {'kind': 'stream', 'resumable': True, 'gap_s': 5.0}):
