--- a/geraniumrail/backends/guarded_handler.py
+++ b/geraniumrail/backends/guarded_handler.py
@@ -1,6 +1,7 @@
 """A connection to a backend server that is reused only if nothing is amiss."""
 
 import asyncio
+import re
 from typing import Any
 
 from aiohttp import ClientPayloadError
@@ -36,6 +37,7 @@
 MAX_REQUESTS = 1000
 _HASH_BYTES = 8
 _MAX_DIGITS = 19  # of a length; longer ones are too large by their first digits
+_STATUS_LINE = re.compile(rb'HTTP/\d\.\d \d{3}')
 
 
 class IdleLimits:
@@ -94,6 +96,7 @@
         self._is_broken_off = False
         self._has_head = False  # of the final answer
         self._head_bytes = 0  # with the bytes that came together with its end
+        self._has_stray = False  # bytes came after the whole answer
 
     @property
     def requests(self) -> int:
@@ -128,6 +131,7 @@
         self._interim_answers = 0
         self._is_broken_off = False
         self._has_head = False
+        self._has_stray = False
         if not self._is_hold_taken:
             self._hold.end()
         self._hold = self._budget.hold(self.address, self._give_up)
@@ -142,9 +146,15 @@
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Counts the heads that are not of the final answer, and refuses a body that is too long.
 
+        A copy of an earlier answer may end within its head. What follows is read as the rest of it:
+        the status of the copy with the headers of the answer that is due.
+
         :param data: head and body of an answer.
         :param size: of the HTTP library.
         """
+        if self.requests > 1 and _holds_status_line(data[0]):
+            self._abort(ClientPayloadError('the beginning of an earlier answer precedes the head'))
+            return
         is_interim = data[0].code in _INTERIM
         self._interim_answers += is_interim
         self._has_head = self._has_head or not is_interim
@@ -176,6 +186,7 @@
         self._hold.add(len(data))
         if self._is_broken_off:
             return
+        self._has_stray = self._has_stray or (bool(data) and self._is_answered())
         super().data_received(data)
         if not self._has_head or self._payload is None:
             return
@@ -184,6 +195,9 @@
         elif self._is_framing_too_long(self._payload.total_bytes):
             self._break_off(FRAMING)
 
+    def _is_answered(self) -> bool:
+        return self._has_head and self._payload is not None and self._payload.is_eof()
+
     def _is_framing_too_long(self, body_bytes: int) -> bool:
         framing_bytes = self._answer_bytes - self._head_bytes - body_bytes
         return framing_bytes > MAX_FRAMING_BYTES + body_bytes
@@ -196,7 +210,9 @@
             return
         self._is_broken_off = True
         self._budget.note_broken_off(reason, self.address, self._answer_bytes)
-        failure = ClientPayloadError(f'the answer was broken off: {reason}')
+        self._abort(ClientPayloadError(f'the answer was broken off: {reason}'))
+
+    def _abort(self, failure: ClientPayloadError) -> None:
         if self._payload is not None and not self._payload.is_eof():
             self._payload.set_exception(failure)
         self.set_exception(failure)
@@ -210,7 +226,7 @@
         answer to the next one.
         """
         idle_s = self._loop.time() - self._received_at
-        stray = bool(self._tail or self._buffer)
+        stray = self._has_stray or bool(self._tail or self._buffer)
         fresh = idle_s < self._limits.limit_s(self.address)
         return super().is_connected() and not stray and fresh
 
@@ -233,3 +249,10 @@
     """Returns the length that the head of an answer names, in bytes."""
     length = message.headers.get('Content-Length', '')
     return int(length[:_MAX_DIGITS]) if length.isdecimal() else 0
+
+
+def _holds_status_line(message: RawResponseMessage) -> bool:
+    """Returns whether the head of an answer was read from those of two."""
+    values = (value for _, value in message.raw_headers)
+    reason = message.reason.encode('utf-8', 'surrogateescape')
+    return any(map(_STATUS_LINE.search, (reason, *values)))
