--- a/geraniumrail/metrics/catalogue.py
+++ b/geraniumrail/metrics/catalogue.py
@@ -110,7 +110,7 @@
         kind='gauge',
         unit='{quarantine}',
         labels=('service',),
-        about='sets of prompt parts whose requests this entry holds back',
+        about='requests, and sets of prompt parts whose requests, that this entry holds back',
     ),
 )
 _CONTROL = (
--- a/geraniumrail/quarantine/crash_ledger.py
+++ b/geraniumrail/quarantine/crash_ledger.py
@@ -2,8 +2,10 @@
 
 import collections
 import dataclasses
+import heapq
 import itertools
 import math
+import operator
 from collections.abc import Iterable, Iterator, Sequence
 
 from geraniumrail.quarantine.crash_note import CrashNote
@@ -21,7 +23,8 @@
 MIN_REPEATED = 2
 MEMORY_S = 600.0
 MAX_CRASHES = 128
-MAX_REQUESTS = 256  # of one crash
+MAX_REQUESTS = 128  # of one crash
+MAX_CANDIDATES = 64  # parts, and as many fingerprints, that are compared
 MAX_WATCHED = 128  # parts, of the newest crashes; and as many fingerprints
 
 
@@ -59,6 +62,7 @@
         self._sound_at: dict[Key, float] = {}
         self._suspects: dict[Key, None] = {}
         self._findings: tuple[Finding, ...] = ()
+        self._is_stale = False  # there is evidence that the conclusions don't take into account
 
     def observe_crash(self, note: CrashNote, now: float) -> bool:
         """Records a crash; several entries may report the same one. Tells whether it is news.
@@ -77,8 +81,7 @@
         crash.requests.update(itertools.islice(fresh, room))
         while len(self._crashes) > MAX_CRASHES:
             self._crashes.popitem(last=False)
-        if fresh:
-            self._conclude()
+        self._is_stale = self._is_stale or bool(fresh)
         return bool(fresh)
 
     def observe_sound(self, sounds: Iterable[SoundPart], now: float) -> bool:
@@ -87,22 +90,21 @@
         :param sounds: report of one entry.
         :param now: monotonic seconds.
         """
-        known = [sound for sound in sounds if (sound.service, sound.part) in self._suspects]
         is_news = False
-        for sound in known:
+        for sound in sounds:
+            crashes = self._crashes_with(sound.service, frozenset((sound.part,)))
+            if not crashes:
+                continue
             key = (sound.service, sound.part)
             earlier_at, at = self._sound_at.get(key, -math.inf), now - sound.age_s
             self._sound_at[key] = max(earlier_at, at)
-            is_news = is_news or any(
-                earlier_at <= crash.at < at
-                for crash in self._crashes_with(key[0], frozenset(key[1:]))
-            )
-        if is_news:
-            self._conclude()
+            is_news = is_news or any(earlier_at <= crash.at < at for crash in crashes)
+        self._is_stale = self._is_stale or is_news
         return is_news
 
     def watched(self) -> dict[str, tuple[str, ...]]:
         """Returns the traits, by service, of which the entries report answered requests."""
+        self._conclude()
         parts = (key for key in self._suspects if not is_fingerprint(key[1]))
         fingerprints = (key for key in self._suspects if is_fingerprint(key[1]))
         traits_by_service: dict[str, tuple[str, ...]] = {}
@@ -115,6 +117,7 @@
 
     def findings(self) -> tuple[Finding, ...]:
         """Returns what the crashes have in common, if there are enough of them."""
+        self._conclude()
         return self._findings
 
     def is_refuted(self, service: str, parts: Iterable[str]) -> bool:
@@ -131,11 +134,14 @@
         return not any(
             finding.service == service
             and any(request.issuperset(finding.parts) for request in requests)
-            for finding in self._findings
+            for finding in self.findings()
         )
 
     def _conclude(self) -> None:
-        """Draws the conclusions once for each change of the evidence; they are read often."""
+        """Draws the conclusions once for all changes since they were read last."""
+        if not self._is_stale:
+            return
+        self._is_stale = False
         crashes_by_key = self._suspected_crashes()
         # Those of most crashes first, then those of the newest.
         ordered = sorted(crashes_by_key, key=lambda key: -len(crashes_by_key[key]))
@@ -159,17 +165,19 @@
         of whose crashes are those of repeated requests may be sound: other requests have them too.
         """
         of_repeated = {id(crash) for crashes in repeated.values() for crash in crashes}
-        ranks = sorted(
-            self._rank(key, crashes)
+        candidates = {
+            key: crashes
             for key, crashes in crashes_by_key.items()
             if len(crashes) >= MIN_CRASHES
             and any(id(crash) not in of_repeated for crash in crashes)
-        )
+        }
+        explained: set[int] = set()
         findings: list[Finding] = []
-        for _, _, suspect in ranks:
-            left = _unexplained(crashes_by_key[suspect], findings)
+        for _, _, suspect in self._ranks(candidates):
+            left = [crash for crash in candidates[suspect] if id(crash) not in explained]
             if _separate(left) >= MIN_CRASHES:
                 findings.append(self._finding(suspect, left))
+                explained |= self._explained(findings[-1:])
         return findings
 
     def _find_requests(self, repeated: _CrashesByKey, findings: list[Finding]) -> list[Finding]:
@@ -178,17 +186,34 @@
         Requests that stood beside each other at the same crashes are found alike; one that was at
         fewer crashes than another is explained by it.
         """
-        ranks = sorted(self._rank(key, crashes) for key, crashes in repeated.items())
+        explained = self._explained(findings)
         found: list[Finding] = []
-        stronger: list[Finding] = []
-        for _, group in itertools.groupby(ranks, key=lambda rank: rank[0]):
-            stronger = [*findings, *found]
+        for _, group in itertools.groupby(self._ranks(repeated), key=operator.itemgetter(0)):
+            alike: list[Finding] = []
             for _, _, suspect in group:
-                left = _unexplained(repeated[suspect], stronger)
+                left = [crash for crash in repeated[suspect] if id(crash) not in explained]
                 if _is_repeated(left):
-                    found.append(self._finding(suspect, left))
+                    alike.append(self._finding(suspect, left))
+            explained |= self._explained(alike)
+            found.extend(alike)
         return found
 
+    def _explained(self, findings: Iterable[Finding]) -> set[int]:
+        return {
+            id(crash)
+            for finding in findings
+            for crash in self._crashes_with(finding.service, frozenset(finding.parts))
+        }
+
+    def _ranks(self, crashes_by_key: _CrashesByKey) -> list[tuple[int, int, Key]]:
+        """Orders the strongest suspects."""
+        strongest = heapq.nsmallest(
+            MAX_CANDIDATES,
+            crashes_by_key.items(),
+            key=lambda suspect: (-_separate(suspect[1]), suspect[0]),
+        )
+        return sorted(self._rank(key, crashes) for key, crashes in strongest)
+
     def _rank(self, key: Key, crashes: Sequence[_Crash]) -> tuple[int, int, Key]:
         """Orders suspects: most crashes first, then those of the fewest requests."""
         _, trait = key
@@ -262,15 +287,3 @@
     """Returns the crashes by prompt part, and those by fingerprint."""
     by_part = {key: each for key, each in crashes_by_key.items() if not is_fingerprint(key[1])}
     return by_part, {key: each for key, each in crashes_by_key.items() if key not in by_part}
-
-
-def _unexplained(crashes: Iterable[_Crash], findings: Iterable[Finding]) -> list[_Crash]:
-    return [
-        crash for crash in crashes if not any(_explains(finding, crash) for finding in findings)
-    ]
-
-
-def _explains(finding: Finding, crash: _Crash) -> bool:
-    return finding.service == crash.service and any(
-        request.issuperset(finding.parts) for request in crash.requests
-    )
--- a/geraniumrail/quarantine/crash_ledger_test.py
+++ b/geraniumrail/quarantine/crash_ledger_test.py
@@ -2,11 +2,25 @@
 
 import unittest
 
-from geraniumrail.quarantine.crash_ledger import MAX_CRASHES, MEMORY_S, CrashLedger
+from geraniumrail.quarantine.crash_ledger import (
+    MAX_CRASHES,
+    MAX_REQUESTS,
+    MAX_WATCHED,
+    MEMORY_S,
+    CrashLedger,
+)
 from geraniumrail.quarantine.crash_note import CrashNote
+from geraniumrail.quarantine.fingerprint import fingerprint_of
 from geraniumrail.quarantine.sound_part import SoundPart
 
 
+def fingerprint(name):
+    return fingerprint_of('salon', 'GET', '/run', str(name).encode())
+
+
+DEADLY = fingerprint('deadly')
+
+
 class CrashLedgerTest(unittest.TestCase):
     def setUp(self):
         self.ledger = CrashLedger()
@@ -61,6 +75,49 @@
         self.sound(13, 'second')
         self.assertEqual(self.found(), [('deadly',)])
 
+    def test_deadly_request_is_found_though_its_parts_are_sound(self):
+        """Answers to other requests with its parts cleared them, and nothing was left of it."""
+        for at in (10, 11, 12):
+            self.crash(at, ('first', 'second', DEADLY), ('first', fingerprint(at)))
+            self.sound(at + 0.5, 'first', 'second')
+        self.assertEqual(self.found(), [(DEADLY,)])
+
+    def test_request_that_was_answered_since_is_no_suspect(self):
+        """Pattern: a popular request without parts was in progress at each crash."""
+        for at in (10, 11, 12):
+            self.crash(at, (DEADLY,), (fingerprint('popular'),))
+            self.sound(at + 0.5, fingerprint('popular'))
+        self.assertEqual(self.found(), [(DEADLY,)])
+
+    def test_copies_that_crash_servers_together_count_each(self):
+        """Crashes of one moment count once, so many copies had gone out before a third moment."""
+        for number in range(3):
+            self.crash(10 + number / 100, (DEADLY,), instance=f'i-{number}')
+        self.assertEqual(self.found(), [])
+        self.crash(11, (DEADLY,))
+        self.assertEqual(self.found(), [(DEADLY,)])
+
+    def test_requests_at_the_same_crashes_are_found_until_one_explains_more(self):
+        """Pattern: the same sound request stood beside the deadly one at each crash."""
+        beside = fingerprint('beside')
+        for at in (10, 11, 12):
+            self.crash(at, (DEADLY,), (beside,))
+        self.assertEqual(set(self.found()), {(DEADLY,), (beside,)})
+        self.assertFalse(self.ledger.is_refuted('llm', (beside,)))
+        self.crash(13, (DEADLY,))
+        self.assertEqual(self.found(), [(DEADLY,)])
+        self.assertTrue(self.ledger.is_refuted('llm', (beside,)))
+        self.assertFalse(self.ledger.is_refuted('llm', (DEADLY,)))
+
+    def test_many_requests_do_not_displace_watched_parts(self):
+        """Pattern: each crash has many requests beside it, each with a fingerprint of its own."""
+        for at in range(10, 20):
+            others = (('other', fingerprint((at, number))) for number in range(MAX_REQUESTS - 1))
+            self.crash(at, (f'part-{at}', DEADLY), *others)
+        watched = self.ledger.watched()['llm']
+        self.assertLessEqual({'other', DEADLY, *(f'part-{at}' for at in range(10, 20))}, {*watched})
+        self.assertLessEqual(len(watched), 2 * MAX_WATCHED)
+
     def test_evidence_is_bounded_and_ends(self):
         """Pattern: many crashes over a long time."""
         for at in range(2 * MAX_CRASHES):
--- a/geraniumrail/quarantine/events.py
+++ b/geraniumrail/quarantine/events.py
@@ -18,18 +18,18 @@
 QUARANTINED = Event.define(
     2002,
     'quarantine.started',
-    'Requests with some prompt parts crash backend servers and are not sent any more.',
+    'A request, or all with some prompt parts, crash backend servers and are not sent any more.',
     logging.WARNING,
 )
 RELEASED = Event.define(
     2003,
     'quarantine.ended',
-    'Requests with some prompt parts are sent again; the reason says why.',
+    'Requests that were held back are sent again; the reason says why.',
 )
 TRIAL = Event.define(
     2004,
     'quarantine.trial',
-    'An entry may send one request with quarantined prompt parts, to see whether it is answered.',
+    'An entry sends one request that is held back, to see whether it is answered.',
 )
 APPLIED = Event.define(
     2005,
--- a/geraniumrail/quarantine/part_watch.py
+++ b/geraniumrail/quarantine/part_watch.py
@@ -23,7 +23,7 @@
 COLLECT_S = 0.02
 MAX_NOTES = 32
 NOTE_S = 600.0  # a new leader is told of crashes of so long ago
-MAX_NOTED_REQUESTS = 256  # different ones, of one crash
+MAX_NOTED_REQUESTS = 128  # different ones, of one crash
 MAX_LOGGED_REQUESTS = 8
 LEAST_RETRY_S = 5.0  # a trial may end the quarantine within this time
 
