--- a/geraniumrail/control/quarantines.py
+++ b/geraniumrail/control/quarantines.py
@@ -1,7 +1,7 @@
 """Begins and ends the quarantines of prompt parts and requests; a job of the leader."""
 
 import dataclasses
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 from geraniumrail.control.proposer import Proposer
 from geraniumrail.control.publisher import Publisher
@@ -15,8 +15,8 @@
 from geraniumrail.state.machine import Machine
 from geraniumrail.state.set_quarantines import SetQuarantines
 
-# A failed trial ends all requests of an engine, so trials are rare and become rarer. A request that
-# was found may only have stood beside the cause, so its first trial is early.
+# What was held back may only have stood beside the cause, so the first trial is early. A failed one
+# ends all requests of an engine, so the next ones are rare and become rarer.
 EARLY_S = 5.0
 FIRST_S = 300.0
 LONGEST_S = 4 * 3600.0
@@ -107,7 +107,7 @@
             service=found.service,
             parts=found.parts,
             since=wall - self._clock.now() + found.last_at,
-            until=wall + (EARLY_S if _names_request(found.parts) else FIRST_S),
+            until=wall + EARLY_S,
         )
 
     def _renewed(self, quarantine: Quarantine) -> Quarantine | None:
@@ -117,8 +117,7 @@
         crashed_at = wall - self._clock.now() + last_at
         if wall < quarantine.until or crashed_at < quarantine.until:
             return None
-        doublings = quarantine.failures - _names_request(quarantine.parts)
-        length_s = min(LONGEST_S, FIRST_S * 2**doublings)
+        length_s = min(LONGEST_S, FIRST_S * 2 ** (quarantine.failures - 1))
         log(
             events.QUARANTINED,
             quarantine=quarantine.label,
@@ -146,7 +145,7 @@
 
     def _is_refuted(self, quarantine: Quarantine) -> bool:
         """Returns whether later evidence explains the crashes that a request was held back for."""
-        return _names_request(quarantine.parts) and (
+        return any(map(is_fingerprint, quarantine.parts)) and (
             self._publisher.crash_ledger.is_refuted(quarantine.service, quarantine.parts)
         )
 
@@ -175,7 +174,3 @@
         if trials_by_entry != self._publisher.trials_by_entry:
             self._publisher.trials_by_entry = trials_by_entry
             self._publisher.wake_sessions()
-
-
-def _names_request(parts: Iterable[str]) -> bool:
-    return any(map(is_fingerprint, parts))
