--- a/geraniumrail/quarantine/crash_ledger.py
+++ b/geraniumrail/quarantine/crash_ledger.py
@@ -57,8 +57,9 @@
             collections.OrderedDict()
         )
         self._sound_at: dict[Key, float] = {}
-        self._suspects: dict[Key, None] = {}
+        self._suspects: _CrashesByKey = {}
         self._findings: tuple[Finding, ...] = ()
+        self._is_concluded = True
 
     def observe_crash(self, note: CrashNote, now: float) -> bool:
         """Records a crash; several entries may report the same one. Tells whether it is news.
@@ -74,12 +75,13 @@
         crash = self._crashes.setdefault(key, _Crash(note.service, now - note.age_s, set()))
         fresh = [request for request in requests if request not in crash.requests]
         room = max(0, MAX_REQUESTS - len(crash.requests))
-        crash.requests.update(itertools.islice(fresh, room))
+        added = fresh[:room]
+        crash.requests.update(added)
         while len(self._crashes) > MAX_CRASHES:
             self._crashes.popitem(last=False)
-        if fresh:
-            self._conclude()
-        return bool(fresh)
+        if added:
+            self._is_concluded = False
+        return bool(added)
 
     def observe_sound(self, sounds: Iterable[SoundPart], now: float) -> bool:
         """Records that requests with some traits were answered. Tells whether one was a suspect.
@@ -87,22 +89,21 @@
         :param sounds: report of one entry.
         :param now: monotonic seconds.
         """
+        self._conclude()
         known = [sound for sound in sounds if (sound.service, sound.part) in self._suspects]
         is_news = False
         for sound in known:
             key = (sound.service, sound.part)
             earlier_at, at = self._sound_at.get(key, -math.inf), now - sound.age_s
             self._sound_at[key] = max(earlier_at, at)
-            is_news = is_news or any(
-                earlier_at <= crash.at < at
-                for crash in self._crashes_with(key[0], frozenset(key[1:]))
-            )
+            is_news = is_news or any(earlier_at <= crash.at < at for crash in self._suspects[key])
         if is_news:
-            self._conclude()
+            self._is_concluded = False
         return is_news
 
     def watched(self) -> dict[str, tuple[str, ...]]:
         """Returns the traits, by service, of which the entries report answered requests."""
+        self._conclude()
         parts = (key for key in self._suspects if not is_fingerprint(key[1]))
         fingerprints = (key for key in self._suspects if is_fingerprint(key[1]))
         traits_by_service: dict[str, tuple[str, ...]] = {}
@@ -115,6 +116,7 @@
 
     def findings(self) -> tuple[Finding, ...]:
         """Returns what the crashes have in common, if there are enough of them."""
+        self._conclude()
         return self._findings
 
     def is_refuted(self, service: str, parts: Iterable[str]) -> bool:
@@ -123,6 +125,7 @@
         :param service: name of the service.
         :param parts: of an earlier finding.
         """
+        self._conclude()
         wanted = frozenset(parts)
         crashes = self._crashes_with(service, wanted)
         if not _is_repeated(crashes):
@@ -135,11 +138,14 @@
         )
 
     def _conclude(self) -> None:
-        """Draws the conclusions once for each change of the evidence; they are read often."""
+        """Draws the conclusions when they are read; many reports may have come since."""
+        if self._is_concluded:
+            return
+        self._is_concluded = True
         crashes_by_key = self._suspected_crashes()
         # Those of most crashes first, then those of the newest.
         ordered = sorted(crashes_by_key, key=lambda key: -len(crashes_by_key[key]))
-        self._suspects = dict.fromkeys(ordered)
+        self._suspects = {key: crashes_by_key[key] for key in ordered}
         by_part, by_fingerprint = _split(crashes_by_key)
         repeated = {key: each for key, each in by_fingerprint.items() if _is_repeated(each)}
         findings = self._find_parts(by_part, repeated)
--- a/geraniumrail/quarantine/crash_ledger_test.py
+++ b/geraniumrail/quarantine/crash_ledger_test.py
@@ -1,8 +1,14 @@
 """Guards what is concluded from crashes: the part that causes them, and no other."""
 
 import unittest
+from unittest import mock
 
-from geraniumrail.quarantine.crash_ledger import MAX_CRASHES, MEMORY_S, CrashLedger
+from geraniumrail.quarantine.crash_ledger import (
+    MAX_CRASHES,
+    MAX_REQUESTS,
+    MEMORY_S,
+    CrashLedger,
+)
 from geraniumrail.quarantine.crash_note import CrashNote
 from geraniumrail.quarantine.sound_part import SoundPart
 
@@ -47,6 +53,25 @@
             self.sound(at + 1.5, 'first')
         self.assertEqual(set(self.found()), {('deadly-1',), ('deadly-2',)})
 
+    def test_conclusions_are_drawn_once_for_many_reports(self):
+        """The leader stood still for seconds after the loss of a data centre: it drew conclusions
+        from all crashes at every report of every entry."""
+        with mock.patch.object(
+            CrashLedger, '_suspected_crashes', autospec=True, return_value={}
+        ) as concluded:
+            for number in range(20):
+                for entry in range(77):
+                    self.crash(10 + number, (f'part-{entry}',), instance=f'i-{number}')
+            self.ledger.findings()
+            self.ledger.watched()
+        concluded.assert_called_once()
+
+    def test_requests_that_are_not_kept_are_no_news(self):
+        """Each further report of a crash with all its requests known woke all sessions."""
+        kept = ((f'part-{number}',) for number in range(MAX_REQUESTS))
+        self.assertTrue(self.crash(10, *kept, instance='i'))
+        self.assertFalse(self.crash(10, ('part-of-another-entry',), instance='i'))
+
     def test_engines_that_are_lost_together_count_once(self):
         """Pattern: a data centre is lost, with the same prompts in progress everywhere."""
         for number in range(9):
