--- a/geraniumrail/control/deadly_requests_test.py
+++ b/geraniumrail/control/deadly_requests_test.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections
+import contextlib
 import logging
 import unittest
 
@@ -14,7 +15,7 @@
 from geraniumrail.errors.request import NotRunError
 from geraniumrail.forwarding.run import MAX_LOST
 from geraniumrail.quarantine.fingerprint import fingerprint_of, is_fingerprint
-from geraniumrail.quarantine.part_watch import PROOF_S
+from geraniumrail.quarantine.part_watch import PROOF_S, TRIAL_TURN_S
 from geraniumrail.testing.followers import engine
 from geraniumrail.testing.virtual_loop import run_virtually
 
@@ -283,6 +284,35 @@
         self.assertEqual(tries, 1)
         self.assertLess(waited_s, 9 * EARLY_S)
 
+    def test_trial_without_outcome_is_repeated(self):
+        """A sound request was held back for half an hour: full backend servers had refused the
+        only trial of each entry."""
+
+        async def play(entries):
+            day = RequestDay(entries, 9)
+            await asyncio.sleep(1)
+            beside = ('first', fingerprint('beside'))
+            for number in range(3):
+                backend = engine(day.engines[number].name, 1)
+                day.engines[number].up = False
+                day.entries[0].watch.record_loss(backend, beside)
+                await asyncio.sleep(1)
+            self.assertEqual([each[-1] for each in day.held()], [beside[-1]])
+            full_until = day.now() + EARLY_S + entries * TRIAL_TURN_S
+            ran = False
+            while not ran and day.now() < full_until + 2 * TRIAL_TURN_S:
+                await asyncio.sleep(1)
+                entry = day.rng.choice(day.entries)
+                with contextlib.suppress(NotRunError):
+                    entry.watch.require_sound('llm', beside, day.now())
+                    ran = day.now() >= full_until and await day.run(entry, beside, False)
+            await day.stop()
+            return ran
+
+        for entries in (1, 2):
+            with self.subTest(entries=entries):
+                self.assertTrue(run_virtually(play(entries)))
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/geraniumrail/control/quarantines.py
+++ b/geraniumrail/control/quarantines.py
@@ -11,6 +11,7 @@
 from geraniumrail.quarantine import events
 from geraniumrail.quarantine.crash_ledger import Finding
 from geraniumrail.quarantine.fingerprint import is_fingerprint
+from geraniumrail.quarantine.part_watch import TRIAL_TURN_S
 from geraniumrail.quarantine.quarantine import Quarantine
 from geraniumrail.state.machine import Machine
 from geraniumrail.state.set_quarantines import SetQuarantines
@@ -20,8 +21,6 @@
 EARLY_S = 5.0
 FIRST_S = 300.0
 LONGEST_S = 4 * 3600.0
-# One entry after the other may send a trial; its outcome is known well within this time.
-TRIAL_TURN_S = 20.0
 UNUSED_S = 1800.0  # nobody has sent such a request for so long after the end of a quarantine
 MAX_QUARANTINES = 64
 
--- a/geraniumrail/control/quarantines_test.py
+++ b/geraniumrail/control/quarantines_test.py
@@ -10,10 +10,10 @@
 import random
 import unittest
 
-from geraniumrail.control.quarantines import FIRST_S, TRIAL_TURN_S, Quarantines
+from geraniumrail.control.quarantines import FIRST_S, Quarantines
 from geraniumrail.errors.request import NotRunError
 from geraniumrail.quarantine import crash_ledger
-from geraniumrail.quarantine.part_watch import PROOF_S
+from geraniumrail.quarantine.part_watch import PROOF_S, TRIAL_TURN_S
 from geraniumrail.testing.followers import Follower, Leader, engine
 from geraniumrail.testing.virtual_loop import run_virtually
 
--- a/geraniumrail/quarantine/part_watch.py
+++ b/geraniumrail/quarantine/part_watch.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import itertools
+import math
 from collections.abc import Awaitable, Callable, Iterable
 
 from geraniumrail.core.backend import Backend
@@ -26,6 +27,8 @@
 MAX_NOTED_REQUESTS = 256  # different ones, of one crash
 MAX_LOGGED_REQUESTS = 8
 LEAST_RETRY_S = 5.0  # a trial may end the quarantine within this time
+# One entry after the other may send a trial; its outcome is known well within this time.
+TRIAL_TURN_S = 20.0
 
 Traits = tuple[str, ...]  # shared prompt parts, and the fingerprint of the whole request
 Probe = Callable[[Backend], Awaitable[bool]]
@@ -51,7 +54,7 @@
         self._quarantines: tuple[Quarantine, ...] = ()
         self._watched: frozenset[Key] = frozenset()
         self._trials: frozenset[str] = frozenset()
-        self._used_trials: set[tuple[str, float]] = set()
+        self._used_trials: dict[tuple[str, float], float] = {}  # and when
         self._sound_times = SoundTimes()
         self._reported_sound_at: dict[Key, float] = {}
         self._noted: collections.deque[_Noted] = collections.deque(maxlen=MAX_NOTES)
@@ -135,7 +138,9 @@
         if quarantines is not None and quarantines != self._quarantines:
             self._quarantines = quarantines
             ends = {(each.label, each.until) for each in quarantines}
-            self._used_trials &= ends
+            self._used_trials = {
+                trial: at for trial, at in self._used_trials.items() if trial in ends
+            }
             log(events.APPLIED, quarantines=[each.label for each in quarantines])
         if watched is not None:
             self._watched = frozenset(
@@ -183,19 +188,21 @@
     ) -> bool:
         """Uses up a trial of each quarantine that holds a request back, if all have one.
 
-        A request that was at a crash itself proves nothing about its parts by one more.
+        A request that was at a crash itself proves nothing about its parts by one more. A trial
+        that was refused, or whose caller left, had no outcome: the entry's next turn repeats it.
         """
         trials = frozenset((each.label, each.until) for each in quarantines)
-        if trials & self._used_trials or not self._trials.issuperset(
-            each.label for each in quarantines
-        ):
+        now = self._clock.now()
+        if any(now < self._used_trials.get(trial, -math.inf) + TRIAL_TURN_S for trial in trials):
+            return False
+        if not self._trials.issuperset(each.label for each in quarantines):
             return False
         suspects = {
             trait for trait in traits if is_fingerprint(trait) and (service, trait) in self._watched
         }
         if not all(suspects.issubset(each.parts) for each in quarantines):
             return False
-        self._used_trials |= trials
+        self._used_trials.update(dict.fromkeys(trials, now))
         for quarantine in quarantines:
             log(events.TRIAL, quarantine=quarantine.label, failures=quarantine.failures)
         return True
