--- a/geraniumrail/control/deadly_requests_test.py
+++ b/geraniumrail/control/deadly_requests_test.py
@@ -313,6 +313,32 @@
             with self.subTest(entries=entries):
                 self.assertTrue(run_virtually(play(entries)))
 
+    def test_failed_trial_is_the_only_one(self):
+        """The update that told an entry of the failed trial still granted it one, and it crashed a
+        second engine at once."""
+
+        async def play(entries):
+            day = RequestDay(entries, 9)
+            await asyncio.sleep(1)
+            deadly = day.deadly[0]
+            for each in day.engines[:3]:
+                day.entries[0].watch.record_loss(engine(each.name, 1), (deadly,))
+                each.up = False
+                await asyncio.sleep(1)
+            self.assertEqual(day.held(), [(deadly,)])
+            end = day.now() + EARLY_S + TRIAL_TURN_S / 2
+            while day.now() < end:
+                await asyncio.sleep(0.01)
+                task = asyncio.create_task(day.call((deadly,)))
+                day.tasks.add(task)
+                task.add_done_callback(day.tasks.discard)
+            await day.stop()
+            return len(day.sent_by_request[deadly])
+
+        for entries in SIZES:
+            with self.subTest(entries=entries):
+                self.assertEqual(run_virtually(play(entries)), 1)
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/geraniumrail/quarantine/part_watch.py
+++ b/geraniumrail/quarantine/part_watch.py
@@ -76,8 +76,10 @@
         :raises NotRunError: if it would crash a backend server.
         """
         found = self._covering(service, traits)
-        if found and not self._use_trials(found, service, traits):
-            ends_at = max(each.until for each in found)
+        ends_at = max((each.until for each in found), default=0)
+        # The first update with a new end may still grant the trial that has failed.
+        is_due = wall >= ends_at
+        if found and not (is_due and self._use_trials(found, service, traits)):
             raise NotRunError(
                 reason='requests like this one crash backend servers',
                 retry_after_s=round(max(LEAST_RETRY_S, ends_at - wall), 3),
