--- a/geraniumrail/quarantine/crash_ledger.py
+++ b/geraniumrail/quarantine/crash_ledger.py
@@ -42,7 +42,14 @@
 class _Crash:
     service: str
     at: float
-    requests: set[frozenset[str]]
+    requests: set[frozenset[str]] = dataclasses.field(default_factory=set)
+    traits: set[str] = dataclasses.field(default_factory=set)  # of all requests
+
+    def add(self, requests: Iterable[frozenset[str]]) -> None:
+        """Adds requests that waited there."""
+        for request in requests:
+            self.requests.add(request)
+            self.traits |= request
 
 
 _CrashesByKey = dict[Key, list[_Crash]]
@@ -75,14 +82,15 @@
         if not requests:
             return False
         key = (note.service, note.instance, note.incarnation)
-        crash = self._crashes.setdefault(key, _Crash(note.service, now - note.age_s, set()))
+        crash = self._crashes.setdefault(key, _Crash(note.service, now - note.age_s))
         fresh = [request for request in requests if request not in crash.requests]
         room = max(0, MAX_REQUESTS - len(crash.requests))
-        crash.requests.update(itertools.islice(fresh, room))
+        added = fresh[:room]
+        crash.add(added)
         while len(self._crashes) > MAX_CRASHES:
             self._crashes.popitem(last=False)
-        self._is_stale = self._is_stale or bool(fresh)
-        return bool(fresh)
+        self._is_stale = self._is_stale or bool(added)
+        return bool(added)
 
     def observe_sound(self, sounds: Iterable[SoundPart], now: float) -> bool:
         """Records that requests with some traits were answered. Tells whether one was a suspect.
@@ -92,7 +100,11 @@
         """
         is_news = False
         for sound in sounds:
-            crashes = self._crashes_with(sound.service, frozenset((sound.part,)))
+            crashes = [
+                crash
+                for crash in self._crashes.values()
+                if crash.service == sound.service and sound.part in crash.traits
+            ]
             if not crashes:
                 continue
             key = (sound.service, sound.part)
@@ -126,6 +138,7 @@
         :param service: name of the service.
         :param parts: of an earlier finding.
         """
+        self._conclude()
         wanted = frozenset(parts)
         crashes = self._crashes_with(service, wanted)
         if not _is_repeated(crashes):
