--- a/geraniumrail/quarantine/crash_ledger.py
+++ b/geraniumrail/quarantine/crash_ledger.py
@@ -140,7 +140,7 @@
         """
         self._conclude()
         wanted = frozenset(parts)
-        crashes = self._crashes_with(service, wanted)
+        crashes = self._crashes_everywhere(service, wanted)
         if not _is_repeated(crashes):
             return False
         requests = [request for crash in crashes for request in crash.requests if request >= wanted]
@@ -160,7 +160,10 @@
         ordered = sorted(crashes_by_key, key=lambda key: -len(crashes_by_key[key]))
         self._suspects = dict.fromkeys(ordered)
         by_part, by_fingerprint = _split(crashes_by_key)
-        repeated = {key: each for key, each in by_fingerprint.items() if _is_repeated(each)}
+        everywhere = _by_fingerprint(by_fingerprint)
+        repeated = {
+            key: everywhere[key[1]] for key in by_fingerprint if _is_repeated(everywhere[key[1]])
+        }
         findings = self._find_parts(by_part, repeated)
         self._findings = (*findings, *self._find_requests(repeated, findings))
 
@@ -197,7 +200,11 @@
         """Finds the requests that crash backend servers, whatever parts they have.
 
         Requests that stood beside each other at the same crashes are found alike; one that was at
-        fewer crashes than another is explained by it.
+        fewer crashes than another is explained by it. A route may divide a request between
+        services: it is found at each where it was at a crash, by its crashes everywhere.
+
+        :param repeated: crashes everywhere of each request, by the services where it was at some.
+        :param findings: parts, which explain crashes already.
         """
         explained = self._explained(findings)
         found: list[Finding] = []
@@ -205,8 +212,9 @@
             alike: list[Finding] = []
             for _, _, suspect in group:
                 left = [crash for crash in repeated[suspect] if id(crash) not in explained]
-                if _is_repeated(left):
-                    alike.append(self._finding(suspect, left))
+                own = [crash for crash in left if crash.service == suspect[0]]
+                if own and _is_repeated(left):
+                    alike.append(self._finding(suspect, own))
             explained |= self._explained(alike)
             found.extend(alike)
         return found
@@ -241,10 +249,12 @@
     def last_crash(self, service: str, parts: Iterable[str]) -> float:
         """Returns when the newest crash with a request of all these parts was; -inf: never.
 
+        One request is looked for at all services: a trial that fails at one counts for all.
+
         :param service: name of the service.
         :param parts: prompt parts and fingerprints.
         """
-        crashes = self._crashes_with(service, frozenset(parts))
+        crashes = self._crashes_everywhere(service, frozenset(parts))
         return max((crash.at for crash in crashes), default=-math.inf)
 
     def _crashes_with(self, service: str, wanted: frozenset[str]) -> list[_Crash]:
@@ -254,6 +264,13 @@
             if crash.service == service and any(request >= wanted for request in crash.requests)
         ]
 
+    def _crashes_everywhere(self, service: str, wanted: frozenset[str]) -> list[_Crash]:
+        """Returns the crashes at a service, or at all services if one request is wanted."""
+        services = {service}
+        if any(map(is_fingerprint, wanted)):
+            services = {crash.service for crash in self._crashes.values()}
+        return [crash for each in services for crash in self._crashes_with(each, wanted)]
+
     def _expire(self, now: float) -> None:
         before = now - MEMORY_S
         old = tuple(key for key, crash in self._crashes.items() if crash.at < before)
@@ -296,6 +313,14 @@
     return len(crashes) >= MIN_CRASHES and _separate(crashes) >= MIN_REPEATED
 
 
+def _by_fingerprint(crashes_by_key: _CrashesByKey) -> dict[str, list[_Crash]]:
+    """Returns the crashes of each request at all services."""
+    crashes_by_fingerprint: dict[str, list[_Crash]] = {}
+    for (_, fingerprint), crashes in crashes_by_key.items():
+        crashes_by_fingerprint.setdefault(fingerprint, []).extend(crashes)
+    return crashes_by_fingerprint
+
+
 def _split(crashes_by_key: _CrashesByKey) -> tuple[_CrashesByKey, _CrashesByKey]:
     """Returns the crashes by prompt part, and those by fingerprint."""
     by_part = {key: each for key, each in crashes_by_key.items() if not is_fingerprint(key[1])}
