--- a/geraniumrail/links/client.py
+++ b/geraniumrail/links/client.py
@@ -14,6 +14,7 @@
 
 # Other calls on a replaced channel may still be answered.
 CLOSE_GRACE_S = 5.0
+CLOSED = 'the connection was closed'
 
 
 class LinkClient:
@@ -44,14 +45,16 @@
             channel = self._new_channel()
             self._channel = channel
             self._unary = channel.unary_unary(CALL, wire.encode, wire.decode)
+        cancelled = _cancellations()
         try:
             reply = await self._unary(request, timeout=timeout_s)
         except grpc.aio.AioRpcError as error:
             # The connection may have gone silent: the next call opens a new one.
             self._replace(channel)
-            raise LinkError(address=self.address, reason=error.code().name) from error
+            raise self._failure(cancelled, error.code().name) from error
         except asyncio.CancelledError as error:
-            raise self._closed() from error
+            raise self._failure(cancelled, CLOSED) from error
+        _raise_if_cancelled(cancelled)
         if isinstance(reply, Refused):
             raise reply.to_error()
         return reply
@@ -65,15 +68,18 @@
         """
         channel = self._new_channel()
         stream = channel.stream_stream(FOLLOW, wire.encode, wire.decode)
+        cancelled = _cancellations()
         try:
             async for update in stream(reports):
+                _raise_if_cancelled(cancelled)
                 if isinstance(update, Refused):
                     raise update.to_error()
                 yield update
+            _raise_if_cancelled(cancelled)
         except grpc.aio.AioRpcError as error:
-            raise LinkError(address=self.address, reason=error.code().name) from error
+            raise self._failure(cancelled, error.code().name) from error
         except asyncio.CancelledError as error:
-            raise self._closed() from error
+            raise self._failure(cancelled, CLOSED) from error
         finally:
             await asyncio.shield(channel.close())
 
@@ -101,13 +107,32 @@
         self._closing.add(task)
         task.add_done_callback(self._closing.discard)
 
-    def _closed(self) -> BaseException:
-        """Returns the failure of a call that was cancelled by gRPC or by its own task.
+    def _failure(self, cancelled: int, reason: str) -> BaseException:
+        """Returns the failure of a call, or the cancellation of its own task.
 
         gRPC cancels the calls in progress on a channel that is closed; the tasks that wait for
-        them go on.
+        them go on. It also takes the cancellation of a task for that of its call, and raises the
+        status instead if the call has failed meanwhile; such a task must end.
+
+        :param cancelled: cancellations of the task before the call.
+        :param reason: of the failure.
         """
-        task = asyncio.current_task()
-        if task is None or task.cancelling():
+        if _cancellations() > cancelled:
             return asyncio.CancelledError()
-        return LinkError(address=self.address, reason='the connection was closed')
+        return LinkError(address=self.address, reason=reason)
+
+
+def _cancellations() -> int:
+    """Returns how often the current task was cancelled."""
+    task = asyncio.current_task()
+    return 0 if task is None else task.cancelling()
+
+
+def _raise_if_cancelled(cancelled: int) -> None:
+    """Ends a task whose cancellation arrived together with an answer.
+
+    :param cancelled: cancellations of the task before the call.
+    :raises asyncio.CancelledError: if there were more since.
+    """
+    if _cancellations() > cancelled:
+        raise asyncio.CancelledError
