--- a/geraniumrail/daemon/events.py
+++ b/geraniumrail/daemon/events.py
@@ -14,3 +14,9 @@
     'The changed settings file is refused; the process goes on with the earlier one.',
     logging.ERROR,
 )
+STOP_HANGS = Event.define(
+    6,
+    'daemon.stop_hangs',
+    'A step of the stop took longer than the process is left; the next one begins.',
+    logging.ERROR,
+)
--- a/geraniumrail/daemon/hosted_daemon.py
+++ b/geraniumrail/daemon/hosted_daemon.py
@@ -10,6 +10,7 @@
 from geraniumrail.daemon import events
 from geraniumrail.daemon.hosted_adapter import Front, HostedAdapter
 from geraniumrail.daemon.hosted_config import HostedConfig, answer_budget_bytes, body_budget_bytes
+from geraniumrail.daemon.stop_steps import StopSteps
 from geraniumrail.errors.base import GeraniumrailError
 from geraniumrail.links.datagrams import Datagrams
 from geraniumrail.links.pool import LinkPool
@@ -110,25 +111,26 @@
         await Gauges(self._metrics.instruments, self._entry, self._control).run()
 
     async def _stop(self) -> None:
+        steps = StopSteps(self._clock, self._clock.now() + self._config.grace_s)
         if self._control is not None:
-            await self._control.transfer_leadership()
+            await steps.run('transfer', self._control.transfer_leadership())
         if self._entry is not None:
-            await self._drain()
+            await steps.run('drain', self._drain())
         for front in self._fronts:
-            await front.stop()
+            await steps.run('front', front.stop())
         if self._entry is not None:
-            await self._entry.stop()
+            await steps.run('entry', self._entry.stop())
         if self._control is not None:
-            await self._control.stop()
+            await steps.run('control', self._control.stop())
         if self._target is not None:
-            await self._target.close()
+            await steps.run('target', self._target.close())
         if self._gauges is not None:
             self._gauges.cancel()
         if self._metrics is not None:
-            await self._metrics.stop()
-        await self._link_server.stop()
+            await steps.run('metrics', self._metrics.stop())
+        await steps.run('link-server', self._link_server.stop())
         self._datagrams.stop()
-        await self._links.close()
+        await steps.run('links', self._links.close())
 
     async def _drain(self) -> None:
         """Serves until nobody has this address any more and nothing is in progress."""
--- a/geraniumrail/entry/entry.py
+++ b/geraniumrail/entry/entry.py
@@ -50,6 +50,7 @@
 from geraniumrail.links.server import LinkServer
 from geraniumrail.quarantine.part_watch import PartWatch
 from geraniumrail.routing.backend_tracker import BackendTracker
+from geraniumrail.tasks.ending import end_tasks
 from geraniumrail.tasks.supervise import supervise
 
 RENEW_IN_S = 2.0
@@ -233,9 +234,7 @@
 
     async def stop(self) -> None:
         """Stops the background tasks."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await end_tasks(self._tasks)
         await self._connections.close()
 
     async def drain(self) -> None:
