--- a/geraniumrail/testing/process.py
+++ b/geraniumrail/testing/process.py
@@ -1,6 +1,7 @@
 """One process of a deployment."""
 
 import asyncio
+import contextlib
 import dataclasses
 import os
 import pathlib
@@ -61,14 +62,14 @@
 
     async def kill(self) -> None:
         """Ends the process without notice."""
-        if self.alive:
-            self.process.kill()
+        with contextlib.suppress(ProcessLookupError):
+            send_signal(self.process, signal.SIGKILL)
         await self.process.wait()
 
     async def terminate(self) -> int:
         """Asks the process to stop and returns its exit code."""
-        if self.alive:
-            self.process.terminate()
+        with contextlib.suppress(ProcessLookupError):
+            send_signal(self.process, signal.SIGTERM)
         async with asyncio.timeout(STOP_LIMIT_S):
             return await self.process.wait()
 
@@ -83,8 +84,23 @@
     def _send(self, number: int) -> None:
         """Sends a signal; the error of a process that has ended shows its code and last output."""
         try:
-            self.process.send_signal(number)
+            send_signal(self.process, number)
         except ProcessLookupError as error:
             lines = self.log.read_text(errors='replace').splitlines()[-SHOWN_LINES:]
             error.add_note('\n'.join((f'{self.name} ended: {self.process.returncode}', *lines)))
             raise
+
+
+def send_signal(process: asyncio.subprocess.Process, number: int) -> None:
+    """Sends a signal to a process that was started here.
+
+    The library's own call may collect the exit code of a process that has just ended; whoever waits
+    for the process is then told 255.
+
+    :param process: the process.
+    :param number: of the signal.
+    :raises ProcessLookupError: if it has ended.
+    """
+    if process.returncode is not None:
+        raise ProcessLookupError
+    os.kill(process.pid, number)
