Read cold starts, allowed regions and the work factor of servers

The fourth figure of the load header made the adapter drop the whole header, so entries knew no load where servers send it. The other fields were not read at all. Nothing uses them yet; docs/hard-load.md says what is to use them.

--- a/geraniumrail/core/backend.py
+++ b/geraniumrail/core/backend.py
@@ -27,6 +27,7 @@
     cache_events: tuple[CacheEvent, ...] = ()
     reclaimable: bool = False
     leaves_in_s: float = -1  # time that is left when it announced that it leaves; -1: not known
+    cold_s: float = 0  # for which it was still cold when it announced itself
 
     @property
     def freshness(self) -> tuple[int, int]:
--- a/geraniumrail/core/load_report.py
+++ b/geraniumrail/core/load_report.py
@@ -14,3 +14,4 @@
     tokens_per_s: float = 0
     kv_used: float = 0  # share of KV memory, 0 to 1
     age_s: float = 0  # between measurement and sending
+    work_factor: float = 1  # how long work takes on its machine now; 1: as usual
--- a/geraniumrail/core/load_row.py
+++ b/geraniumrail/core/load_row.py
@@ -7,7 +7,7 @@
 from geraniumrail.core.codec import record
 from geraniumrail.core.load_report import LoadReport
 
-Figures = tuple[int, int, int, int, float, float, float]
+Figures = tuple[int, int, int, int, float, float, float, float]
 
 LOAD_FIELDS = tuple(field.name for field in dataclasses.fields(LoadReport))
 
@@ -40,6 +40,7 @@
             load.tokens_per_s,
             load.kv_used,
             load.age_s,
+            load.work_factor,
         )
         return cls(i=backend.instance, s=backend.sequence, f=figures, e=backend.cache_events)
 
--- a/geraniumrail/daemon/hosted_config.py
+++ b/geraniumrail/daemon/hosted_config.py
@@ -33,6 +33,12 @@
     grace_s: float = 8  # between the signal to stop and the kill
     memory_mb: float = 0  # above which the process is killed; 0: not known
     keep_for_s: float = KEEP_FOR_S  # how long callers may keep an answer of the directory
+    cores: float = 0  # processor time in a second, in cores; 0: not known
+    link_mbps: float = 0  # 0: not known
+    max_descriptors: int = 0  # 0: not known
+    # A cold backend server may get its rate times the first, plus the second, in one second.
+    cold_overage: float = 1
+    cold_slack: float = 0
 
 
 def answer_budget_bytes(memory_mb: float) -> int:
--- a/geraniumrail/deployment/organisation.py
+++ b/geraniumrail/deployment/organisation.py
@@ -14,6 +14,7 @@
     plain_tokens: float = 1  # counted for a request that names no tokens
     rate_per_s: float = 0  # 0: no limit
     burst: float = 0
+    allowed_regions: tuple[str, ...] = ()  # where its requests may be handled; empty: anywhere
 
     def cost(self, tokens: float | None) -> float:
         """Returns what a request counts towards the limit.
--- a/geraniumrail/deployment/route.py
+++ b/geraniumrail/deployment/route.py
@@ -27,6 +27,7 @@
     anonymous: bool = False  # served without an API key
     sticky: bool = False  # requests share parts of their prompts
     resumable: bool = False  # a stream may go on at another backend server
+    allowed_regions: tuple[str, ...] = ()  # where its requests may be handled; empty: anywhere
 
     @property
     def repeatable(self) -> bool:
--- a/geraniumrail/deployment/service.py
+++ b/geraniumrail/deployment/service.py
@@ -37,5 +37,7 @@
     name: str
     health_path: str = '/'
     max_connections: int = 0  # of all entries together to one backend server; 0: no limit
+    cold_start_s: float = 0  # for which a backend server is cold after its start
+    cold_per_s: float = 0  # requests a second that a cold one takes from all entries; 0: no limit
     engine: EngineLimits | None = None  # None: a plain service
     scaling: Scaling | None = None
--- a/geraniumrail/forwarding/dialect.py
+++ b/geraniumrail/forwarding/dialect.py
@@ -33,6 +33,7 @@
     retry_after_s: float | None = None
     leaving: bool = False  # it ends soon and wants no new work
     limit_per_s: float | None = None  # requests that it takes from all entries together
+    cold_s: float | None = None  # for which it is still cold
 
 
 class Dialect(Protocol):
--- a/geraniumrail/links/messages.py
+++ b/geraniumrail/links/messages.py
@@ -68,6 +68,7 @@
     region: str
     state: str = 'serving'  # serving | leaving
     applied_revision: int = 0
+    capacity: float = 1  # relative to the other entries; what its machine has
 
 
 @record
@@ -146,6 +147,9 @@
     # Requests a second that the entry may send, by limited backend server; None: unchanged.
     engine_rates: dict[str, float] | None = None
     trials: tuple[str, ...] = ()  # quarantines of which the entry may send one request
+    evacuated: tuple[str, ...] | None = None  # data centres; None: unchanged
+    # Requests a second that the entry may send, by cold backend server; None: unchanged.
+    cold_rates: dict[str, float] | None = None
 
 
 @record
