--- a/geraniumrail/forwarding/testing.py
+++ b/geraniumrail/forwarding/testing.py
@@ -39,6 +39,8 @@
 RESET = object()  # in a script: reset the connection
 CLOSE = object()  # in a script: end the connection in order
 HANG = object()  # in a script: send nothing more
+# With the default of 1 s a busy machine refuses requests that no byte of was sent yet.
+CONNECT_TIMEOUT_S = 30
 
 
 def event(number):
@@ -278,7 +280,7 @@
         view=view,
         watch=PartWatch(clock, refuses_connections),
         outcomes=Outcomes(view, clock),
-        connections=Connections.from_config(ConnectionsConfig()),
+        connections=Connections.from_config(ConnectionsConfig(connect_timeout_s=CONNECT_TIMEOUT_S)),
         dialect=dialect or TestDialect(),
         quota=Quota(),
         lender=NoLender(),
