Return small entries to the callers of fewer data centres

Callers pick an address at random, so an entry with a third of the processor, memory and link of others got as many callers as they did. Entries of one class are returned as before.

--- a/geraniumrail/daemon/hosted_config.py
+++ b/geraniumrail/daemon/hosted_config.py
@@ -18,6 +18,12 @@
 ANSWERS_PART = 0.2
 BODIES_PART = 0.15
 BYTES_PER_MB = 1_000_000
+# What an entry needs for each core that is busy forwarding: its memory without requests aside, the
+# scarcest of processor, memory and link decides how many callers it can bear.
+IDLE_PROCESS_MB = 70
+MB_PER_CORE = 200
+MBPS_PER_CORE = 8
+MIN_CAPACITY = 0.01  # of an entry that is given to callers at all
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -72,3 +78,17 @@
     :param window_s: its length in seconds.
     """
     return Slack(QUOTA_SLACK_PART * tokens, window_s)
+
+
+def entry_capacity(config: HostedConfig) -> float:
+    """Returns what the machine of an entry can bear, in cores; 1 if nothing is known of it.
+
+    :param config: settings of the process.
+    """
+    known = (
+        (config.cores, config.cores),
+        (config.memory_mb, (config.memory_mb - IDLE_PROCESS_MB) / MB_PER_CORE),
+        (config.link_mbps, config.link_mbps / MBPS_PER_CORE),
+    )
+    capacities = [capacity for figure, capacity in known if figure > 0]
+    return max(MIN_CAPACITY, min(capacities)) if config.cores > 0 else 1
--- a/geraniumrail/daemon/hosted_daemon.py
+++ b/geraniumrail/daemon/hosted_daemon.py
@@ -9,7 +9,12 @@
 from geraniumrail.core.events import log
 from geraniumrail.daemon import events
 from geraniumrail.daemon.hosted_adapter import Front, HostedAdapter
-from geraniumrail.daemon.hosted_config import HostedConfig, answer_budget_bytes, body_budget_bytes
+from geraniumrail.daemon.hosted_config import (
+    HostedConfig,
+    answer_budget_bytes,
+    body_budget_bytes,
+    entry_capacity,
+)
 from geraniumrail.daemon.stop_steps import StopSteps
 from geraniumrail.errors.base import GeraniumrailError
 from geraniumrail.links.datagrams import Datagrams
@@ -215,6 +220,7 @@
                 ),
             ),
             self._datagrams,
+            entry_capacity(self._config),
         )
         entry.register(self._link_server)
         self._fronts.append(self._adapter.caller_front(entry))
--- a/geraniumrail/entry/entry.py
+++ b/geraniumrail/entry/entry.py
@@ -72,6 +72,7 @@
         dialect: Dialect | None = None,
         forwarding: ForwardingConfig | None = None,
         datagrams: Datagrams | None = None,
+        capacity: float = 1,
     ) -> None:
         """Connects the parts.
 
@@ -82,6 +83,7 @@
         :param dialect: of the backend servers to which requests are forwarded.
         :param forwarding: settings of the requests that are forwarded.
         :param datagrams: for questions about limits; None: limits are divided as a whole.
+        :param capacity: what the machine can bear, relative to those of the other entries.
         """
         self.entry_id = new_id(config.instance)
         self.view = ClusterView(clock, BackendTracker())
@@ -166,6 +168,7 @@
                 peer_address=config.peers.listen,
                 data_centre=config.data_centre,
                 region=config.region,
+                capacity=capacity,
             ),
             view=self.view,
             announces=self._announces,
@@ -201,6 +204,7 @@
         dialect: Dialect | None = None,
         forwarding: ForwardingConfig | None = None,
         datagrams: Datagrams | None = None,
+        capacity: float = 1,
     ) -> 'Entry':
         """Creates the entry role of a settings file.
 
@@ -211,8 +215,9 @@
         :param dialect: of the backend servers to which requests are forwarded.
         :param forwarding: settings of the requests that are forwarded.
         :param datagrams: for questions about limits; None: limits are divided as a whole.
+        :param capacity: what the machine can bear, relative to those of the other entries.
         """
-        return cls(config, links, clock, rng, dialect, forwarding, datagrams)
+        return cls(config, links, clock, rng, dialect, forwarding, datagrams, capacity)
 
     def register(self, server: LinkServer) -> None:
         """Handles the records that other entries send.
--- a/geraniumrail/entry/local_directory_test.py
+++ b/geraniumrail/entry/local_directory_test.py
@@ -12,7 +12,7 @@
 MAX_ENTRIES = 64
 
 
-def entry(number, data_centre, region='klang-valley'):
+def entry(number, data_centre, region='klang-valley', capacity=1.0):
     return EntryInfo(
         entry=f'{data_centre}-{number}',
         instance=f'{data_centre}-{number}',
@@ -20,6 +20,7 @@
         peer_address='',
         data_centre=data_centre,
         region=region,
+        capacity=capacity,
     )
 
 
@@ -67,6 +68,45 @@
         self.assertEqual(len(choose_entries(entries({'a': 2, 'b': 2}), '', 'a', MAX_ENTRIES)), 4)
 
 
+class CapacityTest(unittest.TestCase):
+    """63 small and 20 large entries in three data centres."""
+
+    def setUp(self):
+        names = ('a', 'b', 'c')
+        small = (entry(at, name, capacity=0.387) for name in names for at in range(21))
+        large = (entry(at + 50, name, capacity=1.29) for name in names for at in range(7))
+        self.listed = (*small, *large)[:-1]
+        self.names = names
+
+    def chosen(self, name):
+        return choose_entries(self.listed, 'klang-valley', name, MAX_ENTRIES)
+
+    def test_callers_spread_by_capacity(self):
+        """Small entries got as many callers as those with three times their processor."""
+        parts = collections.Counter()
+        for name in self.names:
+            answer = self.chosen(name)
+            parts.update({each.entry: 1 / len(answer) for each in answer})
+        shares = {each.entry: parts[each.entry] / each.capacity for each in self.listed}
+        self.assertEqual(len(parts), len(self.listed))  # none is left out
+        self.assertLess(max(shares.values()) / min(shares.values()), 1.3)
+
+    def test_large_entries_that_leave_move_no_other_caller(self):
+        """Callers that are sent elsewhere lose the connections that they hold."""
+        before = {each.entry for each in self.chosen('b')}
+        self.listed = tuple(each for each in self.listed if each.entry != 'a-50')
+        self.assertEqual(before - {each.entry for each in self.chosen('b')}, {'a-50'})
+
+    def test_entries_of_one_class_are_alike(self):
+        """Machines of one class differ by some percent; all of them serve all callers."""
+        listed = tuple(entry(at, 'a', capacity=1.2 + at / 50) for at in range(8))
+        self.assertEqual(len(choose_entries(listed, '', 'b', MAX_ENTRIES)), 8)
+
+    def test_small_entries_serve_all_callers_without_large_ones(self):
+        self.listed = tuple(each for each in self.listed if each.capacity < 1)
+        self.assertEqual(len(self.chosen('a')), 63)
+
+
 class LocalDirectoryTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.clock = ManualClock()
