Evacuate data centres through the replicated log

Start and finish are compare-and-set on the number of the last change, so that a forwarded call that arrives late, or an entry of an ended leader that is committed late, undoes no later change. Entries get the present list with each new stream. A request is checked again when it has its connection, and further attempts need a lease: a frozen entry could send what it had chosen before.

A call that is no longer within its limit is not forwarded again by ControlLink.

--- a/geraniumrail/backends/exchange_connector.py
+++ b/geraniumrail/backends/exchange_connector.py
@@ -8,7 +8,7 @@
 from aiohttp.tracing import Trace
 
 from geraniumrail.backends import events
-from geraniumrail.backends.exchange import Exchange, ResendError
+from geraniumrail.backends.exchange import Exchange, ResendError, WithdrawnError
 from geraniumrail.backends.guarded_handler import GuardedHandler
 from geraniumrail.core.events import log
 
@@ -43,6 +43,7 @@
         :param traces: of the HTTP library.
         :param timeout: of the HTTP library.
         :raises ResendError: if the exchange had a connection before.
+        :raises WithdrawnError: if its request may not be sent any more.
         """
         exchange = EXCHANGE.get()
         if exchange.connected:
@@ -60,5 +61,8 @@
                 requests=handler.requests,
             )
             connection.close()
+        if exchange.may_send is not None and not exchange.may_send():
+            connection.close()
+            raise WithdrawnError
         exchange.connected = True
         return connection
--- a/geraniumrail/commands/cluster_commands.py
+++ b/geraniumrail/commands/cluster_commands.py
@@ -1,4 +1,4 @@
-"""`servers`, `entries`, `members`, `drain`, `order` and `status`."""
+"""`servers`, `entries`, `members`, `drain`, `evacuate`, `order` and `status`."""
 
 import argparse
 from typing import Any
@@ -11,6 +11,7 @@
 SERVER_COLUMNS = ('instance', 'service', 'address', 'data_centre', 'version', 'state', 'running')
 ENTRY_COLUMNS = ('entry', 'address', 'data_centre', 'state', 'applied_revision')
 ORDER_KINDS = ('load_version', 'load_model', 'load_adapter', 'unload', 'set_role')
+EVACUATION_COLUMNS = ('data_centre', 'operator', 'at')
 MEMBER_COLUMNS = ('replica_id', 'address', 'voter', 'lag')
 
 
@@ -29,6 +30,7 @@
         add_client_options(parser)
         parser.set_defaults(run=run)
     _add_drain(commands)
+    _add_evacuate(commands)
     _add_members(commands)
     _add_order(commands)
 
@@ -45,6 +47,28 @@
     parser.set_defaults(run=drain)
 
 
+def _add_evacuate(commands: Any) -> None:
+    actions = commands.add_parser(
+        'evacuate',
+        help='send no requests to the backend servers of a data centre',
+        epilog='example: geraniumrail evacuate start shah-alam',
+    ).add_subparsers(required=True, metavar='ACTION')
+    listing = actions.add_parser(
+        'list',
+        help='print the evacuated data centres',
+        epilog='example: geraniumrail evacuate list',
+    )
+    add_client_options(listing)
+    listing.set_defaults(run=evacuations)
+    for action, about in (('start', 'start an evacuation'), ('finish', 'finish an evacuation')):
+        parser = actions.add_parser(
+            action, help=about, epilog=f'example: geraniumrail evacuate {action} shah-alam'
+        )
+        parser.add_argument('data_centre', help='name of the data centre')
+        add_client_options(parser)
+        parser.set_defaults(run=evacuate, action=action)
+
+
 def _add_order(commands: Any) -> None:
     parser = commands.add_parser(
         'order',
@@ -144,6 +168,28 @@
     return ExitCode.OK
 
 
+async def evacuations(args: argparse.Namespace) -> ExitCode:
+    """Prints the evacuated data centres.
+
+    :param args: parsed options.
+    """
+    context = Context.from_args(args)
+    answer = await context.client.request('GET', f'{BASE}/evacuations')
+    context.output.table(answer['evacuations'], EVACUATION_COLUMNS)
+    return ExitCode.OK
+
+
+async def evacuate(args: argparse.Namespace) -> ExitCode:
+    """Starts or finishes an evacuation.
+
+    :param args: parsed options.
+    """
+    context = Context.from_args(args)
+    body = {'data_centre': args.data_centre, 'evacuated': args.action == 'start'}
+    context.output.fields(await context.client.request('POST', f'{BASE}/evacuations', body))
+    return ExitCode.OK
+
+
 async def order(args: argparse.Namespace) -> ExitCode:
     """Gives an order to an engine.
 
--- a/geraniumrail/control/access.py
+++ b/geraniumrail/control/access.py
@@ -2,10 +2,12 @@
 
 import functools
 import random
+from collections.abc import Callable
 from typing import Any
 
 from geraniumrail.control import events
 from geraniumrail.control.control import Control
+from geraniumrail.control.evacuations import set_evacuation
 from geraniumrail.core.events import log
 from geraniumrail.deployment.check import check
 from geraniumrail.deployment.deployment import Deployment
@@ -18,9 +20,13 @@
 from geraniumrail.links.requests import (
     Announce,
     BeginMove,
+    ChangeEvacuation,
     DeploymentNow,
+    EvacuationChanged,
+    EvacuationsNow,
     MoveNow,
     ReadDeployment,
+    ReadEvacuations,
     ReadMove,
     Withdraw,
 )
@@ -54,6 +60,8 @@
             ReadDeployment: self._read_deployment,
             ReadMove: self._read_move,
             BeginMove: self._begin_move,
+            ReadEvacuations: self._read_evacuations,
+            ChangeEvacuation: self._change_evacuation,
         }
 
     def register(self, server: LinkServer) -> None:
@@ -98,6 +106,26 @@
         log(events.DEPLOYMENT_ACCEPTED, version=deployment.version, held=held.version)
         return held.version
 
+    async def set_evacuation(
+        self,
+        data_centre: str,
+        evacuated: bool,
+        is_awaited: Callable[[], bool],
+        limit_s: float = CALL_LIMIT_S,
+    ) -> None:
+        """Starts or ends the evacuation of a data centre; returns when that is in the log.
+
+        :param data_centre: its name; none is unknown.
+        :param evacuated: whether it gets no requests from now on.
+        :param is_awaited: returns whether the operator still waits.
+        :param limit_s: limit in seconds.
+        :raises GeraniumrailError: if the outcome is unknown; the call may be repeated.
+        """
+        wanted = ChangeEvacuation(
+            data_centre=data_centre, evacuated=evacuated, after=0, operator=OPERATOR
+        )
+        await set_evacuation(wanted, self.call, self._control.now, limit_s, is_awaited)
+
     async def _on_leader(self, handler: Any, request: object) -> object:
         self._control.leadership.require_term()
         return await handler(request)
@@ -121,6 +149,12 @@
         deployment = self._control.machine.tables.deployment
         return DeploymentNow(version=deployment.version, source=deployment.source)
 
+    async def _read_evacuations(self, request: ReadEvacuations) -> EvacuationsNow:
+        return await self._control.evacuations.read()
+
+    async def _change_evacuation(self, request: ChangeEvacuation) -> EvacuationChanged:
+        return await self._control.evacuations.change(request)
+
     async def _read_move(self, request: ReadMove) -> MoveNow:
         await self._control.replica.read_barrier()
         move = self._control.machine.tables.last_move(request.service)
--- a/geraniumrail/control/control.py
+++ b/geraniumrail/control/control.py
@@ -16,6 +16,7 @@
 from geraniumrail.control.booking_reassignment import BookingReassignment
 from geraniumrail.control.booking_waiters import BookingWaiters
 from geraniumrail.control.departures import Departures
+from geraniumrail.control.evacuations import Evacuations
 from geraniumrail.control.group_repair import GroupRepair
 from geraniumrail.control.joiner import Joiner
 from geraniumrail.control.leader_job import LeaderJob
@@ -88,6 +89,9 @@
         self.departures = Departures(
             self.machine, self.publisher, self.proposer, self.agreed_wall_time
         )
+        self.evacuations = Evacuations(
+            self.machine, self.replica, self.proposer, self.agreed_wall_time
+        )
         self.jobs: list[LeaderJob] = [
             self.departures,
             Quarantines(self.machine, self.publisher, self.proposer, clock, self.agreed_wall_time),
--- a/geraniumrail/control/entry_session.py
+++ b/geraniumrail/control/entry_session.py
@@ -44,6 +44,8 @@
         self._sent_departure = 0
         self._sent_hazards: PartHazards | None = None
         self._sent_rates: dict[str, float] | None = None
+        self._sent_evacuated: tuple[str, ...] | None = None
+        self._sent_evacuation_ends: dict[str, float] | None = None
 
     def receive_report(self, report: EntryReport) -> None:
         """Records a report, which the next update will answer.
@@ -106,6 +108,8 @@
             quarantines=changed.quarantines,
             watched=changed.watched,
             trials=changed.trials,
+            evacuated=self._evacuated(tables),
+            evacuation_ends=self._evacuation_ends(tables),
         )
         self._sent_revision = tables.tree.revision
         self._sent_registry_version = difference.version
@@ -118,6 +122,20 @@
         self._sent_rates = group.engine_rates
         return group.engine_rates
 
+    def _evacuated(self, tables: Tables) -> tuple[str, ...] | None:
+        evacuated = tuple(sorted(tables.evacuations_by_data_centre))
+        if evacuated == self._sent_evacuated:
+            return None
+        self._sent_evacuated = evacuated
+        return evacuated
+
+    def _evacuation_ends(self, tables: Tables) -> dict[str, float] | None:
+        ends = tables.evacuation_ends_by_data_centre
+        if ends == self._sent_evacuation_ends:
+            return None
+        self._sent_evacuation_ends = ends
+        return ends
+
     def _members(self, group: GroupInfo) -> tuple[str, ...]:
         if group.members == self._sent_members:
             return ()
--- a/geraniumrail/control/events.py
+++ b/geraniumrail/control/events.py
@@ -95,3 +95,18 @@
     'control.backend_withdrawn',
     'A backend server announced that it takes no more work.',
 )
+EVACUATION_SET = Event.define(
+    1430,
+    'control.evacuation_set',
+    'An operator started or finished the evacuation of a data centre; it is in the log.',
+)
+EVACUATION_OUTDATED = Event.define(
+    1431,
+    'control.evacuation_outdated',
+    'A change of an evacuation had no effect, since another change came before it.',
+)
+FLEET_LEFT_OUT = Event.define(
+    1432,
+    'control.fleet_left_out',
+    'Backend servers of these data centres, which are or were evacuated, are left out of the plan.',
+)
--- a/geraniumrail/control/fleet_planner.py
+++ b/geraniumrail/control/fleet_planner.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import math
+from collections.abc import Collection
 
 from geraniumrail.control import events
 from geraniumrail.control.control import Control
@@ -96,6 +97,8 @@
         self._initial_engines_by_service: dict[str, int] = {}
         self._plan_by_service: dict[str, dict[FleetKey, int]] = {}
         self._planned_load_by_service: dict[str, float] = {}  # in busy engines
+        # data centres whose engines were left out of the plan
+        self._left_out_by_service: dict[str, frozenset[str]] = {}
         self._needed_by_service: dict[str, _Counts] = {}
         self._planned_at = -math.inf
         self._demand = FleetDemand()
@@ -157,14 +160,11 @@
     def _due_orders_of(
         self, service: ServiceSpec, scaling: Scaling, now: float
     ) -> list[FleetOrder]:
-        serving = self._serving(service.name)
-        bounds = FleetBounds(
-            least=scaling.least,
-            most=scaling.most,
-            reclaimable_price=scaling.reclaimable_price,
-            price_by_data_centre=scaling.price_by_data_centre,
-        )
-        load = self._load(service.name, serving, now)
+        bounds = self._bounds(service, scaling)
+        if not bounds.price_by_data_centre:
+            return []
+        serving = self._serving(service.name, self._left_out_by_service[service.name])
+        load = self._load(service.name, now)
         if load is None:
             return []
         planned = self._plan(service.name, load, bounds, now)
@@ -176,7 +176,7 @@
             )
         refused = [
             name
-            for name in scaling.price_by_data_centre
+            for name in bounds.price_by_data_centre
             if self._is_refused(service.name, name, now)
             or self._is_reclaimed(service.name, name, planned, serving)
         ]
@@ -193,6 +193,40 @@
             if self._is_due(order, serving, now) and not self._is_premature(order, planned)
         ]
 
+    def _bounds(self, service: ServiceSpec, scaling: Scaling) -> FleetBounds:
+        """Returns the bounds; nothing is ordered or cancelled in a data centre without a price."""
+        left_out = self._left_out(service)
+        return FleetBounds(
+            least=scaling.least,
+            most=scaling.most,
+            reclaimable_price=scaling.reclaimable_price,
+            price_by_data_centre={
+                name: price
+                for name, price in scaling.price_by_data_centre.items()
+                if name not in left_out
+            },
+        )
+
+    def _left_out(self, service: ServiceSpec) -> frozenset[str]:
+        """Returns the data centres that are evacuated, or were until a short time ago.
+
+        Their engines may have become cold, so replacements are kept until they are warm.
+        """
+        tables = self._control.machine.tables
+        now = self._control.agreed_wall_time()
+        ended = (
+            data_centre
+            for data_centre, ended_at in tables.evacuation_ends_by_data_centre.items()
+            if now < ended_at + service.cold_start_s
+        )
+        left_out = frozenset((*tables.evacuations_by_data_centre, *ended))
+        known = self._left_out_by_service.setdefault(service.name, frozenset())
+        if left_out != known:
+            self._left_out_by_service[service.name] = left_out
+            self._planned_load_by_service.pop(service.name, None)  # the plan is made anew
+            log(events.FLEET_LEFT_OUT, service=service.name, data_centres=sorted(left_out))
+        return left_out
+
     def _most_needed(self, service: str, needed: int, now: float) -> int:
         """Returns the highest recent number of engines that cover the demand."""
         recent = self._needed_by_service.setdefault(service, collections.deque())
@@ -264,9 +298,7 @@
         missing = serving[order.data_centre, order.reclaimable] < order.count
         return missing and now - known.last_ordered_at > REPEAT_INTERVAL_S
 
-    def _load(
-        self, service: str, serving: collections.Counter[FleetKey], now: float
-    ) -> _Load | None:
+    def _load(self, service: str, now: float) -> _Load | None:
         """Returns the load to plan for, or None if the orders must not change."""
         demand = self._demand.tokens_per_s(service, now)
         capacity = self._demand.tokens_per_engine_s(service)
@@ -274,13 +306,15 @@
             return _Load(demand, capacity)
         if self._control.machine.tables.duty.number > 1:
             return None  # an earlier leader planned the current engines
-        initial = self._initial_engines_by_service.setdefault(service, serving.total())
+        initial = self._initial_engines_by_service.setdefault(
+            service, self._serving(service).total()
+        )
         return _Load(initial * UNKNOWN_UTILISATION, 1)
 
     def _plan(
         self, service: str, load: _Load, bounds: FleetBounds, now: float
     ) -> dict[FleetKey, int]:
-        planned_load = self._planned_load_by_service.get(service, 0)
+        planned_load = self._planned_load_by_service.get(service, -1)  # -1: not planned
         if planned_load * REPLAN_LOAD_RATIO <= load.busy_engines <= planned_load:
             return self._plan_by_service[service]
         capacity = load.tokens_per_engine_s * RECLAIMABLE_UTILISATION
@@ -298,10 +332,14 @@
         self._planned_load_by_service[service] = load.busy_engines * PLAN_HEADROOM
         return fleet
 
-    def _serving(self, service: str) -> collections.Counter[FleetKey]:
+    def _serving(
+        self, service: str, left_out: Collection[str] = ()
+    ) -> collections.Counter[FleetKey]:
         known = self._control.publisher.registry.registered_by_instance.values()
         return collections.Counter(
             (registered.backend.data_centre, registered.backend.reclaimable)
             for registered in known
-            if registered.backend.service == service and registered.backend.state == 'serving'
+            if registered.backend.service == service
+            and registered.backend.state == 'serving'
+            and registered.backend.data_centre not in left_out
         )
--- a/geraniumrail/daemon/gauges.py
+++ b/geraniumrail/daemon/gauges.py
@@ -69,6 +69,11 @@
         self._instruments.limited_backends.replace(
             collections.Counter((each.service,) for each in limited if each is not None)
         )
+        self._instruments.evacuated_backends.replace(
+            collections.Counter(
+                (each.data_centre,) for each in filter(view.evacuations.hold_back, backends)
+            )
+        )
         held = entry.forwarder.parts.watch.quarantines
         self._instruments.quarantines.replace(collections.Counter((each.service,) for each in held))
         self._instruments.held_body_bytes.set(entry.forwarder.bodies.held_bytes)
--- a/geraniumrail/entry/cluster_view.py
+++ b/geraniumrail/entry/cluster_view.py
@@ -11,6 +11,7 @@
 from geraniumrail.deployment.route_table import RouteTable
 from geraniumrail.entry import events
 from geraniumrail.entry.known_departures import KnownDepartures
+from geraniumrail.entry.known_evacuations import KnownEvacuations
 from geraniumrail.fairness.entry_share import EntryShare
 from geraniumrail.links.messages import ControlUpdate, EntryInfo
 from geraniumrail.routing.backend_tracker import BackendTracker
@@ -45,6 +46,7 @@
         self.entries: tuple[EntryInfo, ...] = ()
         self.share = EntryShare(entries=1, share_by_organisation={})
         self.drained: frozenset[str] = frozenset()
+        self.evacuations = KnownEvacuations()
         self.registry_version = -1
         self.answered_at: float = 0  # when the newest report was sent that control has answered
         self.knowledge = knowledge
@@ -108,6 +110,7 @@
             self.entries = update.entries
         self.share = update.share
         self.drained = frozenset(update.drained)
+        self.evacuations.take(update, self.backends_by_instance.values())
         self._renew(sent_at + update.lease_s)
         self.answered_at = max(self.answered_at, sent_at)
         return True
@@ -169,6 +172,7 @@
             for backend in self.backends_by_instance.values()
             if backend.service == service
             and backend.instance not in self.drained
+            and not self.evacuations.hold_back(backend)
             and self.knowledge.is_usable(backend, now)
         ]
 
@@ -182,12 +186,15 @@
         return [backend for backend in usable if backend.load_known] or usable
 
     def servers(self, service: str) -> list[Backend]:
-        """Returns the backend servers of a service, also those that get no new work.
+        """Returns the backend servers of a service that may get requests, if only about old work.
 
         :param service: name of the service.
         """
-        known = self.backends_by_instance.values()
-        return [backend for backend in known if backend.service == service]
+        return [
+            backend
+            for backend in self.backends_by_instance.values()
+            if backend.service == service and not self.evacuations.hold_back(backend)
+        ]
 
     def effective(self, organisation: str, service: str, route: str) -> Effective:
         """Returns the effective settings.
--- a/geraniumrail/entry/completion_run.py
+++ b/geraniumrail/entry/completion_run.py
@@ -12,6 +12,7 @@
 from geraniumrail.entry import events
 from geraniumrail.entry.completion_call import CompletionCall
 from geraniumrail.entry.completions import Completions
+from geraniumrail.entry.lease_wait import regains_lease
 from geraniumrail.entry.leaving_backend import is_leaving
 from geraniumrail.errors.backend import (
     BackendError,
@@ -234,6 +235,8 @@
             reason=str(error),
         )
         await self._check_harmless(backend, error)
+        if not await regains_lease(shared.view, self._remaining_s()):
+            raise self._given_up(str(error)) from error
         # Resumes of lost instances cause no more work than was accepted, and the fair queue keeps
         # the engines' queues short, so an exhausted budget only delays them.
         delayed_once = progressed or isinstance(error, NotSentError) or self._announced(backend)
--- a/geraniumrail/entry/control_link.py
+++ b/geraniumrail/entry/control_link.py
@@ -15,6 +15,7 @@
 
 CALL_TIMEOUT_S = 1.5  # longer than an append round trip; a silent connection is replaced after it
 RETRY_DELAY_S = 0.1
+LEAST_TIMEOUT_S = 0.05
 
 
 class ControlLink:
@@ -74,17 +75,20 @@
 
     async def _repeat(self, request: object, timeout_s: float, limit_s: float) -> Any:
         end = self._clock.now() + limit_s
+        failure: GeraniumrailError | None = None
         while True:
             address = self._finder.address
-            remaining_s = max(0.05, end - self._clock.now())
+            remaining_s = end - self._clock.now()
+            if remaining_s <= 0 and failure is not None:
+                # Its caller may have repeated it elsewhere by now, and have changed its mind since.
+                raise NoControlError(limit_s=limit_s, reason=str(failure)) from failure
+            remaining_s = max(LEAST_TIMEOUT_S, remaining_s)
             try:
                 return await self._links.call(address, request, min(timeout_s, remaining_s))
             except NotLeaderError as error:
                 self._finder.hint(error.fields.get('leader'))
-                failure: GeraniumrailError = error
+                failure = error
             except (LinkError, ConsensusError) as error:
                 self._finder.skip(address)
                 failure = error
-            if self._clock.now() >= end:
-                raise NoControlError(limit_s=limit_s, reason=str(failure)) from failure
             await self._clock.sleep(RETRY_DELAY_S * (0.5 + self._rng.random()))
--- a/geraniumrail/entry/events.py
+++ b/geraniumrail/entry/events.py
@@ -92,3 +92,8 @@
     'entry.backend_dropped',
     'Control has said that a backend server has left or is lost; it gets no new work.',
 )
+EVACUATIONS_APPLIED = Event.define(
+    1330,
+    'entry.evacuations_applied',
+    'The entry sends no requests to the backend servers of these data centres.',
+)
--- a/geraniumrail/entry/plain_calls.py
+++ b/geraniumrail/entry/plain_calls.py
@@ -13,6 +13,7 @@
 from geraniumrail.core.ids import new_id
 from geraniumrail.entry.bookings import Bookings
 from geraniumrail.entry.cluster_view import ClusterView
+from geraniumrail.entry.lease_wait import LEASE_WAIT_S, regains_lease
 from geraniumrail.entry.leaving_backend import is_leaving
 from geraniumrail.entry.outcomes import Outcomes
 from geraniumrail.entry.plain_call import PlainAnswer, PlainCall
@@ -162,7 +163,8 @@
         :raises IncompleteAnswerError: if it may not.
         """
         parts = self._parts
-        if parts.watch.quarantine_of(call.service, call.traits) is not None:
+        is_held = parts.watch.quarantine_of(call.service, call.traits) is not None
+        if is_held or not await regains_lease(parts.view, LEASE_WAIT_S):
             raise IncompleteAnswerError(reason=str(error)) from error
         if lost >= MAX_LOST and await parts.watch.refuses_connections(backend):
             raise IncompleteAnswerError(reason=str(error)) from error
--- a/geraniumrail/forwarding/attempt.py
+++ b/geraniumrail/forwarding/attempt.py
@@ -8,7 +8,7 @@
 from aiohttp.http_exceptions import HttpProcessingError
 
 from geraniumrail.backends.connections import Connections
-from geraniumrail.backends.exchange import Exchange, ResendError
+from geraniumrail.backends.exchange import Exchange, ResendError, WithdrawnError
 from geraniumrail.backends.held_response import HeldResponse
 from geraniumrail.backends.service_call import CONNECTION_HEADERS, end_to_end
 from geraniumrail.core.backend import Backend
@@ -23,7 +23,14 @@
 
 MAX_REASON = 300  # characters of a reason in a line of the log
 _SUCCESS = range(200, 300)
-_FAILURES = (ClientError, HttpProcessingError, OSError, ResendError, ValueError)
+_FAILURES = (
+    ClientError,
+    HttpProcessingError,
+    OSError,
+    ResendError,
+    ValueError,
+    WithdrawnError,
+)
 
 
 class Attempt:
--- a/geraniumrail/forwarding/run.py
+++ b/geraniumrail/forwarding/run.py
@@ -1,11 +1,13 @@
 """Carries one request to its answer, over as many attempts as its route allows."""
 
 import asyncio
+import functools
 import itertools
 
 from geraniumrail.core.backend import Backend
 from geraniumrail.core.events import log
 from geraniumrail.deployment.route import STREAM
+from geraniumrail.entry.lease_wait import may_send, regains_lease
 from geraniumrail.errors.backend import (
     BackendError,
     NoBackendError,
@@ -102,6 +104,11 @@
 
     async def _try_once(self, failure: BackendError | None) -> BackendError | None:
         """Makes one attempt and returns its failure, or None if the answer was delivered."""
+        view, config = self._parts.view, self._parts.config
+        if not await regains_lease(view, self._left_s(), config.lease_wait_s, config.lease_lost_s):
+            # Its data centre may have been evacuated, or its configuration replaced.
+            reason = 'this entry has lost control'
+            raise self._given_up(failure or BackendError(backend='', reason=reason))
         backend = self._choose(failure)
         sending = Sending(
             backend=backend,
@@ -111,6 +118,7 @@
             last_event_id=self._splitter.last_id,
         )
         attempt = Attempt(self._inbound, sending, self._parts.dialect)
+        attempt.exchange.may_send = functools.partial(may_send, view, backend)
         name = f'{self._inbound.request_id}.{self._sent}'
         sent_at = self._now()
         self._sent += 1
--- a/geraniumrail/links/requests.py
+++ b/geraniumrail/links/requests.py
@@ -2,6 +2,7 @@
 
 from geraniumrail.core.backend import Backend
 from geraniumrail.core.codec import record
+from geraniumrail.state.evacuation import Evacuation
 from geraniumrail.state.move import Move
 
 
@@ -56,6 +57,36 @@
     duration_s: float
 
 
+@record
+class ReadEvacuations:
+    """Asks the leader for the evacuated data centres, confirmed by a majority."""
+
+
+@record
+class EvacuationsNow:
+    """The evacuated data centres."""
+
+    number: int  # of the last change of any
+    evacuations: tuple[Evacuation, ...]
+
+
+@record
+class ChangeEvacuation:
+    """Asks the leader to start or end an evacuation, unless there was another change since."""
+
+    data_centre: str
+    evacuated: bool
+    after: int  # number of the last change that the sender has read
+    operator: str
+
+
+@record
+class EvacuationChanged:
+    """What became of it."""
+
+    is_current: bool  # False: another change came before, and nothing was done
+
+
 @record
 class TakeLimit:
     """Asks the leader for a part of an organisation's limit."""
--- a/geraniumrail/metrics/catalogue.py
+++ b/geraniumrail/metrics/catalogue.py
@@ -105,6 +105,13 @@
         labels=('service',),
         about='backend servers that have named a limit of the requests that they take',
     ),
+    Spec(
+        name='geraniumrail.evacuated_backends',
+        kind='gauge',
+        unit='{server}',
+        labels=('data_centre',),
+        about='backend servers that get no requests because their data centre is evacuated',
+    ),
     Spec(
         name='geraniumrail.quarantines',
         kind='gauge',
--- a/geraniumrail/operators/cluster_routes.py
+++ b/geraniumrail/operators/cluster_routes.py
@@ -5,11 +5,15 @@
 from geraniumrail.callers.bodies import parse_object, read_body
 from geraniumrail.callers.failures import json_response
 from geraniumrail.control.control import Control
+from geraniumrail.control.evacuations import set_evacuation
 from geraniumrail.errors.request import InvalidRequestError
+from geraniumrail.links.requests import ChangeEvacuation
 from geraniumrail.operators.fields import MAX_BODY_BYTES, flag_field, operator_of, text_field
 from geraniumrail.state import commands
 
 BASE = '/v1/admin'
+# Of the client's time for one call.
+EVACUATION_LIMIT_S = 4.0
 
 
 class ClusterRoutes:
@@ -30,6 +34,8 @@
             web.get(f'{BASE}/members', self.members),
             web.post(f'{BASE}/members', self.change_members),
             web.post(f'{BASE}/drain', self.drain),
+            web.get(f'{BASE}/evacuations', self.evacuations),
+            web.post(f'{BASE}/evacuations', self.set_evacuation),
             web.get(f'{BASE}/status', self.status),
         ]
 
@@ -133,6 +139,43 @@
         result = await self._control.proposer.propose(command)
         return json_response({'target': result.target, 'draining': result.draining})
 
+    async def evacuations(self, request: web.Request) -> web.Response:
+        """Returns the evacuated data centres.
+
+        :param request: the HTTP request.
+        """
+        operator_of(request)
+        self._control.leadership.require_term()
+        found = await self._control.evacuations.read()
+        shown = [
+            {'data_centre': each.data_centre, 'operator': each.operator, 'at': each.at}
+            for each in found.evacuations
+        ]
+        return json_response({'evacuations': shown})
+
+    async def set_evacuation(self, request: web.Request) -> web.Response:
+        """Starts or finishes the evacuation of a data centre.
+
+        :param request: the HTTP request.
+        """
+        operator = operator_of(request)
+        body = parse_object(await read_body(request, MAX_BODY_BYTES))
+        wanted = ChangeEvacuation(
+            data_centre=text_field(body, 'data_centre'),
+            evacuated=flag_field(body, 'evacuated'),
+            after=0,
+            operator=operator,
+        )
+        self._control.leadership.require_term()
+        await set_evacuation(
+            wanted,
+            self._control.evacuations.ask,
+            self._control.now,
+            EVACUATION_LIMIT_S,
+            lambda: request.transport is not None and not request.transport.is_closing(),
+        )
+        return json_response({'data_centre': wanted.data_centre, 'evacuated': wanted.evacuated})
+
     async def status(self, request: web.Request) -> web.Response:
         """Returns the state of this daemon's replica; any member answers.
 
--- a/geraniumrail/state/results.py
+++ b/geraniumrail/state/results.py
@@ -109,3 +109,13 @@
     """The number of the last departure that was ever recorded."""
 
     last: int
+
+
+@record
+class EvacuationSet:
+    """Whether a data centre is evacuated after the command."""
+
+    data_centre: str
+    evacuated: bool
+    number: int  # of the last change of any evacuation
+    is_current: bool  # False: another change came before, and nothing was done
--- a/geraniumrail/state/tables.py
+++ b/geraniumrail/state/tables.py
@@ -10,6 +10,7 @@
 from geraniumrail.quarantine.quarantine import Quarantine
 from geraniumrail.settings.tree import Tree
 from geraniumrail.state.booking import Booking
+from geraniumrail.state.evacuation import Evacuation
 from geraniumrail.state.move import Move
 from geraniumrail.state.results import Changed, DutyHeld, WindowClosed
 
@@ -57,6 +58,10 @@
     quarantines_by_label: dict[str, Quarantine] = dataclasses.field(default_factory=dict)
     departures_by_instance: dict[str, Departure] = dataclasses.field(default_factory=dict)
     last_departure: int = 0  # number of the last departure
+    evacuations_by_data_centre: dict[str, Evacuation] = dataclasses.field(default_factory=dict)
+    last_evacuation_change: int = 0
+    # Agreed time of day; the older ones are removed with the next change.
+    evacuation_ends_by_data_centre: dict[str, float] = dataclasses.field(default_factory=dict)
 
     def last_move(self, service: str) -> Move | None:
         """Returns the move of a service that was started last, or None.
@@ -95,6 +100,9 @@
     quarantines: tuple[Quarantine, ...] = ()
     departures: tuple[Departure, ...] = ()
     last_departure: int = 0
+    evacuations: tuple[Evacuation, ...] = ()
+    last_evacuation_change: int = 0
+    evacuation_ends_by_data_centre: dict[str, float] = dataclasses.field(default_factory=dict)
 
     @classmethod
     def from_tables(cls, tables: Tables) -> 'TablesImage':
@@ -119,6 +127,9 @@
             quarantines=tuple(tables.quarantines_by_label.values()),
             departures=tuple(tables.departures_by_instance.values()),
             last_departure=tables.last_departure,
+            evacuations=tuple(tables.evacuations_by_data_centre.values()),
+            last_evacuation_change=tables.last_evacuation_change,
+            evacuation_ends_by_data_centre=dict(tables.evacuation_ends_by_data_centre),
         )
 
     def to_tables(self) -> Tables:
@@ -143,4 +154,7 @@
             quarantines_by_label={each.label: each for each in self.quarantines},
             departures_by_instance={each.instance: each for each in self.departures},
             last_departure=self.last_departure,
+            evacuations_by_data_centre={each.data_centre: each for each in self.evacuations},
+            last_evacuation_change=self.last_evacuation_change,
+            evacuation_ends_by_data_centre=dict(self.evacuation_ends_by_data_centre),
         )
--- a/geraniumrail/testing/streams.py
+++ b/geraniumrail/testing/streams.py
@@ -19,6 +19,7 @@
 from geraniumrail.errors.backend import ConnectionLostError, NotSentError, StalledError
 from geraniumrail.errors.base import GeraniumrailError
 from geraniumrail.errors.request import OverloadedError
+from geraniumrail.links.messages import ControlUpdate
 from geraniumrail.quarantine.part_watch import PartWatch
 from geraniumrail.routing.backend_tracker import BackendTracker
 from geraniumrail.settings.node import Node
@@ -27,6 +28,7 @@
 
 SERVICE = 'model-bench'
 ROUTES = ('chat', 'quick', 'review')
+LEASE_S = 3600  # longer than a schedule; without one nothing is sent again
 LOST_SHARE = 0.4
 NOTICE_S = 2.0
 END_S = 200.0
@@ -162,6 +164,7 @@
         self.engines = SimulatedEngines(self.rng.randint(5, 10), self.clock, self.rng)
         self.outcomes: list[Outcome] = []
         view = ClusterView(self.clock, BackendTracker())
+        view.take(ControlUpdate(term=1, answers=1, lease_s=LEASE_S, revision=0), self.clock.now())
         nodes = [
             Node(path=path, version=1, values=values, change_id='c', operator='o')
             for path, values in SETTINGS.items()
