Restrict requests to the allowed regions of route and organisation

The directory names entries in the caller's region and in the regions that all restricted routes of the host allow, and others only if there are none of these.

--- a/geraniumrail/deployment/route_table.py
+++ b/geraniumrail/deployment/route_table.py
@@ -40,6 +40,15 @@
         routes = self._routes_by_host.get(host.partition(':')[0].lower(), ())
         return next((route for route in routes if path.startswith(route.prefix)), None)
 
+    def common_regions(self, host: str) -> frozenset[str] | None:
+        """Returns the regions that all restricted routes of a host allow; None: none is restricted.
+
+        :param host: name from the request; a port is ignored.
+        """
+        routes = self._routes_by_host.get(host.partition(':')[0].lower(), ())
+        limits = [frozenset(route.allowed_regions) for route in routes if route.allowed_regions]
+        return frozenset.intersection(*limits) if limits else None
+
     def organisation(self, key: str) -> Organisation | None:
         """Returns the holder of an API key, or None.
 
--- a/geraniumrail/entry/local_directory.py
+++ b/geraniumrail/entry/local_directory.py
@@ -28,16 +28,26 @@
             if not (self.is_leaving and info.entry == self._entry)
         )
 
-    def addresses(self, region: str, data_centre: str, max_addresses: int) -> list[str]:
+    def addresses(
+        self, region: str, data_centre: str, max_addresses: int, host: str = ''
+    ) -> list[str]:
         """Returns the addresses for a caller; none if what this entry knows may be stale.
 
+        Entries for a host with regions are in the caller's own or in those, if there are any.
+
         :param region: of the caller.
         :param data_centre: of the caller.
         :param max_addresses: largest number of addresses to return.
+        :param host: that the caller wants to reach.
         """
         if not self._view.holds_lease():
             return []
-        chosen = choose_entries(self.entries(), region, data_centre, max_addresses)
+        entries = self.entries()
+        allowed = self._view.table.common_regions(host)
+        if allowed is not None:
+            within = allowed | {region}
+            entries = tuple(info for info in entries if info.region in within) or entries
+        chosen = choose_entries(entries, region, data_centre, max_addresses)
         return [info.address for info in chosen]
 
 
--- a/geraniumrail/entry/local_directory_test.py
+++ b/geraniumrail/entry/local_directory_test.py
@@ -4,8 +4,11 @@
 import unittest
 
 from geraniumrail.core.manual_clock import ManualClock
+from geraniumrail.deployment.deployment import Deployment
+from geraniumrail.deployment.route_table import RouteTable
 from geraniumrail.entry.cluster_view import ClusterView
 from geraniumrail.entry.local_directory import LocalDirectory, choose_entries
+from geraniumrail.forwarding.testing import route
 from geraniumrail.links.messages import EntryInfo
 from geraniumrail.routing.backend_tracker import BackendTracker
 
@@ -86,6 +89,26 @@
         await self.clock.advance(2)
         self.assertEqual(self.listed(), [])
 
+    def listed_for(self, *lists, region='klang-valley'):
+        """Returns the addresses for a host whose routes have these allowed regions."""
+        routes = tuple(
+            route(name=str(at), host='h', prefix=f'/{at}/', allowed_regions=regions)
+            for at, regions in enumerate(lists)
+        )
+        self.view.table = RouteTable(Deployment(version=1, routes=routes))
+        return sorted(self.directory.addresses(region, 'a', MAX_ENTRIES, 'h:80'))
+
+    async def test_host_with_allowed_regions(self):
+        """Callers were sent to entries in regions where their requests must not be handled."""
+        regions = ('klang-valley', 'johor', 'penang')
+        self.view.entries = tuple(entry(1, region[0], region) for region in regions)
+        self.assertEqual(self.listed_for(()), ['j:1', 'k:1', 'p:1'])
+        self.assertEqual(self.listed_for(('johor',)), ['j:1', 'k:1'])
+        self.assertEqual(self.listed_for(('johor',), ('johor', 'penang'), ()), ['j:1', 'k:1'])
+        self.assertEqual(self.listed_for(('johor',), ('penang',)), ['k:1'])
+        self.assertEqual(self.listed_for(('sabah',), region='perak'), ['j:1', 'k:1', 'p:1'])
+        self.assertEqual(self.listed_for(('johor',), region='perak'), ['j:1'])
+
     async def test_leaving_entry_is_not_given_out(self):
         """A planned stop begins before the leader has heard of it."""
         self.directory.is_leaving = True
--- a/geraniumrail/forwarding/admitted.py
+++ b/geraniumrail/forwarding/admitted.py
@@ -3,6 +3,7 @@
 import dataclasses
 import random
 
+from geraniumrail.core.backend import Backend
 from geraniumrail.deployment.organisation import Organisation
 from geraniumrail.deployment.route import Route
 from geraniumrail.deployment.route_table import RouteTable
@@ -29,6 +30,7 @@
     # Shared prompt parts and the fingerprint: what is known of crashes is known of these.
     traits: tuple[str, ...] = ()
     holder: Organisation | None = None  # whose limit the request counts towards
+    allowed_regions: frozenset[str] | None = None  # of its backend servers; None: all
 
 
 def admit(inbound: Inbound, parts: Parts) -> Admitted:
@@ -66,9 +68,26 @@
         ends_at=inbound.arrived_at + limit_s,
         traits=(*inbound.shared_part_ids, fingerprint),
         holder=organisation,
+        allowed_regions=_allowed_regions(route, organisation),
     )
 
 
+def allows(admitted: Admitted, backend: Backend) -> bool:
+    """Returns whether a backend server is in a region where the request may be handled.
+
+    :param admitted: the request.
+    :param backend: the backend server; one whose region is not known is in no allowed region.
+    """
+    return admitted.allowed_regions is None or backend.region in admitted.allowed_regions
+
+
+def _allowed_regions(route: Route, organisation: Organisation | None) -> frozenset[str] | None:
+    """Returns the regions that both allow, which may be none; None: all regions."""
+    lists = [route.allowed_regions, () if organisation is None else organisation.allowed_regions]
+    limits = [frozenset(regions) for regions in lists if regions]
+    return frozenset.intersection(*limits) if limits else None
+
+
 def draw_service(route: Route, rng: random.Random) -> str:
     """Draws one of the services of a route by weight.
 
--- a/geraniumrail/forwarding/run.py
+++ b/geraniumrail/forwarding/run.py
@@ -16,7 +16,7 @@
 )
 from geraniumrail.errors.request import IncompleteAnswerError, NotRunError, OutcomeUnknownError
 from geraniumrail.forwarding import events
-from geraniumrail.forwarding.admitted import Admitted, spread
+from geraniumrail.forwarding.admitted import Admitted, allows, spread
 from geraniumrail.forwarding.attempt import Attempt, has_ended
 from geraniumrail.forwarding.dialect import Sending
 from geraniumrail.forwarding.event_splitter import EventSplitter, EventTooLongError
@@ -271,7 +271,8 @@
         return decision.backend
 
     def _candidates(self) -> list[Backend]:
-        return self._parts.view.usable(self._admitted.service)
+        usable = self._parts.view.usable(self._admitted.service)
+        return [backend for backend in usable if allows(self._admitted, backend)]
 
     def _route_request(self) -> RouteRequest:
         inbound, parts = self._inbound, self._parts
@@ -358,9 +359,9 @@
     ) -> NotRunError | OutcomeUnknownError | IncompleteAnswerError:
         if not self._may_have_run:
             view = self._parts.view
-            opens_in_s = view.knowledge.opens_in_s(
-                view.servers(self._admitted.service), self._now()
-            )
+            servers = view.servers(self._admitted.service)
+            allowed = [backend for backend in servers if allows(self._admitted, backend)]
+            opens_in_s = view.knowledge.opens_in_s(allowed, self._now())
             retry_after_s = failure.fields.get('retry_after_s') or opens_in_s or FULL_RETRY_S
             return NotRunError(
                 reason=str(failure),
