--- a/geraniumrail/forwarding/run.py
+++ b/geraniumrail/forwarding/run.py
@@ -1,11 +1,13 @@
 """Carries one request to its answer, over as many attempts as its route allows."""
 
 import asyncio
+import functools
 import itertools
 
 from geraniumrail.core.backend import Backend
 from geraniumrail.core.events import log
 from geraniumrail.deployment.route import STREAM
+from geraniumrail.entry.lease_wait import may_send, regains_lease
 from geraniumrail.errors.backend import (
     BackendError,
     NoBackendError,
@@ -14,7 +16,7 @@
 )
 from geraniumrail.errors.request import IncompleteAnswerError, NotRunError, OutcomeUnknownError
 from geraniumrail.forwarding import events
-from geraniumrail.forwarding.admitted import Admitted, spread
+from geraniumrail.forwarding.admitted import Admitted, allows, spread
 from geraniumrail.forwarding.attempt import Attempt, has_ended
 from geraniumrail.forwarding.dialect import Sending
 from geraniumrail.forwarding.event_splitter import EventSplitter, EventTooLongError
@@ -102,6 +104,11 @@
 
     async def _try_once(self, failure: BackendError | None) -> BackendError | None:
         """Makes one attempt and returns its failure, or None if the answer was delivered."""
+        view, config = self._parts.view, self._parts.config
+        if not await regains_lease(view, self._left_s(), config.lease_wait_s, config.lease_lost_s):
+            # Its data centre may have been evacuated, or its configuration replaced.
+            reason = 'this entry has lost control'
+            raise self._given_up(failure or BackendError(backend='', reason=reason))
         backend = self._choose(failure)
         sending = Sending(
             backend=backend,
@@ -111,6 +118,7 @@
             last_event_id=self._splitter.last_id,
         )
         attempt = Attempt(self._inbound, sending, self._parts.dialect)
+        attempt.exchange.may_send = functools.partial(may_send, view, backend)
         name = f'{self._inbound.request_id}.{self._sent}'
         sent_at = self._now()
         self._sent += 1
@@ -263,7 +271,8 @@
         return decision.backend
 
     def _candidates(self) -> list[Backend]:
-        return self._parts.view.usable(self._admitted.service)
+        usable = self._parts.view.usable(self._admitted.service)
+        return [backend for backend in usable if allows(self._admitted, backend)]
 
     def _route_request(self) -> RouteRequest:
         inbound, parts = self._inbound, self._parts
@@ -350,9 +359,9 @@
     ) -> NotRunError | OutcomeUnknownError | IncompleteAnswerError:
         if not self._may_have_run:
             view = self._parts.view
-            opens_in_s = view.knowledge.opens_in_s(
-                view.servers(self._admitted.service), self._now()
-            )
+            servers = view.servers(self._admitted.service)
+            allowed = [backend for backend in servers if allows(self._admitted, backend)]
+            opens_in_s = view.knowledge.opens_in_s(allowed, self._now())
             retry_after_s = failure.fields.get('retry_after_s') or opens_in_s or FULL_RETRY_S
             return NotRunError(
                 reason=str(failure),
