Hold a deadly request back for good after three failed trials

A request that crashed its backend servers for an hour was sent as a trial 5, 305, 905 and 2105 s after it was found; BUDGET allows three. Its quarantine also ended as unused 30 minutes after its trial was due when no entry could send one: a request that was at a crash itself is no trial, and crashed further servers.

After the third failed trial there is none, and the quarantine doesn't end as unused. Entries report which quarantines their requests meet, and repeat it to a new leader.

--- a/geraniumrail/entry/reporter.py
+++ b/geraniumrail/entry/reporter.py
@@ -62,5 +62,6 @@
             holds_lease=self.view.holds_lease(),
             crashes=crashes,
             sounds=sounds,
+            held_back=parts.watch.held_back.report(now),
             limits=self.view.knowledge.limits.report(now),
         )
--- a/geraniumrail/links/messages.py
+++ b/geraniumrail/links/messages.py
@@ -1,5 +1,7 @@
 """Records between the entry and control roles."""
 
+import dataclasses
+
 from geraniumrail.core.backend import Backend
 from geraniumrail.core.codec import record
 from geraniumrail.core.departure import Departure
@@ -113,6 +115,8 @@
     holds_lease: bool = False  # the entry has taken an update, and may serve
     crashes: tuple[CrashNote, ...] = ()
     sounds: tuple[SoundPart, ...] = ()
+    # Seconds since the last request that a quarantine covers, by its label.
+    held_back: dict[str, float] = dataclasses.field(default_factory=dict)
     limits: tuple[NamedLimit, ...] = ()  # that backend servers have named to the entry
 
 
--- a/geraniumrail/quarantine/events.py
+++ b/geraniumrail/quarantine/events.py
@@ -36,3 +36,9 @@
     'quarantine.applied',
     'The entry holds back the requests of these quarantines.',
 )
+FINAL = Event.define(
+    2006,
+    'quarantine.final',
+    'The last trial of a quarantine has failed; it lasts until an operator releases it.',
+    logging.WARNING,
+)
--- a/geraniumrail/quarantine/part_watch.py
+++ b/geraniumrail/quarantine/part_watch.py
@@ -13,6 +13,7 @@
 from geraniumrail.quarantine import events
 from geraniumrail.quarantine.crash_note import CrashNote
 from geraniumrail.quarantine.fingerprint import is_fingerprint
+from geraniumrail.quarantine.held_back import HeldBack
 from geraniumrail.quarantine.quarantine import Quarantine
 from geraniumrail.quarantine.sound_part import SoundPart
 from geraniumrail.quarantine.sound_times import Key, SoundTimes
@@ -27,6 +28,8 @@
 MAX_NOTED_REQUESTS = 128  # different ones, of one crash
 MAX_LOGGED_REQUESTS = 8
 LEAST_RETRY_S = 5.0  # a trial may end the quarantine within this time
+# Nobody knows when an operator releases a quarantine; callers learn of it within this time.
+FINAL_RETRY_S = 900.0
 # One entry after the other may send a trial; its outcome is known well within this time.
 TRIAL_TURN_S = 20.0
 
@@ -55,6 +58,7 @@
         self._watched: frozenset[Key] = frozenset()
         self._trials: frozenset[str] = frozenset()
         self._used_trials: dict[tuple[str, float], float] = {}  # and when
+        self.held_back = HeldBack()
         self._sound_times = SoundTimes()
         self._reported_sound_at: dict[Key, float] = {}
         self._noted: collections.deque[_Noted] = collections.deque(maxlen=MAX_NOTES)
@@ -76,13 +80,16 @@
         :raises NotRunError: if it would crash a backend server.
         """
         found = self._covering(service, traits)
+        self.held_back.record(found, self._clock.now())
+        is_final = any(each.is_final for each in found)
         ends_at = max((each.until for each in found), default=0)
         # The first update with a new end may still grant the trial that has failed.
-        is_due = wall >= ends_at
+        is_due = wall >= ends_at and not is_final
         if found and not (is_due and self._use_trials(found, service, traits)):
+            least_s = FINAL_RETRY_S if is_final else LEAST_RETRY_S
             raise NotRunError(
                 reason='requests like this one crash backend servers',
-                retry_after_s=round(max(LEAST_RETRY_S, ends_at - wall), 3),
+                retry_after_s=round(max(least_s, ends_at - wall), 3),
             )
 
     def quarantine_of(self, service: str, traits: Iterable[str]) -> Quarantine | None:
@@ -143,6 +150,7 @@
             self._used_trials = {
                 trial: at for trial, at in self._used_trials.items() if trial in ends
             }
+            self.held_back.keep(frozenset(each.label for each in quarantines))
             log(events.APPLIED, quarantines=[each.label for each in quarantines])
         if watched is not None:
             self._watched = frozenset(
@@ -174,6 +182,7 @@
         """Reports everything again: a new leader knows only the quarantines."""
         self._unsent_notes = len(self._noted)
         self._reported_sound_at = {}
+        self.held_back.requeue_all()
 
     def _is_due(self, key: Key) -> bool:
         """Returns whether there is an answer that the leader has not been told of."""
--- a/geraniumrail/quarantine/quarantine.py
+++ b/geraniumrail/quarantine/quarantine.py
@@ -4,6 +4,9 @@
 
 from geraniumrail.core.codec import record
 
+# A request may reach backend servers in so many retries after it was found to crash them.
+MAX_FAILED_TRIALS = 3
+
 
 @record
 class Quarantine:
@@ -15,6 +18,11 @@
     until: float  # time of day from which one request at a time is sent as a trial
     failures: int = 1  # the first finding and the failed trials
 
+    @property
+    def is_final(self) -> bool:
+        """Whether it has no more trials; it lasts until an operator releases it."""
+        return self.failures > MAX_FAILED_TRIALS
+
     @property
     def label(self) -> str:
         """Key of the quarantine."""
--- a/geraniumrail/testing/followers.py
+++ b/geraniumrail/testing/followers.py
@@ -138,6 +138,7 @@
             holds_lease=True,
             crashes=crashes,
             sounds=sounds,
+            held_back=self.watch.held_back.report(LoopClock().now()),
             limits=self.limits.report(LoopClock().now()),
         )
 
