Let operators list and release quarantines

A quarantine without trials had no end when what its requests crash was mended. `geraniumrail quarantines list` and `release` are the commands; a release is kept in the replicated log, so that crashes before it, of which entries tell a new leader again, start no quarantine of the same parts.

--- a/geraniumrail/commands/main.py
+++ b/geraniumrail/commands/main.py
@@ -9,13 +9,20 @@
     cluster_commands,
     daemon_commands,
     move_commands,
+    quarantine_commands,
     settings_commands,
 )
 from geraniumrail.commands.context import output_of
 from geraniumrail.commands.exit_codes import ExitCode, exit_code_of
 from geraniumrail.errors.base import GeraniumrailError
 
-GROUPS = (daemon_commands, settings_commands, move_commands, cluster_commands)
+GROUPS = (
+    daemon_commands,
+    settings_commands,
+    move_commands,
+    cluster_commands,
+    quarantine_commands,
+)
 
 
 def build_parser() -> argparse.ArgumentParser:
--- a/geraniumrail/control/deadly_trials_test.py
+++ b/geraniumrail/control/deadly_trials_test.py
@@ -10,6 +10,7 @@
 from geraniumrail.errors.request import NotRunError
 from geraniumrail.quarantine.part_watch import LEAST_RETRY_S
 from geraniumrail.quarantine.quarantine import MAX_FAILED_TRIALS, Quarantine
+from geraniumrail.state.release_quarantine import ReleaseQuarantine
 from geraniumrail.state.set_quarantines import SetQuarantines
 from geraniumrail.testing.followers import engine
 from geraniumrail.testing.virtual_loop import run_virtually
@@ -151,6 +152,34 @@
 
         self.assertEqual(run_virtually(play()), (True, True, False))
 
+    def test_released_quarantine_stays_ended(self):
+        """A new leader, told again of the crashes, began the quarantine anew; a crash after the
+        release is evidence again."""
+
+        async def play():
+            day = RequestDay(2, 1)
+            await asyncio.sleep(1)
+            deadly = (day.deadly[0],)
+            await crash_thrice(day, [deadly] * 3)
+            label = f'llm/{deadly[0]}'
+            held = [is_held(day, deadly)]
+            for _ in range(2):  # the answer to the first was lost
+                await day.leader.propose(
+                    ReleaseQuarantine(
+                        release_id='r1', label=label, operator='operator', at=day.now()
+                    )
+                )
+                day.leader.restart()
+                await asyncio.sleep(3)
+                held.append(is_held(day, deadly))
+            await day.call(deadly)
+            await asyncio.sleep(2)
+            held.append(is_held(day, deadly))
+            await day.stop()
+            return held
+
+        self.assertEqual(run_virtually(play()), [True, False, False, True])
+
     def test_oldest_without_trials_makes_room(self):
         """When all places were taken by quarantines that never end, nothing new was held back."""
 
--- a/geraniumrail/control/publisher.py
+++ b/geraniumrail/control/publisher.py
@@ -25,6 +25,7 @@
 from geraniumrail.state import commands
 from geraniumrail.state.machine import Machine
 from geraniumrail.state.record_departures import RecordDepartures
+from geraniumrail.state.release_quarantine import ReleaseQuarantine
 from geraniumrail.state.set_quarantines import SetQuarantines
 
 # Load reports are sent with the answer to a report; other changes are sent at once, but not more
@@ -47,6 +48,7 @@
     commands.ReplaceDeployment,
     RecordDepartures,
     SetQuarantines,
+    ReleaseQuarantine,
 )
 
 
--- a/geraniumrail/control/quarantines.py
+++ b/geraniumrail/control/quarantines.py
@@ -123,11 +123,13 @@
         return tuple(each.label for each in evicted)
 
     def _found(self, held: tuple[Quarantine, ...]) -> list[Quarantine]:
-        return [
+        releases = self._machine.tables.releases_by_id.values()
+        new = (
             self._from_finding(found)
             for found in self._publisher.crash_ledger.findings()
             if not any(each.covers(found.service, frozenset(found.parts)) for each in held)
-        ]
+        )
+        return [each for each in new if not any(release.ends(each) for release in releases)]
 
     def _from_finding(self, found: Finding) -> Quarantine:
         wall = self._wall()
--- a/geraniumrail/errors/state.py
+++ b/geraniumrail/errors/state.py
@@ -54,6 +54,14 @@
     template = 'move {move_id} ended before: {phase} ({reason})'
 
 
+class UnknownQuarantineError(StateError):
+    """The quarantine is not in the state."""
+
+    type_name = 'unknown_quarantine'
+    status = 404
+    template = 'quarantine {label} is not known'
+
+
 class UnknownInstanceError(StateError):
     """No engine of this name is announced."""
 
--- a/geraniumrail/operators/fields.py
+++ b/geraniumrail/operators/fields.py
@@ -20,16 +20,17 @@
     return owner_of(request, 'operator').name
 
 
-def text_field(body: dict[str, Any], name: str) -> str:
+def text_field(body: dict[str, Any], name: str, longest: int = MAX_TEXT) -> str:
     """Returns a text field that is not empty.
 
     :param body: the parsed body.
     :param name: name of the field.
+    :param longest: limit in characters.
     :raises InvalidRequestError: if it is missing or malformed.
     """
     text = body.get(name)
-    if not isinstance(text, str) or not 0 < len(text) <= MAX_TEXT:
-        raise InvalidRequestError(reason=f'{name} must be a text of 1 to {MAX_TEXT} characters')
+    if not isinstance(text, str) or not 0 < len(text) <= longest:
+        raise InvalidRequestError(reason=f'{name} must be a text of 1 to {longest} characters')
     return text
 
 
--- a/geraniumrail/state/apply_operations.py
+++ b/geraniumrail/state/apply_operations.py
@@ -2,13 +2,18 @@
 
 import itertools
 
+from geraniumrail.errors.state import UnknownQuarantineError
+from geraniumrail.quarantine.quarantine import quarantine_label
+from geraniumrail.quarantine.release import Release
 from geraniumrail.state import commands, results
 from geraniumrail.state.apply import apply
 from geraniumrail.state.note_backends import NoteBackends
+from geraniumrail.state.release_quarantine import ReleaseQuarantine
 from geraniumrail.state.set_quarantines import SetQuarantines
 from geraniumrail.state.tables import OrderEntry, Tables
 
 MAX_ORDERS = 1000  # kept for resends
+MAX_RELEASES = 64  # as many as there may be quarantines
 
 
 @apply.register
@@ -55,5 +60,33 @@
 def _quarantine(command: SetQuarantines, tables: Tables) -> object:
     for label in command.removed:
         tables.quarantines_by_label.pop(label, None)
-    tables.quarantines_by_label.update({each.label: each for each in command.added})
+    releases = tables.releases_by_id.values()
+    for quarantine in command.added:
+        # The leader may not have known of a release when it proposed this.
+        if not any(release.ends(quarantine) for release in releases):
+            tables.quarantines_by_label[quarantine.label] = quarantine
     return results.QuarantinesSet(count=len(tables.quarantines_by_label))
+
+
+@apply.register
+def _release(command: ReleaseQuarantine, tables: Tables) -> object:
+    release = tables.releases_by_id.get(command.release_id)
+    if release is None:
+        quarantine = tables.quarantines_by_label.pop(command.label, None)
+        if quarantine is None:
+            raise UnknownQuarantineError(label=command.label)
+        release = Release(
+            release_id=command.release_id,
+            service=quarantine.service,
+            parts=quarantine.parts,
+            at=command.at,
+            operator=command.operator,
+        )
+        tables.releases_by_id[release.release_id] = release
+        for old in list(tables.releases_by_id)[:-MAX_RELEASES]:
+            tables.releases_by_id.pop(old)
+    return results.QuarantineReleased(
+        label=quarantine_label(release.service, release.parts),
+        operator=release.operator,
+        at=release.at,
+    )
--- a/geraniumrail/state/results.py
+++ b/geraniumrail/state/results.py
@@ -104,6 +104,15 @@
     count: int
 
 
+@record
+class QuarantineReleased:
+    """Who released a quarantine first, and when."""
+
+    label: str
+    operator: str
+    at: float
+
+
 @record
 class DeparturesRecorded:
     """The number of the last departure that was ever recorded."""
--- a/geraniumrail/state/tables.py
+++ b/geraniumrail/state/tables.py
@@ -8,6 +8,7 @@
 from geraniumrail.core.refused import Refused
 from geraniumrail.deployment.deployment import Deployment
 from geraniumrail.quarantine.quarantine import Quarantine
+from geraniumrail.quarantine.release import Release
 from geraniumrail.settings.tree import Tree
 from geraniumrail.state.booking import Booking
 from geraniumrail.state.move import Move
@@ -55,6 +56,7 @@
     noted_by_instance: dict[str, Backend] = dataclasses.field(default_factory=dict)
     reporting_instances: tuple[str, ...] = ()  # when the last usage window was fixed
     quarantines_by_label: dict[str, Quarantine] = dataclasses.field(default_factory=dict)
+    releases_by_id: dict[str, Release] = dataclasses.field(default_factory=dict)  # oldest first
     departures_by_instance: dict[str, Departure] = dataclasses.field(default_factory=dict)
     last_departure: int = 0  # number of the last departure
 
@@ -93,6 +95,7 @@
     noted: tuple[Backend, ...] = ()
     reporting_instances: tuple[str, ...] = ()
     quarantines: tuple[Quarantine, ...] = ()
+    releases: tuple[Release, ...] = ()
     departures: tuple[Departure, ...] = ()
     last_departure: int = 0
 
@@ -117,6 +120,7 @@
             noted=tuple(tables.noted_by_instance.values()),
             reporting_instances=tables.reporting_instances,
             quarantines=tuple(tables.quarantines_by_label.values()),
+            releases=tuple(tables.releases_by_id.values()),
             departures=tuple(tables.departures_by_instance.values()),
             last_departure=tables.last_departure,
         )
@@ -141,6 +145,7 @@
             noted_by_instance={each.instance: each for each in self.noted},
             reporting_instances=self.reporting_instances,
             quarantines_by_label={each.label: each for each in self.quarantines},
+            releases_by_id={each.release_id: each for each in self.releases},
             departures_by_instance={each.instance: each for each in self.departures},
             last_departure=self.last_departure,
         )
