Pass header bytes that aren't ASCII on unchanged

Headers were decoded as Latin-1 and written as UTF-8, so c3 a9 arrived at backend servers, and on the way back at callers, as c3 83 c2 a9.

The stand-in of forwarding.testing decodes heads in the same way; it failed on bytes that aren't UTF-8.

--- a/geraniumrail/backends/connections.py
+++ b/geraniumrail/backends/connections.py
@@ -19,6 +19,7 @@
 from geraniumrail.backends.exchange_connector import EXCHANGE, ExchangeConnector
 from geraniumrail.backends.guarded_handler import GuardedHandler, IdleLimits
 from geraniumrail.backends.held_response import HeldResponse
+from geraniumrail.core import header_bytes
 from geraniumrail.core.backend import Backend
 from geraniumrail.core.byte_budget import DEFAULT_BUDGET_BYTES
 
@@ -66,6 +67,7 @@
 
         :param config: limits.
         """
+        header_bytes.install()
         idle = IdleLimits(config.keep_alive_s)
         budget = AnswerBudget(config.answer_budget_bytes)
         return cls(
--- a/geraniumrail/callers/limited_server.py
+++ b/geraniumrail/callers/limited_server.py
@@ -5,6 +5,7 @@
 
 from aiohttp import web
 
+from geraniumrail.core import header_bytes
 from geraniumrail.core.byte_budget import Hold
 from geraniumrail.deployment.http_limits import HttpLimits
 from geraniumrail.errors.headers import HeadersTooLargeError
@@ -70,6 +71,7 @@
         :param limits: returns the limits in force.
         :param options: as for `web.Server`.
         """
+        header_bytes.install()
         super().__init__(handler, **options)
         self.limits = limits
 
--- a/geraniumrail/forwarding/attempt.py
+++ b/geraniumrail/forwarding/attempt.py
@@ -12,6 +12,7 @@
 from geraniumrail.backends.held_response import HeldResponse
 from geraniumrail.backends.service_call import CONNECTION_HEADERS, end_to_end
 from geraniumrail.core.backend import Backend
+from geraniumrail.core.header_bytes import text_of
 from geraniumrail.errors.backend import (
     ConnectionLostError,
     CrossedAnswerError,
@@ -110,10 +111,7 @@
     def _take_head(self, response: HeldResponse, connections: Connections) -> None:
         self.status = response.status
         self.headers = end_to_end(
-            tuple(
-                (name.decode('latin-1'), value.decode('latin-1'))
-                for name, value in response.raw_headers
-            ),
+            tuple((text_of(name), text_of(value)) for name, value in response.raw_headers),
             CONNECTION_HEADERS,
         )
         self.head = self._dialect.read_head(response.status, response.headers)
--- a/geraniumrail/forwarding/testing.py
+++ b/geraniumrail/forwarding/testing.py
@@ -124,7 +124,8 @@
         self.connections += 1
         try:
             while True:
-                lines = (await reader.readuntil(b'\r\n\r\n')).decode().split('\r\n')
+                head = await reader.readuntil(b'\r\n\r\n')
+                lines = head.decode('utf-8', 'surrogateescape').split('\r\n')
                 self.requests.append(lines)
                 self.asked.set()
                 length = next((ln for ln in lines if ln.lower().startswith('content-length')), ':0')
