Show the output of processes that ended by themselves

process_test.test_losses failed because a voter had ended; its log was removed with the folder, so the cause is not known. Failed waits of a deployment and its stop now show exit code and last output of each entry that nobody had ended, and the stop fails for them, also if nothing else did.

--- a/geraniumrail/testing/deployment.py
+++ b/geraniumrail/testing/deployment.py
@@ -47,6 +47,13 @@
     template = '{reason}; the logs are in {folder}'
 
 
+class ProcessesEndedError(GeraniumrailError):
+    """Entries have ended by themselves."""
+
+    type_name = 'processes_ended'
+    template = 'ended by themselves: {output}'
+
+
 class Deployment:
     """Starts, breaks and stops the processes of one folder."""
 
@@ -68,6 +75,8 @@
         self.places = lay_out(folder, entries, diskless, roles)
         self.places_by_name = {place.name: place for place in self.places}
         self.processes_by_name: dict[str, Process] = {}
+        # Of entries, also those that were started again; stand-ins may end as a fault.
+        self._started: list[Process] = []
         self.addresses_by_name: dict[str, str] = {}  # of engines and plain services
 
     async def start(self) -> None:
@@ -100,6 +109,7 @@
             str(place.config),
         )
         self.processes_by_name[name] = process
+        self._started.append(process)
         return process
 
     async def start_engine(self, name: str, *options: str, version: str = 'v1') -> str:
@@ -231,15 +241,28 @@
         end = loop.time() + limit_s
         while not await check():
             if loop.time() > end:
-                raise DeploymentNotReadyError(reason=what, folder=self.folder)
+                reason = '\n'.join((what, *self._outputs()))
+                raise DeploymentNotReadyError(reason=reason, folder=self.folder)
             await asyncio.sleep(0.1)
 
     async def stop(self) -> None:
-        """Ends all processes without notice."""
+        """Ends all processes without notice.
+
+        Whatever failed before, the output of those that had ended by themselves is shown: the logs
+        are removed with the folder.
+
+        :raises ProcessesEndedError: if an entry had ended by itself.
+        """
+        outputs = self._outputs()
         for process in self.processes_by_name.values():
             if process.alive:
                 process.thaw()
                 await process.kill()
+        if outputs:
+            raise ProcessesEndedError(output='\n'.join(outputs))
+
+    def _outputs(self) -> list[str]:
+        return [each.last_output() for each in self._started if each.ended_by_itself]
 
     async def _start_backend(
         self,
--- a/geraniumrail/testing/process.py
+++ b/geraniumrail/testing/process.py
@@ -21,6 +21,7 @@
     name: str
     process: asyncio.subprocess.Process
     log: pathlib.Path
+    asked: list[int] = dataclasses.field(default_factory=list)  # signals that end a process
 
     @classmethod
     async def start(cls, name: str, folder: pathlib.Path, *args: str) -> 'Process':
@@ -53,8 +54,20 @@
                 for line in self.log.read_text().splitlines():
                     if line.startswith('listening '):
                         return line.split()[1]
+                if self.ended_by_itself:
+                    raise TimeoutError(self.last_output())
                 await asyncio.sleep(0.05)
 
+    @property
+    def ended_by_itself(self) -> bool:
+        """Returns whether the process has ended although nobody asked it to."""
+        return not self.alive and not self.asked
+
+    def last_output(self) -> str:
+        """Returns the exit code and the last lines of the output."""
+        lines = self.log.read_text(errors='replace').splitlines()[-SHOWN_LINES:]
+        return '\n'.join((f'{self.name} ended: {self.process.returncode}', *lines))
+
     @property
     def alive(self) -> bool:
         """Returns whether the process has not ended."""
@@ -62,14 +75,12 @@
 
     async def kill(self) -> None:
         """Ends the process without notice."""
-        with contextlib.suppress(ProcessLookupError):
-            send_signal(self.process, signal.SIGKILL)
+        self._ask(signal.SIGKILL)
         await self.process.wait()
 
     async def terminate(self) -> int:
         """Asks the process to stop and returns its exit code."""
-        with contextlib.suppress(ProcessLookupError):
-            send_signal(self.process, signal.SIGTERM)
+        self._ask(signal.SIGTERM)
         async with asyncio.timeout(STOP_LIMIT_S):
             return await self.process.wait()
 
@@ -86,10 +97,16 @@
         try:
             send_signal(self.process, number)
         except ProcessLookupError as error:
-            lines = self.log.read_text(errors='replace').splitlines()[-SHOWN_LINES:]
-            error.add_note('\n'.join((f'{self.name} ended: {self.process.returncode}', *lines)))
+            error.add_note(self.last_output())
             raise
 
+    def _ask(self, number: int) -> None:
+        """Sends a signal to end, unless the process has ended by itself."""
+        if self.alive:
+            self.asked.append(number)
+            with contextlib.suppress(ProcessLookupError):
+                send_signal(self.process, number)
+
 
 def send_signal(process: asyncio.subprocess.Process, number: int) -> None:
     """Sends a signal to a process that was started here.
--- a/geraniumrail/testing/process_test.py
+++ b/geraniumrail/testing/process_test.py
@@ -6,6 +6,11 @@
 import tempfile
 from unittest import IsolatedAsyncioTestCase, main, mock
 
+from geraniumrail.testing.deployment import (
+    Deployment,
+    DeploymentNotReadyError,
+    ProcessesEndedError,
+)
 from geraniumrail.testing.process import Process
 
 
@@ -31,6 +36,26 @@
                 await process.kill()
             self.assertEqual(process.process.returncode, -signal.SIGKILL)
 
+    async def test_failure_shows_what_ended_by_itself(self):
+        """A voter had ended before its test failed elsewhere, and its output was removed."""
+        with tempfile.TemporaryDirectory() as name:
+            folder = pathlib.Path(name)
+            ended = await Process.start('ended', folder, 'timeit', '--unknown')
+            killed = await Process.start('killed', folder, 'timeit', '--number=1e9')
+            await ended.process.wait()
+            await killed.kill()
+            deployment = Deployment(folder)
+            with mock.patch.object(Process, 'start', side_effect=(ended, killed)):
+                await deployment.start_entry(deployment.places[0].name)
+                await deployment.start_entry(deployment.places[0].name)
+            with self.assertRaises(DeploymentNotReadyError) as unready:
+                await deployment.until(mock.AsyncMock(return_value=False), 'no leader', limit_s=0)
+            with self.assertRaises(ProcessesEndedError) as stopped:
+                await deployment.stop()
+            for found in (unready, stopped):
+                self.assertIn('--unknown', str(found.exception))
+                self.assertNotIn('killed', str(found.exception))
+
 
 if __name__ == '__main__':
     main()
