Leave room for callers' bodies of other sources

With 96 of 100 bytes held by bodies of one source, whose requests were running, small bodies of another got 503. A source may now hold seven times what is free: one alone seven eighths of the budget, and the next seven eighths of the rest.

body_budget_test.test_one_source_leaves_room: 6 of 10 bodies were refused, now none.

--- a/geraniumrail/core/byte_budget.py
+++ b/geraniumrail/core/byte_budget.py
@@ -1,6 +1,7 @@
 """A bound on the bytes that a process keeps on behalf of others."""
 
 import collections
+import math
 from collections.abc import Callable
 
 DEFAULT_BUDGET_BYTES = 96 * 1024 * 1024  # where no limit of the process is known
@@ -39,7 +40,7 @@
         """
         if self._budget is not None:
             self.size -= count
-            self._budget.give_back(count)
+            self._budget.give_back(self, count)
 
     def settle(self) -> None:
         """Notes that the body has arrived as a whole."""
@@ -66,15 +67,20 @@
     """Gives up arriving bodies when all together exceed the limit.
 
     Of the source that holds the most, the largest body is given up: bodies without end of one
-    source leave room for large ones of others.
+    source leave room for large ones of others. Whole bodies are not given up, so a source may also
+    be limited to a multiple of what all leave: however many hold their most, some room is left for
+    the next.
     """
 
-    def __init__(self, limit_bytes: int) -> None:
+    def __init__(self, limit_bytes: int, share_of_free: float = math.inf) -> None:
         """Starts empty.
 
         :param limit_bytes: of all bodies together.
+        :param share_of_free: a source may hold so many times the bytes that are free.
         """
         self.limit_bytes = limit_bytes
+        self._share_of_free = share_of_free
+        self._sizes_by_source: collections.Counter[str] = collections.Counter()
         self.held_bytes = 0
         self._arriving: set[Hold] = set()
         self._settled: set[Hold] = set()
@@ -99,17 +105,27 @@
         :param count: bytes.
         """
         self.held_bytes += count
+        self._sizes_by_source[hold.source] += count
         if not hold.is_settled:
             self._arriving.add(hold)
         while self.held_bytes > self.limit_bytes and self._arriving:
             self._largest().give_up()
+        while self._exceeds_share(hold.source):
+            arriving = [each for each in self._arriving if each.source == hold.source]
+            if not arriving:
+                break
+            max(arriving, key=lambda each: each.size).give_up()
 
-    def give_back(self, count: int) -> None:
+    def give_back(self, hold: Hold, count: int) -> None:
         """Returns bytes.
 
+        :param hold: whose bytes they were.
         :param count: bytes.
         """
         self.held_bytes -= count
+        self._sizes_by_source[hold.source] -= count
+        if not self._sizes_by_source[hold.source]:
+            self._sizes_by_source.pop(hold.source)
 
     def settle(self, hold: Hold) -> None:
         """Keeps a hold whatever arrives.
@@ -125,10 +141,16 @@
 
         :param hold: whose bytes they are.
         """
-        self.held_bytes -= hold.size
+        self.give_back(hold, hold.size)
         self._arriving.discard(hold)
         self._settled.discard(hold)
 
+    def _exceeds_share(self, source: str) -> bool:
+        if self._share_of_free == math.inf:
+            return False
+        free = self.limit_bytes - self.held_bytes
+        return self._sizes_by_source[source] > self._share_of_free * free
+
     def _largest(self) -> Hold:
         sizes_by_source: collections.Counter[str] = collections.Counter()
         for hold in self._arriving:
--- a/geraniumrail/forwarding/body_budget.py
+++ b/geraniumrail/forwarding/body_budget.py
@@ -9,6 +9,8 @@
 
 # Bodies that arrive are here, or given up, within some seconds.
 RETRY_S = 0.5
+# One source may hold seven eighths of the budget, a second one seven eighths of the rest.
+SHARE_OF_FREE = 7
 
 
 class ArrivingBody:
@@ -50,7 +52,17 @@
 
 
 class BodyBudget(ByteBudget):
-    """A budget of bodies, by address of the caller."""
+    """A budget of bodies, by address of the caller.
+
+    Load pattern: one source holds all it can, in requests that run for long.
+    """
+
+    def __init__(self, limit_bytes: int) -> None:
+        """Starts empty.
+
+        :param limit_bytes: of all bodies together.
+        """
+        super().__init__(limit_bytes, SHARE_OF_FREE)
 
     @contextlib.contextmanager
     def request(self, source: str) -> Iterator[ArrivingBody]:
