Refuse requests for lack of room by the sizes of their routes' answers

Two whole answers of 30 MB that waited for slow callers made an entry with 420 MB refuse all requests for up to 60 s: no request was taken when whole answers held half of the budget. Now one is refused if the largest answer that its route had in the last one to two minutes doesn't fit beside them; for a route without any, a quarter of the budget. What arrives is bounded by the budget as before.

--- a/geraniumrail/core/byte_budget.py
+++ b/geraniumrail/core/byte_budget.py
@@ -85,10 +85,12 @@
         self._arriving: set[Hold] = set()
         self._settled: set[Hold] = set()
 
-    @property
-    def is_full(self) -> bool:
-        """Whether whole bodies alone take more than half, so that no further one should begin."""
-        return 2 * sum(each.size for each in self._settled) > self.limit_bytes
+    def has_room(self, size: int) -> bool:
+        """Returns whether whole bodies leave room for a further one.
+
+        :param size: its bytes.
+        """
+        return sum(each.size for each in self._settled) + size <= self.limit_bytes
 
     def hold(self, source: str, give_up: Callable[[], None]) -> Hold:
         """Begins to count a body.
--- a/geraniumrail/forwarding/forwarder.py
+++ b/geraniumrail/forwarding/forwarder.py
@@ -7,7 +7,7 @@
 from geraniumrail.errors.base import GeraniumrailError
 from geraniumrail.errors.request import NotRunError, OutcomeUnknownError
 from geraniumrail.forwarding import events
-from geraniumrail.forwarding.admitted import admit, spread
+from geraniumrail.forwarding.admitted import Admitted, admit, spread
 from geraniumrail.forwarding.body_budget import BodyBudget
 from geraniumrail.forwarding.inbound import Inbound
 from geraniumrail.forwarding.limit_check import check_limit
@@ -22,6 +22,8 @@
 LEAVING_RETRY_S = 0.05
 # Answers that wait for slow callers leave room within some seconds.
 NO_ROOM_RETRY_S = 1.0
+# Of the budget of answers; taken as the size of a whole answer of a route that has had none lately.
+UNKNOWN_SIZE_PART = 0.25
 
 
 class Forwarder:
@@ -107,6 +109,14 @@
             self._served -= 1
             self._record(inbound, outcome)
 
+    def _has_room(self, admitted: Admitted) -> bool:
+        """Returns whether answers that wait for slow callers leave room for another one."""
+        budget, sizes = self.parts.connections.budget, self.parts.answer_sizes
+        size = sizes.largest(admitted.route.name, self.parts.clock.now())
+        if size is None:
+            size = int(UNKNOWN_SIZE_PART * budget.limit_bytes)
+        return budget.has_room(size)
+
     async def _end(self, reply: Reply, error: GeraniumrailError) -> None:
         if reply.started:
             reply.abort()
@@ -130,7 +140,7 @@
                 reason='this entry is stopping',
                 retry_after_s=spread(LEAVING_RETRY_S, self.parts.rng),
             )
-        if self.parts.connections.budget.is_full:
+        if not self._has_room(admitted):
             raise NotRunError(
                 reason='no room for its answer',
                 retry_after_s=spread(NO_ROOM_RETRY_S, self.parts.rng),
--- a/geraniumrail/forwarding/parts.py
+++ b/geraniumrail/forwarding/parts.py
@@ -10,6 +10,7 @@
 from geraniumrail.fairness.leaderless_admission import LeaderlessAdmission
 from geraniumrail.fairness.quota import Quota
 from geraniumrail.fairness.retry_budget import RetryBudget
+from geraniumrail.forwarding.answer_sizes import AnswerSizes
 from geraniumrail.forwarding.config import ForwardingConfig
 from geraniumrail.forwarding.demand import DemandCounter
 from geraniumrail.forwarding.dialect import Dialect
@@ -40,3 +41,4 @@
     config: ForwardingConfig
     data_centre: str
     region: str
+    answer_sizes: AnswerSizes = dataclasses.field(default_factory=AnswerSizes)
--- a/geraniumrail/forwarding/run.py
+++ b/geraniumrail/forwarding/run.py
@@ -135,6 +135,9 @@
             await self._relay(attempt, sent_at)
             return None
         body = await attempt.read()
+        self._parts.answer_sizes.record(
+            self._admitted.route.name, len(body), self._parts.clock.now()
+        )
         failed = attempt.status >= _SERVER_ERROR
         self._notes.answered(attempt, sent_at, failed=failed)
         if not failed and not attempt.is_success and not attempt.head.sealed:
