--- a/geraniumrail/control/publisher.py
+++ b/geraniumrail/control/publisher.py
@@ -25,6 +25,7 @@
 from geraniumrail.state import commands
 from geraniumrail.state.machine import Machine
 from geraniumrail.state.record_departures import RecordDepartures
+from geraniumrail.state.release_quarantine import ReleaseQuarantine
 from geraniumrail.state.set_evacuation import SetEvacuation
 from geraniumrail.state.set_quarantines import SetQuarantines
 
@@ -49,6 +50,7 @@
     RecordDepartures,
     SetEvacuation,
     SetQuarantines,
+    ReleaseQuarantine,
 )
 
 
