--- a/geraniumrail/entry/completion_run.py
+++ b/geraniumrail/entry/completion_run.py
@@ -12,7 +12,7 @@
 from geraniumrail.entry import events
 from geraniumrail.entry.completion_call import CompletionCall
 from geraniumrail.entry.completions import Completions
-from geraniumrail.entry.lease_wait import regains_lease
+from geraniumrail.entry.lease_wait import regains_lease, require_servers
 from geraniumrail.entry.leaving_backend import is_leaving
 from geraniumrail.errors.backend import (
     BackendError,
@@ -86,6 +86,7 @@
             version = self.shared.outcomes.version(self.call.service, self.call.route, self._draw)
             admission = self.shared.admission(self.call.service, self.call.model, version)
             try:
+                require_servers(self.shared.view, self.call.service)
                 decision = await admission.turn(item, self._choose, self._remaining_s())
             except NoBackendError as error:
                 raise self._given_up(str(error)) from error
--- a/geraniumrail/entry/crashing_completion_test.py
+++ b/geraniumrail/entry/crashing_completion_test.py
@@ -62,6 +62,15 @@
         except GeraniumrailError as error:
             return error
 
+    async def test_completion_does_not_wait_for_the_end_of_an_evacuation(self):
+        """It waited in the queue until its deadline, since engines were known."""
+        view = self.day.completions.view
+        view.evacuations.data_centres = frozenset({'cheras'})  # of all engines
+        began = self.day.clock.now()
+        failure = await self.complete()
+        self.assertEqual((failure.type_name, self.ended), ('not_run', []))
+        self.assertLess(self.day.clock.now() - began, 1)
+
     async def test_completion_does_not_end_one_engine_after_the_other(self):
         """A completion whose engine was lost was sent to the next one until its deadline."""
         failure = await self.complete()
--- a/geraniumrail/entry/known_evacuations.py
+++ b/geraniumrail/entry/known_evacuations.py
@@ -1,6 +1,6 @@
 """The evacuations of data centres that control has told this entry."""
 
-from collections.abc import Collection
+from collections.abc import Collection, Iterable
 
 from geraniumrail.core.backend import Backend
 from geraniumrail.core.events import log
@@ -40,3 +40,12 @@
         :param backend: the backend server.
         """
         return backend.data_centre in self.data_centres
+
+    def hold_back_all(self, backends: Iterable[Backend], service: str) -> bool:
+        """Returns whether a service has backend servers, and none of them gets requests.
+
+        :param backends: all that the entry knows.
+        :param service: name of the service.
+        """
+        held = [self.hold_back(backend) for backend in backends if backend.service == service]
+        return bool(held) and all(held)
--- a/geraniumrail/entry/lease_wait.py
+++ b/geraniumrail/entry/lease_wait.py
@@ -1,7 +1,8 @@
-"""Further attempts of a request, as the first one, are made only under a lease."""
+"""What attempts need: a lease, as the first one has, and a server that is not held back."""
 
 from geraniumrail.core.backend import Backend
 from geraniumrail.entry.cluster_view import ClusterView
+from geraniumrail.errors.backend import NoBackendError
 
 # As `ForwardingConfig.lease_wait_s` and `.lease_lost_s`.
 LEASE_WAIT_S = 2.5
@@ -31,3 +32,14 @@
     :param backend: the backend server.
     """
     return view.holds_lease() and not view.evacuations.hold_back(backend)
+
+
+def require_servers(view: ClusterView, service: str) -> None:
+    """Checks that a request need not wait for the end of an evacuation.
+
+    :param view: of the entry.
+    :param service: name of the service.
+    :raises NoBackendError: if all backend servers of the service are held back.
+    """
+    if view.evacuations.hold_back_all(view.backends_by_instance.values(), service):
+        raise NoBackendError(service=service)
