Bound what all entries together send to cold backend servers

The leader gives rates to a few entries for each cold server; an entry without one sends nothing there. Cold times reach the leader with announcements and with answers, and are published when they begin, end or move.

--- a/geraniumrail/control/backend_notes.py
+++ b/geraniumrail/control/backend_notes.py
@@ -8,6 +8,7 @@
 import dataclasses
 
 from geraniumrail.control import events
+from geraniumrail.control.backend_registry import RegisteredBackend
 from geraniumrail.control.control import Control
 from geraniumrail.core.backend import Backend
 from geraniumrail.core.events import log
@@ -20,6 +21,7 @@
 ANNOUNCEMENT_WAIT_S = 3.0
 # In one command; a record takes about 340 bytes, and a command at most 1 MiB.
 MAX_ADDED_BACKENDS = 1000
+COLD_S = 1.0  # noted of a cold backend server
 
 
 class BackendNotes:
@@ -52,7 +54,7 @@
         registry = self._control.publisher.registry
         noted = self._control.machine.tables.noted_by_instance
         serving = {
-            instance: _note(registered.backend)
+            instance: _note(registered, self._control.now())
             for instance, registered in registry.registered_by_instance.items()
             if registered.backend.state == 'serving'
         }
@@ -74,11 +76,14 @@
             log(events.TASK_FAILED, task=self.name, reason=str(error))
 
 
-def _note(backend: Backend) -> Backend:
+def _note(registered: RegisteredBackend, now: float) -> Backend:
+    backend = registered.backend
     return dataclasses.replace(
         backend,
         sequence=0,
         load=LoadReport(slots=backend.load.slots),
         cache_events=(),
         leaves_in_s=-1,
+        # The seconds that are left would change with each announcement.
+        cold_s=COLD_S if registered.cold_until > now else 0,
     )
--- a/geraniumrail/control/backend_registry.py
+++ b/geraniumrail/control/backend_registry.py
@@ -26,6 +26,8 @@
 UINT64_MASK = (1 << 64) - 1
 _Subset = tuple[int, frozenset[str]]  # subset epoch when it was computed, instances
 UNRENEWED_LEASE_S = 86_400.0
+# Announcements of one cold start name its end with an error below this, unless they are late.
+COLD_SHIFT_S = 0.2
 
 
 @dataclasses.dataclass(frozen=True)
@@ -38,6 +40,8 @@
     load_version: int
     load_row: LoadRow
     leaving_from: int | None  # sequence since which it leaves; None: it serves
+    announced_at: float  # when the announcement was received
+    cold_until: float  # 0: it is warm
 
 
 @dataclasses.dataclass(frozen=True)
@@ -80,6 +84,7 @@
         self._changes_in_epoch = 0
         self._subsets_by_entry: dict[str, _Subset] = {}
         self._departures = departures
+        self._now: float = 0  # of the last call that named it
 
     def observe(self, backends: Iterable[Backend], now: float) -> bool:
         """Merges announcements; the highest sequence of an instance wins.
@@ -88,6 +93,7 @@
         :param now: monotonic seconds.
         :returns: whether something other than load has changed.
         """
+        self._now = max(self._now, now)
         return any([self._observe_one(backend, now) for backend in backends])
 
     def expire(self, now: float) -> bool:
@@ -96,6 +102,7 @@
         :param now: monotonic seconds.
         :returns: whether any was removed.
         """
+        self._now = max(self._now, now)
         expired = [
             instance
             for instance, registered in self.registered_by_instance.items()
@@ -163,7 +170,9 @@
         known_version = -1 if full else version
         subset = self._subset(reader)
         backends = tuple(
-            _for_reader(registered.backend, self._gets_load(registered.backend, subset))
+            _for_reader(
+                self._with_cold_left(registered), self._gets_load(registered.backend, subset)
+            )
             for registered in self._changed_since(known_version)
         )
         in_subset = (self.registered_by_instance.get(instance) for instance in subset)
@@ -176,6 +185,12 @@
         gone = () if full else tuple(self._departures_since(known_version))
         return RegistryDifference(self.version, full, backends, loads, gone)
 
+    def _with_cold_left(self, registered: RegisteredBackend) -> Backend:
+        if not registered.backend.cold_s:
+            return registered.backend
+        left_s = max(0, registered.cold_until - self._now)
+        return dataclasses.replace(registered.backend, cold_s=left_s)
+
     def _gets_load(self, backend: Backend, subset: frozenset[str]) -> bool:
         # A new backend server is not in a subset that was computed before, and would get no work
         # from this entry until its next announcement.
@@ -201,7 +216,12 @@
         if registered is not None and backend.freshness <= registered.backend.freshness:
             return False
         self.version += 1
-        changed = registered is None or _without_load(registered.backend) != _without_load(backend)
+        cold_until = now + backend.cold_s if backend.cold_s > 0 else 0
+        changed = (
+            registered is None
+            or _without_load(registered.backend) != _without_load(backend)
+            or _is_moved(registered.cold_until, cold_until, now)
+        )
         self._member_changes += changed
         if registered is None:
             log(
@@ -230,6 +250,8 @@
             load_version=self.version,
             load_row=LoadRow.from_backend(backend),
             leaving_from=_leaving_from(backend, registered),
+            announced_at=now,
+            cold_until=cold_until,
         )
         return changed
 
@@ -266,7 +288,13 @@
 
 
 def _without_load(backend: Backend) -> Backend:
-    return dataclasses.replace(backend, sequence=0, load=LoadReport(), cache_events=())
+    return dataclasses.replace(backend, sequence=0, load=LoadReport(), cache_events=(), cold_s=0)
+
+
+def _is_moved(known_until: float, cold_until: float, now: float) -> bool:
+    """Returns whether a cold time begins, ends early, or ends at another time than was known."""
+    known_left_s = max(0, known_until - now)
+    return abs(max(0, cold_until - now) - known_left_s) > COLD_SHIFT_S
 
 
 def _for_reader(backend: Backend, with_load: bool) -> Backend:
--- a/geraniumrail/control/entry_session.py
+++ b/geraniumrail/control/entry_session.py
@@ -44,6 +44,7 @@
         self._sent_departure = 0
         self._sent_hazards: PartHazards | None = None
         self._sent_rates: dict[str, float] | None = None
+        self._sent_cold_rates: dict[str, float] | None = None
 
     def receive_report(self, report: EntryReport) -> None:
         """Records a report, which the next update will answer.
@@ -103,6 +104,7 @@
             wall_error_s=known_group.wall_error_s,
             window_s=known_group.window_s,
             engine_rates=self._engine_rates(known_group),
+            cold_rates=self._cold_rates(known_group),
             quarantines=changed.quarantines,
             watched=changed.watched,
             trials=changed.trials,
@@ -118,6 +120,12 @@
         self._sent_rates = group.engine_rates
         return group.engine_rates
 
+    def _cold_rates(self, group: GroupInfo) -> dict[str, float] | None:
+        if group.cold_rates is None or group.cold_rates == self._sent_cold_rates:
+            return None
+        self._sent_cold_rates = group.cold_rates
+        return group.cold_rates
+
     def _members(self, group: GroupInfo) -> tuple[str, ...]:
         if group.members == self._sent_members:
             return ()
--- a/geraniumrail/control/events.py
+++ b/geraniumrail/control/events.py
@@ -95,3 +95,16 @@
     'control.backend_withdrawn',
     'A backend server announced that it takes no more work.',
 )
+COLD_ALLOTTED = Event.define(
+    1435,
+    'control.cold_allotted',
+    'Entries got rates for a cold backend server; `held` others have one already.',
+)
+COLD_ENDED = Event.define(
+    1436, 'control.cold_ended', 'A backend server does not count as cold any more, or is gone.'
+)
+COLD_ASSUMED = Event.define(
+    1437,
+    'control.cold_assumed',
+    'The backend servers of a data centre count as cold until they announce themselves.',
+)
--- a/geraniumrail/control/group_info.py
+++ b/geraniumrail/control/group_info.py
@@ -12,3 +12,5 @@
     window_s: float = 0  # length of a usage window; 0: usage is not reported
     # Requests a second that the entry may send, by limited backend server.
     engine_rates: dict[str, float] = dataclasses.field(default_factory=dict)
+    # The same by cold backend server; None: unchanged.
+    cold_rates: dict[str, float] | None = None
--- a/geraniumrail/control/publisher.py
+++ b/geraniumrail/control/publisher.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncIterator, Callable
 
 from geraniumrail.control.backend_registry import BackendRegistry
+from geraniumrail.control.cold_board import ColdBoard, Situation
 from geraniumrail.control.entry_leases import EntryLeases
 from geraniumrail.control.entry_session import EntrySession
 from geraniumrail.control.group_info import GroupInfo
@@ -78,6 +79,8 @@
         self.usage_shares = UsageShares()
         self.crash_ledger = CrashLedger()
         self.limit_board = LimitBoard()
+        self.cold_board = ColdBoard()
+        self._cold_is_stale = False
         self.trials_by_entry: dict[str, tuple[str, ...]] = {}
         self.report_sinks: list[ReportSink] = []
         self._machine = machine
@@ -98,6 +101,7 @@
         self.usage_ledger = UsageLedger()
         self.crash_ledger = CrashLedger()
         self.limit_board = LimitBoard()
+        self.cold_board.became_leader()
         self.trials_by_entry = {}
         self.median_clock = MedianClock()
         self.leases.reset(self._clock.now())
@@ -108,6 +112,7 @@
         :param backend: the announcement.
         """
         if self.registry.observe((backend,), self._clock.now()):
+            self._cold_is_stale = True
             self.wake_sessions()
 
     def tick(self) -> None:
@@ -120,6 +125,21 @@
             self.wake_sessions()
         self.registry.refresh_subsets()
         self.limit_board.expire(self.registry.registered_by_instance.keys(), now)
+        self._refresh_cold()
+
+    def _refresh_cold(self) -> None:
+        self._cold_is_stale = False
+        now, tables = self._clock.now(), self._machine.tables
+        serving = self.leases.public_entries(tables.drains_by_target)
+        situation = Situation(
+            registered=self.registry.registered_by_instance,
+            services=tables.deployment.services,
+            leased=self.leases.leases_by_entry.keys(),
+            serving=tuple(info.entry for info in serving),
+            may_allot=self.leases.knows_all_leases(now),
+        )
+        if self.cold_board.refresh(situation, now):
+            self.wake_sessions()
 
     def wake_sessions(self) -> None:
         """Triggers an update to every entry."""
@@ -182,7 +202,7 @@
             return ()
         known = self.registry.registered_by_instance
         return tuple(
-            dataclasses.replace(note, lease_s=remaining_s)
+            dataclasses.replace(note, lease_s=remaining_s, cold_s=remaining_s if note.cold_s else 0)
             for instance, note in self._machine.tables.noted_by_instance.items()
             if instance not in known and not self.registry.has_left(note)
         )
@@ -198,11 +218,14 @@
 
     def _group_info(self, entry: str) -> GroupInfo:
         now = self._clock.now()
+        if self._cold_is_stale:
+            self._refresh_cold()
         return GroupInfo(
             members=self._members(),
             wall_error_s=self.median_clock.error_s(entry, self._clock.wall(), now),
             window_s=self._window_s,
             engine_rates=self._engine_rates(entry),
+            cold_rates=self.cold_board.rates(entry),
         )
 
     def _engine_rates(self, entry: str) -> dict[str, float]:
@@ -233,10 +256,19 @@
         session.receive_report(report)
         crashes_are_news = self._observe_crashes(report, now)
         limits_changed = self.limit_board.observe(report.limits, now)
+        cold_is_news = self.cold_board.observe(report.cold, now)
+        self._cold_is_stale |= registry_changed or cold_is_news
         for sink in self.report_sinks:
             sink.observe(report, now)
         lease_changed = previous_lease is None or previous_lease.holds_lease != report.holds_lease
-        changes = (registry_changed, crashes_are_news, limits_changed, state_changed, lease_changed)
+        changes = (
+            registry_changed,
+            crashes_are_news,
+            limits_changed,
+            cold_is_news,
+            state_changed,
+            lease_changed,
+        )
         if any(changes):
             self.wake_sessions()
 
--- a/geraniumrail/daemon/hosted_daemon.py
+++ b/geraniumrail/daemon/hosted_daemon.py
@@ -150,6 +150,7 @@
     def _build_control(self) -> Any:
         from geraniumrail.control.backend_notes import BackendNotes
         from geraniumrail.control.central_limits import CentralLimits
+        from geraniumrail.control.cold_board import ColdTolerance
         from geraniumrail.control.control import Control
         from geraniumrail.fairness.central_buckets import CentralBuckets
         from geraniumrail.fairness.quota import QUOTA_HEADROOM
@@ -162,6 +163,9 @@
             self._config.usage_window_s,
             self._started_at,
         )
+        control.publisher.cold_board.tolerance = ColdTolerance(
+            self._config.cold_overage, self._config.cold_slack
+        )
         control.register(self._link_server)
         control.jobs.append(BackendNotes(control))
         central_limits = CentralLimits(
--- a/geraniumrail/entry/cluster_view.py
+++ b/geraniumrail/entry/cluster_view.py
@@ -157,6 +157,7 @@
             self.backends_by_instance[backend.instance] = backend
             self._unconfirmed.discard(backend.instance)
             self.knowledge.observe(backend, now)
+            self.knowledge.cold.observe(backend, now)
 
     def usable(self, service: str) -> list[Backend]:
         """Returns the backend servers of a service that may get new work.
@@ -242,6 +243,7 @@
                 # Its lease is short: until it has announced itself, or is gone.
                 self.backends_by_instance[note.instance] = note
                 self.knowledge.observe(note, now)
+                self.knowledge.cold.observe(note, now)
                 self._unconfirmed.add(note.instance)
         for row in update.loads:
             known = self.backends_by_instance.get(row.i)
--- a/geraniumrail/entry/entry.py
+++ b/geraniumrail/entry/entry.py
@@ -189,6 +189,9 @@
         limits = self.view.knowledge.limits
         self._follower.resumed.append(lambda: limits.requeue_all(clock.now()))
         limits.on_news = self._follower.poke
+        cold = self.view.knowledge.cold
+        self._follower.resumed.append(lambda: cold.requeue_all(clock.now()))
+        cold.on_news = self._follower.poke
         self._tasks: list[asyncio.Task[None]] = []
 
     @classmethod
@@ -333,9 +336,11 @@
         self._announces.add(backend)
         self.view.observe((backend,))
         self._completions.reported((backend.instance,))
-        if known is None or known.state != backend.state:
+        is_changed = known is None or known.state != backend.state
+        # Control must hear at once that a server has become cold: it gives the rates.
+        if is_changed or backend.cold_s > 0:
             self._follower.poke()
-            if backend.state == 'leaving':
+            if is_changed and backend.state == 'leaving':
                 self._notices.add(backend)
         self._completions.pump()
         return RENEW_IN_S
@@ -353,7 +358,11 @@
         self._outcomes.follow_moves()
         limits = self.view.knowledge.limits
         limits.entries = len(self.view.entries)
-        limits.take_allotted(update.engine_rates, self._clock.now())
+        now = self._clock.now()
+        limits.take_allotted(update.engine_rates, now)
+        cold = self.view.knowledge.cold
+        cold.follow(self.view.table.services_by_name.values())
+        cold.take_rates(update.cold_rates, update.term, now + self.view.lease_left_s(), now)
         self._watch.take(update.quarantines, update.watched, update.trials)
         self._completions.limits.update(update.share)
         self.forwarder.parts.quota.update(update.share, self._clock.now())
--- a/geraniumrail/entry/reporter.py
+++ b/geraniumrail/entry/reporter.py
@@ -63,4 +63,5 @@
             crashes=crashes,
             sounds=sounds,
             limits=self.view.knowledge.limits.report(now),
+            cold=self.view.knowledge.cold.report(now),
         )
--- a/geraniumrail/forwarding/run_notes.py
+++ b/geraniumrail/forwarding/run_notes.py
@@ -31,6 +31,7 @@
         self._unread: float = 0  # prompt tokens that the chosen backend server has yet to read
         self._read_tokens: float = 0  # the same, also once they were read
         self._first_event_at: float | None = None  # of the present attempt
+        self._is_cold = False  # the backend server, when the present attempt was sent
 
     def sent(self, backend: Backend, attempt: str) -> None:
         """Notes that an attempt is made.
@@ -46,6 +47,7 @@
         self._read_tokens = self._unread
         self._first_event_at = None
         self.is_proved = False
+        self._is_cold = knowledge.cold.is_cold(backend, now)
         knowledge.add_pending_prompt_tokens(backend.instance, self._unread)
         knowledge.record_sent(backend.instance, inbound.tokens or 1, inbound.prefixes, now)
         self._parts.outcomes.breaker.start_wait(
@@ -83,6 +85,7 @@
         if attempt.head.leaving:
             knowledge.mark_leaving(attempt.backend)
         knowledge.limits.named(attempt.backend, attempt.head.limit_per_s, now)
+        knowledge.cold.answered(attempt.backend, attempt.head.cold_s, now)
 
     def first_event(self, backend: Backend, sent_at: float) -> None:
         """Notes the first event of a stream, once.
@@ -217,7 +220,8 @@
     def _count_work(self, backend: Backend) -> None:
         """Counts the engine time of an attempt: its reading, then its slot of the batch."""
         tokens = self._inbound.tokens
-        if self._first_event_at is None or not tokens:
+        # A cold server would lower the throughput that is learned for its service.
+        if self._first_event_at is None or not tokens or self._is_cold:
             return
         generating_s = self._parts.clock.now() - self._first_event_at
         slots = max(1, self._parts.view.knowledge.last_report(backend).slots)
--- a/geraniumrail/links/messages.py
+++ b/geraniumrail/links/messages.py
@@ -1,5 +1,7 @@
 """Records between the entry and control roles."""
 
+import dataclasses
+
 from geraniumrail.core.backend import Backend
 from geraniumrail.core.codec import record
 from geraniumrail.core.departure import Departure
@@ -114,6 +116,8 @@
     crashes: tuple[CrashNote, ...] = ()
     sounds: tuple[SoundPart, ...] = ()
     limits: tuple[NamedLimit, ...] = ()  # that backend servers have named to the entry
+    # Seconds for which backend servers are still cold, as their answers said.
+    cold: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 @record
--- a/geraniumrail/routing/backend_tracker.py
+++ b/geraniumrail/routing/backend_tracker.py
@@ -14,6 +14,7 @@
     UNRESPONSIVE_S,
     BackendView,
 )
+from geraniumrail.routing.cold_backends import ColdBackends
 from geraniumrail.routing.engine_limits import EngineLimits
 from geraniumrail.routing.engine_pauses import EnginePauses
 from geraniumrail.routing.estimate import Estimate
@@ -45,6 +46,7 @@
         self.own_send_weight = own_send_weight
         self.hints = PrefixHints()
         self.limits = EngineLimits()
+        self.cold = ColdBackends()
         self.pauses = EnginePauses()
         self._leaving_by_instance: dict[str, int] = {}  # incarnation that said so
         self._views_by_id: dict[str, BackendView] = {}
@@ -105,6 +107,7 @@
         """
         self._view(backend_id).record_change(1, tokens, now)
         self.limits.take(backend_id, now)
+        self.cold.take(backend_id, now)
         self.hints.record_sent(backend_id, prefixes, now)
 
     def add_pending_prompt_tokens(self, backend_id: str, tokens: float) -> None:
@@ -207,6 +210,8 @@
         )
         if backend.state != 'serving' or not is_open or self.is_leaving(backend):
             return False
+        if not self.cold.is_open(backend, now):
+            return False
         if view is None or view.backend is None:
             return True
         return view.backend.state == 'serving' and not view.lease_expired(now)
@@ -249,7 +254,11 @@
         """
         return min(
             (
-                max(self.limits.opens_in_s(each.instance, now), self.pauses.left_s(each, now))
+                max(
+                    self.limits.opens_in_s(each.instance, now),
+                    self.pauses.left_s(each, now),
+                    self.cold.opens_in_s(each, now),
+                )
                 for each in backends
                 if each.state == 'serving'
             ),
--- a/geraniumrail/routing/choice.py
+++ b/geraniumrail/routing/choice.py
@@ -39,7 +39,8 @@
     :param now: monotonic seconds.
     :raises NoBackendError: if no backend server may take the request.
     """
-    usable = eligible_backends(candidates, request, tracker, rng, now)
+    eligible = eligible_backends(candidates, request, tracker, rng, now)
+    usable = tracker.cold.drawn(eligible, rng, now)
     sample = _draw(usable, request.region, rng)
     estimates = [tracker.estimate(each, now) for each in sample]
     mean_occupancy = sum(each.occupancy for each in estimates) / len(estimates)
--- a/geraniumrail/routing/events.py
+++ b/geraniumrail/routing/events.py
@@ -23,6 +23,11 @@
     'routing.leaving_named',
     'A backend server said in an answer that it leaves; this entry sends it no new work.',
 )
+COLD_NAMED = Event.define(
+    410,
+    'routing.cold_named',
+    'A backend server said in an answer that it is cold; control is told.',
+)
 
 
 def log_decision(decision: Decision) -> None:
--- a/geraniumrail/routing/score.py
+++ b/geraniumrail/routing/score.py
@@ -76,6 +76,7 @@
         'kv': KV_FULL_COST_S
         * (max(0, estimate.kv_used - KV_SAFE_SHARE) / (1 - KV_SAFE_SHARE)) ** 2,
         'penalty': estimate.penalty_s,
+        'cold': tracker.cold.cost_s(backend, estimate.requests, now),
     }
     return tuple(itertools.starmap(ScorePart, amounts.items()))
 
@@ -98,6 +99,7 @@
         ScorePart('wait', PLAIN_OCCUPANCY_COST_S * estimate.occupancy),
         ScorePart('distance', distance_s(request, backend)),
         ScorePart('penalty', estimate.penalty_s),
+        ScorePart('cold', tracker.cold.cost_s(backend, estimate.requests, now)),
     )
 
 
