--- a/geraniumrail/control/backend_registry_test.py
+++ b/geraniumrail/control/backend_registry_test.py
@@ -92,6 +92,33 @@
             self.assertEqual(len(later.difference_since(known_version, READER).backends), 1)
         self.assertFalse(later.difference_since(1001, READER).full)
 
+    def changes(self, sequence, now, cold_s):
+        """Returns what entries get of a new announcement: seconds of the cold time, or None."""
+        known_version = self.registry.version
+        self.registry.observe([announced_backend(1, sequence=sequence, cold_s=cold_s)], now)
+        sent = self.registry.difference_since(known_version, READER).backends
+        return [round(each.cold_s, 3) for each in sent]
+
+    def test_only_changes_of_the_cold_time_are_published(self):
+        """A server that turned cold again under its id was published as a load row, without the
+        cold time; and each announcement of a cold one as a change."""
+        self.assertEqual(self.changes(1, 0, 0), [0])
+        self.assertEqual(self.changes(2, 1, 3), [3])
+        self.assertEqual(self.changes(3, 2, 2), [])
+        self.assertEqual(self.changes(4, 3, 3), [3])
+        self.assertEqual(self.changes(5, 4, 0), [0])
+        self.assertEqual(self.changes(6, 5, 3), [3])
+        self.assertEqual(self.changes(7, 9, 0), [])
+        self.assertEqual(self.changes(8, 10, 3), [3])
+
+    def test_relayed_cold_time_is_what_is_left(self):
+        """An entry that started later took a server for cold that had long been warm."""
+        self.registry.observe([announced_backend(1, cold_s=3, lease_s=60)], 10)
+        for now, left_s in ((11, 2), (20, 0)):
+            self.registry.expire(now)
+            (sent,) = self.registry.difference_since(-1, READER).backends
+            self.assertEqual(sent.cold_s, left_s)
+
     def test_late_announcement_does_not_replace_a_newer_one(self):
         self.registry.observe([announced_backend(1, sequence=5, state='leaving')], 0)
         self.registry.observe([announced_backend(1, sequence=4)], 1)
--- a/geraniumrail/control/fleet_demand.py
+++ b/geraniumrail/control/fleet_demand.py
@@ -26,6 +26,7 @@
         self._averages_by_service: dict[str, _Samples] = {}
         self._first_request_at_by_service: dict[str, float] = {}
         self._capacity = EngineCapacity()
+        self._asked_by_service: dict[str, tuple[int, float]] = {}  # requests, tokens
 
     def observe(self, demand: Iterable[ServiceDemand], now: float) -> None:
         """Records the demand at one entry since its last report.
@@ -35,6 +36,11 @@
         """
         for each in demand:
             self._capacity.observe(each, now)
+            requests, tokens = self._asked_by_service.get(each.service, (0, 0))
+            self._asked_by_service[each.service] = (
+                requests + each.requests,
+                tokens + each.tokens,
+            )
             if each.tokens:
                 self._first_request_at_by_service.setdefault(each.service, now)
                 self._tokens_by_service.setdefault(each.service, collections.deque()).append(
@@ -48,6 +54,14 @@
         """
         return service in self._first_request_at_by_service
 
+    def tokens_per_request(self, service: str) -> float:
+        """Returns the mean size of a request, 0 before the first one.
+
+        :param service: name of the service.
+        """
+        requests, tokens = self._asked_by_service.get(service, (0, 0))
+        return tokens / requests if requests else 0
+
     def tokens_per_engine_s(self, service: str) -> float | None:
         """Returns what an engine that is never idle answers, or None while it is not known.
 
--- a/geraniumrail/control/fleet_planner.py
+++ b/geraniumrail/control/fleet_planner.py
@@ -174,6 +174,7 @@
             needed = self._most_needed(
                 service.name, math.ceil(load.busy_engines / SUBSTITUTE_UTILISATION), now
             )
+            needed += self._lost_to_cold(service, scaling, load, now)
         refused = [
             name
             for name in scaling.price_by_data_centre
@@ -298,6 +299,23 @@
         self._planned_load_by_service[service] = load.busy_engines * PLAN_HEADROOM
         return fleet
 
+    def _lost_to_cold(self, service: ServiceSpec, scaling: Scaling, load: _Load, now: float) -> int:
+        """Returns the engines that cold ones fall short of.
+
+        A cold time that is over before a new engine would serve counts for nothing: each cold
+        start of a data centre would order as many engines again.
+        """
+        if service.cold_per_s <= 0:
+            return 0
+        served = now + scaling.boot_s
+        cold = sum(
+            registered.backend.service == service.name and registered.cold_until > served
+            for registered in self._control.publisher.registry.registered_by_instance.values()
+        )
+        tokens_per_s = service.cold_per_s * self._demand.tokens_per_request(service.name)
+        share = min(1, tokens_per_s / load.tokens_per_engine_s)
+        return math.floor(cold * (1 - share))
+
     def _serving(self, service: str) -> collections.Counter[FleetKey]:
         known = self._control.publisher.registry.registered_by_instance.values()
         return collections.Counter(
--- a/geraniumrail/control/fleet_planner_test.py
+++ b/geraniumrail/control/fleet_planner_test.py
@@ -61,6 +61,7 @@
         self.cloud = Cloud()
         self.registered = {}
         self.tokens_per_engine_s = TOKENS_PER_ENGINE_S
+        self.cold_until = 0
         scaling = Scaling(
             least=1,
             most=6,
@@ -68,7 +69,8 @@
             reclaimable_price=0.18,
             price_by_data_centre=dict(zip(NAMES, (0.85, 1.2, 1.0), strict=True)),
         )
-        deployment = Deployment(version=1, services=(ServiceSpec(name=SERVICE, scaling=scaling),))
+        service = ServiceSpec(name=SERVICE, scaling=scaling, cold_per_s=1)
+        deployment = Deployment(version=1, services=(service,))
         self.tables = types.SimpleNamespace(
             deployment=deployment, duty=DutyHeld(holder='a', number=1)
         )
@@ -121,7 +123,9 @@
                 version='v1',
                 reclaimable=kind,
             )
-            self.registered[backend.instance] = types.SimpleNamespace(backend=backend)
+            self.registered[backend.instance] = types.SimpleNamespace(
+                backend=backend, cold_until=self.cold_until
+            )
 
     def counts_by_kind(self):
         serving = self.cloud.serving()
@@ -258,6 +262,27 @@
         self.assertEqual(self.counts_by_kind(), before)
         self.assertEqual(before[1], 0)
 
+    def test_short_cold_starts_order_nothing(self):
+        """A cold start that is over before a new engine would serve ordered as many again."""
+        self.run_for(10, traffic=False)
+        self.run_for(30)
+        before = list(self.cloud.history)
+        self.cold_until = self.cloud.now + BOOT_S - STEP_S
+        self.run_for(BOOT_S)
+        self.assertEqual(self.cloud.history, before)
+
+    def test_engines_that_stay_cold_count_for_what_they_do(self):
+        """A data centre is reclaimed while the engines of the others stay cold for longer than a
+        start takes; these counted as whole ones, and few substitutes were ordered."""
+        self.run_for(10, traffic=False)
+        self.run_for(30)
+        self.cold_until = self.cloud.now + 10 * BOOT_S
+        self.cloud.reclaim('cheras', 14)
+        self.run_for(10)
+        self.assertGreater(self.counts_by_kind()[1], 2)
+        self.run_for(20 * BOOT_S)
+        self.assertEqual(self.counts_by_kind()[1], 0)
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/geraniumrail/daemon/gauges.py
+++ b/geraniumrail/daemon/gauges.py
@@ -8,9 +8,13 @@
 from geraniumrail.metrics.instruments import Instruments
 
 if TYPE_CHECKING:  # a role that is not configured is not loaded
+    from collections.abc import Iterable
+
     from geraniumrail.backends.answer_budget import AnswerBudget
     from geraniumrail.control.control import Control
+    from geraniumrail.core.backend import Backend
     from geraniumrail.entry.entry import Entry
+    from geraniumrail.routing.cold_backends import ColdBackends
 
 INTERVAL_S = 1.0
 
@@ -69,6 +73,7 @@
         self._instruments.limited_backends.replace(
             collections.Counter((each.service,) for each in limited if each is not None)
         )
+        self.show_cold(view.knowledge.cold, backends, entry.forwarder.parts.clock.now())
         held = entry.forwarder.parts.watch.quarantines
         self._instruments.quarantines.replace(collections.Counter((each.service,) for each in held))
         self._instruments.held_body_bytes.set(entry.forwarder.bodies.held_bytes)
@@ -79,6 +84,17 @@
             {(service,): depth for service, depth in entry.queue_depths().items()},
         )
 
+    def show_cold(self, cold: 'ColdBackends', backends: 'Iterable[Backend]', now: float) -> None:
+        """Sets the number of cold backend servers.
+
+        :param cold: what the entry knows of them.
+        :param backends: all that it knows.
+        :param now: monotonic seconds.
+        """
+        self._instruments.cold_backends.replace(
+            collections.Counter((each.service,) for each in backends if cold.is_cold(each, now))
+        )
+
     def show_answers(self, budget: 'AnswerBudget') -> None:
         """Sets what is known of the answers of backend servers.
 
--- a/geraniumrail/daemon/gauges_test.py
+++ b/geraniumrail/daemon/gauges_test.py
@@ -5,6 +5,9 @@
 
 from geraniumrail.backends.answer_budget import NO_ROOM, AnswerBudget
 from geraniumrail.daemon.gauges import Gauges
+from geraniumrail.deployment.service import ServiceSpec
+from geraniumrail.routing.cold_backends import ColdBackends
+from geraniumrail.testing.followers import engine
 
 
 class GaugesTest(unittest.TestCase):
@@ -22,6 +25,17 @@
         instruments.held_answer_bytes.set.assert_called_with(60)
         instruments.answers_broken_off.add.assert_called_once_with(2, NO_ROOM)
 
+    def test_cold_backend_servers_are_shown(self):
+        """Nothing showed why an entry sent nothing to servers that were in service."""
+        instruments = mock.Mock()
+        cold = ColdBackends()
+        cold.follow([ServiceSpec(name='llm', cold_per_s=1)])
+        backends = [engine('a', 1, cold_s=3), engine('b', 1), engine('c', 1, cold_s=3, service='d')]
+        for backend in backends:
+            cold.observe(backend, 10)
+        Gauges(instruments, None, None).show_cold(cold, backends, 12)
+        instruments.cold_backends.replace.assert_called_once_with({('llm',): 1})
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/geraniumrail/entry/cluster_view_test.py
+++ b/geraniumrail/entry/cluster_view_test.py
@@ -5,6 +5,7 @@
 from geraniumrail.control.backend_registry_test import announced_backend
 from geraniumrail.core.load_row import LoadRow
 from geraniumrail.core.manual_clock import ManualClock
+from geraniumrail.deployment.service import ServiceSpec
 from geraniumrail.entry.cluster_view import CONFIRM_S, ClusterView
 from geraniumrail.links.messages import ControlUpdate
 from geraniumrail.routing.backend_tracker import BackendTracker
@@ -44,6 +45,19 @@
         await self.clock.advance(5)
         self.assertIn('engine-3', [each.instance for each in self.view.candidates('model-bench')])
 
+    async def test_load_row_leaves_the_cold_time(self):
+        """Each load row renewed the cold time of the announcement, which then never ended."""
+        cold = self.view.knowledge.cold
+        cold.follow([ServiceSpec(name='model-bench', cold_per_s=1)])
+        server = announced_backend(3, cold_s=3)
+        self.view.take(update(1, [server], registry_full=False), 0)
+        for sequence in (2, 3, 4):
+            self.assertTrue(cold.is_cold(server, self.clock.now()))
+            await self.clock.advance(1)
+            row = LoadRow.from_backend(announced_backend(3, sequence=sequence))
+            self.view.take(update(1, loads=(row,), registry_full=False), 0)
+        self.assertFalse(cold.is_cold(server, self.clock.now() + 0.01))
+
     async def test_update_of_an_earlier_leader_is_refused(self):
         self.view.take(update(3), 0)
         self.assertFalse(self.view.take(update(2), 0))
--- a/geraniumrail/forwarding/testing.py
+++ b/geraniumrail/forwarding/testing.py
@@ -83,6 +83,7 @@
             leaving='X-Leaving' in headers,
             retry_after_s=float(headers['Retry-After']) if 'Retry-After' in headers else None,
             limit_per_s=float(headers['X-Limit']) if 'X-Limit' in headers else None,
+            cold_s=float(headers['X-Cold']) if 'X-Cold' in headers else None,
         )
 
 
--- a/geraniumrail/metrics/catalogue.py
+++ b/geraniumrail/metrics/catalogue.py
@@ -105,6 +105,13 @@
         labels=('service',),
         about='backend servers that have named a limit of the requests that they take',
     ),
+    Spec(
+        name='geraniumrail.cold_backends',
+        kind='gauge',
+        unit='{server}',
+        labels=('service',),
+        about='backend servers that this entry knows to be cold',
+    ),
     Spec(
         name='geraniumrail.quarantines',
         kind='gauge',
--- a/geraniumrail/metrics/instruments.py
+++ b/geraniumrail/metrics/instruments.py
@@ -30,6 +30,7 @@
     bookings: Counter
     backends: Gauge
     limited_backends: Gauge
+    cold_backends: Gauge
     quarantines: Gauge
     held_answer_bytes: Gauge
     held_body_bytes: Gauge
