--- a/geraniumrail/control/cold_board.py
+++ b/geraniumrail/control/cold_board.py
@@ -13,6 +13,7 @@
 from geraniumrail.control import events
 from geraniumrail.control.backend_registry import RegisteredBackend
 from geraniumrail.control.entry_leases import LEASE_MARGIN_S, LEASE_S
+from geraniumrail.core.backend import Backend
 from geraniumrail.core.events import log
 from geraniumrail.deployment.service import ServiceSpec
 from geraniumrail.routing.cold_backends import BURST, KEEP
@@ -159,6 +160,15 @@
             for instance in self._cold
         }
 
+    def concerns(self, announced: Iterable[Backend]) -> bool:
+        """Returns whether announcements may change which servers are cold.
+
+        Other announcements need no refresh; hundreds of them arrive at a new leader.
+
+        :param announced: announcements.
+        """
+        return any(each.cold_s > 0 or each.instance in self._cold for each in announced)
+
     def is_cold(self, instance: str) -> bool:
         """Returns whether a server counts as cold.
 
--- a/geraniumrail/control/cold_board_test.py
+++ b/geraniumrail/control/cold_board_test.py
@@ -429,6 +429,21 @@
                 day = played(entries, 1, work, cold_s=LONG_COLD_S)
                 self.assertLessEqual(day.most_told(), day.bound)
 
+    def test_entries_hear_at_once_of_servers_assumed_cold(self):
+        """After an evacuation, entries sent to servers that had turned cold unannounced."""
+
+        async def work(day):
+            day.leader.publisher.assume_cold('a', COLD_S)
+            await asyncio.sleep(0.2)
+            chosen = engine('server-0', 1)
+            for entry in day.entries:
+                self.assertTrue(entry.cold.is_cold(chosen, day.now()))
+            await asyncio.sleep(2)
+            for entry in day.entries:
+                self.assertFalse(entry.cold.is_cold(chosen, day.now()))
+
+        played(33, 1, work)
+
 
 class AllotTest(unittest.TestCase):
     """One server, by hand."""
--- a/geraniumrail/control/publisher.py
+++ b/geraniumrail/control/publisher.py
@@ -112,7 +112,7 @@
         :param backend: the announcement.
         """
         if self.registry.observe((backend,), self._clock.now()):
-            self._cold_is_stale = True
+            self._cold_is_stale |= self.cold_board.concerns((backend,))
             self.wake_sessions()
 
     def tick(self) -> None:
@@ -127,6 +127,18 @@
         self.limit_board.expire(self.registry.registered_by_instance.keys(), now)
         self._refresh_cold()
 
+    def assume_cold(self, data_centre: str, for_s: float) -> None:
+        """Treats the servers of a data centre as cold until they announce themselves.
+
+        Only this leader knows it. The next update of each entry says so.
+
+        :param data_centre: its name.
+        :param for_s: seconds, without an announcement received later than now.
+        """
+        now = self._clock.now()
+        self.cold_board.assume_cold(data_centre, now + for_s, now)
+        self._refresh_cold()
+
     def _refresh_cold(self) -> None:
         self._cold_is_stale = False
         now, tables = self._clock.now(), self._machine.tables
@@ -257,7 +269,7 @@
         crashes_are_news = self._observe_crashes(report, now)
         limits_changed = self.limit_board.observe(report.limits, now)
         cold_is_news = self.cold_board.observe(report.cold, now)
-        self._cold_is_stale |= registry_changed or cold_is_news
+        self._cold_is_stale |= cold_is_news or self.cold_board.concerns(report.announces)
         for sink in self.report_sinks:
             sink.observe(report, now)
         lease_changed = previous_lease is None or previous_lease.holds_lease != report.holds_lease
