--- a/geraniumrail/control/evacuations_test.py
+++ b/geraniumrail/control/evacuations_test.py
@@ -11,6 +11,8 @@
 from geraniumrail.control.publisher_test import FakeLeadership, one_report
 from geraniumrail.core import codec
 from geraniumrail.core.manual_clock import ManualClock
+from geraniumrail.deployment.deployment import Deployment
+from geraniumrail.deployment.service import ServiceSpec
 from geraniumrail.errors.base import GeraniumrailError
 from geraniumrail.errors.link import NoControlError
 from geraniumrail.links.requests import ChangeEvacuation
@@ -18,6 +20,7 @@
 from geraniumrail.state.machine import Machine
 from geraniumrail.state.set_evacuation import SetEvacuation
 from geraniumrail.testing.daemons import Daemons
+from geraniumrail.testing.followers import engine
 from geraniumrail.testing.virtual_loop import run_virtually
 
 CENTRE = 'cheras'
@@ -224,6 +227,24 @@
         apply(restored, change('b', False, 3, at=300))
         self.assertEqual(restored.tables.evacuation_ends_by_data_centre, {'b': 300})
 
+    async def test_servers_count_as_cold_after_an_evacuation(self):
+        """Servers that had become cold meanwhile looked idle to all entries, and warm."""
+        machine, clock = Machine(), ManualClock(1000)
+        service = ServiceSpec(name='llm', cold_start_s=3, cold_per_s=7)
+        machine.tables.deployment = Deployment(version=1, services=(service,))
+        publisher = Publisher(machine, FakeLeadership(lambda: 1), clock)
+        publisher.became_leader(1)
+        backend = engine('i-1', 1, service='llm', data_centre='a')
+        publisher.receive_announcement(backend)
+        apply(machine, change('a', True, 0), change('a', False, 1, at=clock.wall()))
+        self.assertIn('i-1', publisher.cold_board.rates('e'))
+        publisher.became_leader(2)
+        publisher.tick()
+        await clock.advance(0.5)
+        publisher.receive_announcement(backend)
+        publisher.tick()
+        self.assertNotIn('i-1', publisher.cold_board.rates('e') or ())  # it has announced itself
+
     async def test_first_update_has_the_present_list(self):
         """An entry kept an evacuation that ended while it followed another leader."""
         machine = Machine()
--- a/geraniumrail/control/publisher.py
+++ b/geraniumrail/control/publisher.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncIterator, Callable
 
 from geraniumrail.control.backend_registry import BackendRegistry
+from geraniumrail.control.cold_board import ColdBoard, Situation
 from geraniumrail.control.entry_leases import EntryLeases
 from geraniumrail.control.entry_session import EntrySession
 from geraniumrail.control.group_info import GroupInfo
@@ -26,6 +27,7 @@
 from geraniumrail.state.machine import Machine
 from geraniumrail.state.record_departures import RecordDepartures
 from geraniumrail.state.release_quarantine import ReleaseQuarantine
+from geraniumrail.state.results import EvacuationSet
 from geraniumrail.state.set_evacuation import SetEvacuation
 from geraniumrail.state.set_quarantines import SetQuarantines
 
@@ -82,6 +84,8 @@
         self.usage_shares = UsageShares()
         self.crash_ledger = CrashLedger()
         self.limit_board = LimitBoard()
+        self.cold_board = ColdBoard()
+        self._cold_is_stale = False
         self.trials_by_entry: dict[str, tuple[str, ...]] = {}
         self.report_sinks: list[ReportSink] = []
         self._machine = machine
@@ -102,9 +106,14 @@
         self.usage_ledger = UsageLedger()
         self.crash_ledger = CrashLedger()
         self.limit_board = LimitBoard()
+        self.cold_board.became_leader()
         self.trials_by_entry = {}
         self.median_clock = MedianClock()
         self.leases.reset(self._clock.now())
+        wall = self.median_clock.wall(self._clock.wall(), self._clock.now())
+        ends = self._machine.tables.evacuation_ends_by_data_centre
+        for data_centre, ended_at in ends.items():
+            self._assume_cold_since(data_centre, wall - ended_at)
 
     def receive_announcement(self, backend: Backend) -> None:
         """Records an announcement that a control process received.
@@ -112,6 +121,7 @@
         :param backend: the announcement.
         """
         if self.registry.observe((backend,), self._clock.now()):
+            self._cold_is_stale |= self.cold_board.concerns((backend,))
             self.wake_sessions()
 
     def tick(self) -> None:
@@ -124,6 +134,46 @@
             self.wake_sessions()
         self.registry.refresh_subsets()
         self.limit_board.expire(self.registry.registered_by_instance.keys(), now)
+        self._refresh_cold()
+
+    def assume_cold(self, data_centre: str, for_s: float) -> None:
+        """Treats the servers of a data centre as cold until they announce themselves.
+
+        Only this leader knows it. The next update of each entry says so.
+
+        :param data_centre: its name.
+        :param for_s: seconds, without an announcement received later than now.
+        """
+        now = self._clock.now()
+        self.cold_board.assume_cold(data_centre, now + for_s, now)
+        self._refresh_cold()
+
+    def _assume_cold_since(self, data_centre: str, ended_s: float) -> None:
+        """Treats the servers of a data centre as cold, since its evacuation has ended.
+
+        They may have become cold shortly before, and have not announced it yet.
+
+        :param data_centre: its name.
+        :param ended_s: seconds since the end.
+        """
+        services = self._machine.tables.deployment.services
+        cold_s = max((each.cold_start_s for each in services if each.cold_per_s > 0), default=0)
+        if ended_s < cold_s:
+            self.assume_cold(data_centre, cold_s - max(0, ended_s))
+
+    def _refresh_cold(self) -> None:
+        self._cold_is_stale = False
+        now, tables = self._clock.now(), self._machine.tables
+        serving = self.leases.public_entries(tables.drains_by_target)
+        situation = Situation(
+            registered=self.registry.registered_by_instance,
+            services=tables.deployment.services,
+            leased=self.leases.leases_by_entry.keys(),
+            serving=tuple(info.entry for info in serving),
+            may_allot=self.leases.knows_all_leases(now),
+        )
+        if self.cold_board.refresh(situation, now):
+            self.wake_sessions()
 
     def wake_sessions(self) -> None:
         """Triggers an update to every entry."""
@@ -186,7 +236,7 @@
             return ()
         known = self.registry.registered_by_instance
         return tuple(
-            dataclasses.replace(note, lease_s=remaining_s)
+            dataclasses.replace(note, lease_s=remaining_s, cold_s=remaining_s if note.cold_s else 0)
             for instance, note in self._machine.tables.noted_by_instance.items()
             if instance not in known and not self.registry.has_left(note)
         )
@@ -202,11 +252,14 @@
 
     def _group_info(self, entry: str) -> GroupInfo:
         now = self._clock.now()
+        if self._cold_is_stale:
+            self._refresh_cold()
         return GroupInfo(
             members=self._members(),
             wall_error_s=self.median_clock.error_s(entry, self._clock.wall(), now),
             window_s=self._window_s,
             engine_rates=self._engine_rates(entry),
+            cold_rates=self.cold_board.rates(entry),
         )
 
     def _engine_rates(self, entry: str) -> dict[str, float]:
@@ -237,10 +290,19 @@
         session.receive_report(report)
         crashes_are_news = self._observe_crashes(report, now)
         limits_changed = self.limit_board.observe(report.limits, now)
+        cold_is_news = self.cold_board.observe(report.cold, now)
+        self._cold_is_stale |= cold_is_news or self.cold_board.concerns(report.announces)
         for sink in self.report_sinks:
             sink.observe(report, now)
         lease_changed = previous_lease is None or previous_lease.holds_lease != report.holds_lease
-        changes = (registry_changed, crashes_are_news, limits_changed, state_changed, lease_changed)
+        changes = (
+            registry_changed,
+            crashes_are_news,
+            limits_changed,
+            cold_is_news,
+            state_changed,
+            lease_changed,
+        )
         if any(changes):
             self.wake_sessions()
 
@@ -254,6 +316,8 @@
     def _on_applied(self, command: object, answer: object) -> None:
         if isinstance(command, RecordDepartures):
             self.registry.remove_departed(command.added)
+        if isinstance(answer, EvacuationSet) and self._ends_evacuation(command, answer):
+            self._assume_cold_since(answer.data_centre, 0)
         # Changes of bookings concern one entry each, and are too frequent to update all entries.
         if command is None or isinstance(command, PUBLISHED_COMMANDS):
             self.wake_sessions()
@@ -261,3 +325,7 @@
             session = self._sessions_by_entry.get(command.to_owner)
             if session is not None:
                 session.wake.set()
+
+    def _ends_evacuation(self, command: object, answer: EvacuationSet) -> bool:
+        is_end = isinstance(command, SetEvacuation) and not command.evacuated
+        return is_end and answer.is_current and self._leadership.is_active()
--- a/geraniumrail/control/publisher_test.py
+++ b/geraniumrail/control/publisher_test.py
@@ -30,6 +30,7 @@
     def __init__(self, require_term, is_leader_known=lambda: True):
         self.require_term = require_term
         self.is_leader_known = is_leader_known
+        self.is_active = is_leader_known
 
 
 async def one_report():
--- a/geraniumrail/entry/reporter.py
+++ b/geraniumrail/entry/reporter.py
@@ -64,4 +64,5 @@
             sounds=sounds,
             held_back=parts.watch.held_back.report(now),
             limits=self.view.knowledge.limits.report(now),
+            cold=self.view.knowledge.cold.report(now),
         )
--- a/geraniumrail/links/messages.py
+++ b/geraniumrail/links/messages.py
@@ -118,6 +118,8 @@
     # Seconds since the last request that a quarantine covers, by its label.
     held_back: dict[str, float] = dataclasses.field(default_factory=dict)
     limits: tuple[NamedLimit, ...] = ()  # that backend servers have named to the entry
+    # Seconds for which backend servers are still cold, as their answers said.
+    cold: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 @record
--- a/geraniumrail/metrics/catalogue.py
+++ b/geraniumrail/metrics/catalogue.py
@@ -112,6 +112,13 @@
         labels=('data_centre',),
         about='backend servers that get no requests because their data centre is evacuated',
     ),
+    Spec(
+        name='geraniumrail.cold_backends',
+        kind='gauge',
+        unit='{server}',
+        labels=('service',),
+        about='backend servers that this entry knows to be cold',
+    ),
     Spec(
         name='geraniumrail.quarantines',
         kind='gauge',
--- a/geraniumrail/metrics/instruments.py
+++ b/geraniumrail/metrics/instruments.py
@@ -31,6 +31,7 @@
     backends: Gauge
     limited_backends: Gauge
     evacuated_backends: Gauge
+    cold_backends: Gauge
     quarantines: Gauge
     held_answer_bytes: Gauge
     held_body_bytes: Gauge
--- a/geraniumrail/testing/followers.py
+++ b/geraniumrail/testing/followers.py
@@ -30,6 +30,9 @@
     def is_leader_known(self) -> bool:
         return True
 
+    def is_active(self) -> bool:
+        return True
+
 
 class Leader:
     """The leader's publisher and jobs; `restart` begins a new leadership with the same log."""
