--- a/geraniumrail/routing/cold_backends.py
+++ b/geraniumrail/routing/cold_backends.py
@@ -151,6 +151,11 @@
         :param backend: the backend server.
         :param now: monotonic seconds.
         """
+        # Asked of each server for each request; mostly none is or was cold.
+        if not (
+            self._announced_by_instance or self._ended_at_by_instance or self._told or self._kept
+        ):
+            return False
         if backend.service not in self._per_s_by_service:
             return False
         ends_at = self._ends_at(backend.instance)
