Spend a scarce limit on small requests first

While a limit in tokens is scarce, the central bucket keeps a reserve for requests below the organisation's mean; large ones share the rest and are granted at least a fixed part as often. Rejected requests are told when their turn is likely. A request of a scarce limit does not wait for a leader that does not answer. The tests of the borrower and of limit_check use the new interface of the lender, with the same assertions.

--- a/geraniumrail/control/central_limits.py
+++ b/geraniumrail/control/central_limits.py
@@ -4,9 +4,12 @@
 
 from geraniumrail.control.control import Control
 from geraniumrail.control.leader_job import LeaderJob
+from geraniumrail.core.events import log
 from geraniumrail.deployment.deployment import Deployment
 from geraniumrail.deployment.organisation import Organisation
+from geraniumrail.fairness import events
 from geraniumrail.fairness.central_buckets import CentralBuckets, Reporting
+from geraniumrail.fairness.limit_spending import Asked
 from geraniumrail.links.datagrams import Datagrams
 from geraniumrail.links.messages import EntryReport
 from geraniumrail.links.report_interval import report_interval_s
@@ -65,9 +68,21 @@
             # The entry and the leader have different versions of the configuration.
             return LimitTaken(leads=False)
         now = self._control.now()
+        reporting = self._reporting(now)
+        if request.size <= 0:
+            # The entry has an earlier version, which does not tell the size.
+            return LimitTaken(
+                wait_s=self._buckets.take(organisation, request.cost, now, reporting),
+                starting=self._buckets.is_starting(now),
+            )
+        grant = self._buckets.decide(organisation, request.cost, now, reporting, _asked(request))
+        if grant.became_scarce:
+            self._log_scarce(organisation, now)
         return LimitTaken(
-            wait_s=self._buckets.take(organisation, request.cost, now, self._reporting(now)),
+            wait_s=grant.wait_s,
             starting=self._buckets.is_starting(now),
+            retry_after_s=grant.retry_after_s,
+            mean=grant.mean,
         )
 
     def observe(self, report: EntryReport, now: float) -> None:
@@ -97,7 +112,28 @@
             )
         return self._counted
 
+    def _log_scarce(self, organisation: Organisation, now: float) -> None:
+        spending = self._buckets.spending(organisation.name)
+        log(
+            events.LIMIT_SCARCE,
+            organisation=organisation.name,
+            rate_per_s=organisation.rate_per_s,
+            mean=round(spending.mean(now)),
+            small_per_s=round(spending.small_per_s(now)),
+        )
+
     def _index_organisations(self, deployment: Deployment) -> None:
         if deployment.version != self._indexed_version:
             self._indexed_version = deployment.version
             self._organisations_by_name = {each.name: each for each in deployment.organisations}
+
+
+def _asked(request: TakeLimit) -> Asked:
+    return Asked(
+        cost=request.size,
+        rank=request.rank,
+        local_admitted=request.local_admitted,
+        local_rejected=request.local_rejected,
+        local_tokens=request.local_tokens,
+        known_mean=request.known_mean,
+    )
--- a/geraniumrail/entry/borrower.py
+++ b/geraniumrail/entry/borrower.py
@@ -1,5 +1,6 @@
 """Takes from the leader what this entry's part of a limit lacks."""
 
+import math
 import random
 from collections.abc import Callable
 
@@ -17,6 +18,12 @@
 # Requests that wait for a ledger that fills ask again after about this time; some hundreds wait at
 # once, and a question takes about 0.1 ms of the leader.
 FILLING_PAUSE_S = 0.25
+# While no leader answers, it is asked so often for requests of limits that are known to be scarce;
+# the others are decided at once.
+PROBE_S = 0.25
+# Retry-After of a request of a scarce limit that is rejected without a leader; by then another one
+# is elected, or more has accrued.
+ALONE_RETRY_S = 0.6
 
 
 class Borrower:
@@ -40,42 +47,69 @@
         """
         self._followed_at = followed_at
         self._answered_at = clock.now()
+        self._is_silent = False  # the last question had no answer of a leader
+        self._probed_at = -math.inf
         self._rng = rng
         self._datagrams = datagrams
         self._finder = finder
         self._clock = clock
 
     async def borrow(
-        self, organisation: str, cost: float, limit_s: float, without_leader: WithoutLeader
-    ) -> float:
-        """Returns 0 if the cost was taken, or seconds until it may be tried again.
+        self, question: TakeLimit, limit_s: float, without_leader: WithoutLeader
+    ) -> LimitTaken:
+        """Returns the answer of the leader, or what was decided without it.
 
         An answer that was lost for good loses what was taken, which keeps the limit.
 
-        :param organisation: name.
-        :param cost: what the entry lacks.
+        :param question: what the entry lacks.
         :param limit_s: how long to wait for a leader, seconds.
         :param without_leader: asked while no leader answers.
         :raises LinkError: if no leader answered in time.
         """
+        if question.known_mean > 0:
+            return await self._borrow_scarce(question, without_leader)
         end = self._clock.now() + limit_s
-        question = TakeLimit(organisation=organisation, cost=cost)
         while True:
-            try:
-                answer = await self._datagrams.ask(self._finder.address, question, TRY_S, TRIES)
-            except LinkError:
-                answer = LimitTaken(leads=False)
+            answer = await self._ask(question, TRIES)
             pause_s = NO_LEADER_PAUSE_S
             if answer.leads:
-                self._answered_at = self._clock.now()
                 # A new leader's ledger starts empty: those that waited for it would be refused
                 # though their organisation is within its limit.
                 pause_s = FILLING_PAUSE_S * self._rng.uniform(0.5, 1.5)
                 filling = answer.wait_s > 0 and answer.starting
                 if not filling or self._clock.now() + pause_s >= end:
-                    return answer.wait_s
+                    return answer
             elif without_leader(max(self._answered_at, self._followed_at())):
-                return 0
+                return answer
             elif self._clock.now() >= end:
                 raise LinkError(address=self._finder.address, reason='no leader lends')
             await self._clock.sleep(pause_s)
+
+    async def _borrow_scarce(
+        self, question: TakeLimit, without_leader: WithoutLeader
+    ) -> LimitTaken:
+        """Decides at once if no leader answers: waiting does not make the limit less scarce."""
+        answer = LimitTaken(leads=False)
+        if self._may_ask():
+            answer = await self._ask(question, 1)
+        if answer.leads or without_leader(max(self._answered_at, self._followed_at())):
+            return answer
+        return LimitTaken(leads=False, wait_s=ALONE_RETRY_S, retry_after_s=ALONE_RETRY_S)
+
+    def _may_ask(self) -> bool:
+        """Returns whether the leader answers, or is to be asked whether it does again."""
+        now = self._clock.now()
+        if self._is_silent and now < self._probed_at + PROBE_S:
+            return False
+        self._probed_at = now
+        return True
+
+    async def _ask(self, question: TakeLimit, tries: int) -> LimitTaken:
+        try:
+            answer = await self._datagrams.ask(self._finder.address, question, TRY_S, tries)
+        except LinkError:
+            answer = LimitTaken(leads=False)
+        self._is_silent = not answer.leads
+        if answer.leads:
+            self._answered_at = self._clock.now()
+        return answer
--- a/geraniumrail/entry/borrower_test.py
+++ b/geraniumrail/entry/borrower_test.py
@@ -4,10 +4,10 @@
 import unittest
 
 from geraniumrail.core.manual_clock import ManualClock
-from geraniumrail.entry.borrower import Borrower
+from geraniumrail.entry.borrower import ALONE_RETRY_S, PROBE_S, Borrower
 from geraniumrail.entry.leader_finder import LeaderFinder
 from geraniumrail.errors.link import LinkError
-from geraniumrail.links.requests import LimitTaken
+from geraniumrail.links.requests import LimitTaken, TakeLimit
 
 NOT_LEADING = LimitTaken(leads=False)
 
@@ -39,8 +39,9 @@
     finder = LeaderFinder(('127.0.0.1:1',))
     clock = SteppingClock()
     borrower = Borrower(datagrams, finder, clock, random.Random(1), lambda: 0)
-    found = await borrower.borrow('salon', 9_200, limit_s, lambda heard_at: clock.now() > free_s)
-    return found, datagrams.asked
+    question = TakeLimit(organisation='salon', cost=9_200)
+    found = await borrower.borrow(question, limit_s, lambda heard_at: clock.now() > free_s)
+    return found.wait_s, datagrams.asked
 
 
 class BorrowerTest(unittest.IsolatedAsyncioTestCase):
@@ -74,6 +75,26 @@
         with self.assertRaises(LinkError):
             await borrow(NOT_LEADING)
 
+    async def test_scarce_limit_does_not_wait_for_a_silent_leader(self):
+        """Pattern: a control process was frozen in a flood; the first rejected request was held for
+        0.52 s, and all others up to 1.2 s, though their limit was known to be used up."""
+        datagrams = FakeDatagrams(None)
+        clock = SteppingClock()
+        finder = LeaderFinder(('127.0.0.1:1',))
+        borrower = Borrower(datagrams, finder, clock, random.Random(1), lambda: 0)
+        question = TakeLimit(organisation='salon', cost=9_200, size=9_200, known_mean=3_800)
+        began_at = clock.now()
+        for _ in range(5):
+            answer = await borrower.borrow(question, 1.0, lambda heard_at: False)
+            self.assertEqual((answer.leads, answer.wait_s), (False, ALONE_RETRY_S))
+        self.assertEqual((datagrams.asked, clock.now()), (1, began_at))
+        await clock.sleep(PROBE_S)
+        datagrams.answers = [LimitTaken(wait_s=0.3, starting=True, mean=3_800)]
+        for _ in range(3):
+            answer = await borrower.borrow(question, 1.0, lambda heard_at: False)
+            self.assertEqual(answer.wait_s, 0.3)
+        self.assertEqual((datagrams.asked, clock.now()), (4, began_at + PROBE_S))
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/geraniumrail/fairness/central_buckets.py
+++ b/geraniumrail/fairness/central_buckets.py
@@ -4,6 +4,7 @@
 
 from geraniumrail.deployment.organisation import Organisation
 from geraniumrail.fairness.bucket_size import BucketSize
+from geraniumrail.fairness.limit_spending import Asked, LimitSpending
 from geraniumrail.fairness.slack import Slack
 
 # Bounds of the central part of each limit; the local part, which is the rest, is divided over the
@@ -54,6 +55,16 @@
         return 1 - self.silent / max(1, self.entries)
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Grant:
+    """What became of a request at the central bucket."""
+
+    wait_s: float = 0  # until the bucket is above the level for the request; 0: it was granted
+    retry_after_s: float = 0  # until it is likely to be granted, after those rejected before it
+    mean: float = 0  # mean cost of the organisation's requests; 0: the limit is not scarce
+    became_scarce: bool = False
+
+
 @dataclasses.dataclass(frozen=True)
 class _Level:
     left: float
@@ -82,6 +93,7 @@
         self._slack = slack or Slack()
         self._started_at: float = 0
         self._levels_by_organisation: dict[str, _Level] = {}
+        self._spending_by_organisation: dict[str, LimitSpending] = {}
 
     def restart(self, now: float) -> None:
         """Empties the buckets, since this process has just become the leader.
@@ -90,6 +102,7 @@
         """
         self._started_at = now
         self._levels_by_organisation = {}
+        self._spending_by_organisation = {}
 
     def is_starting(self, now: float) -> bool:
         """Returns whether a refusal may be due to the empty start instead of the limit.
@@ -117,9 +130,54 @@
         if left > 0:
             self._levels_by_organisation[organisation.name] = _Level(left - cost, now)
             return 0
-        # Seconds until the bucket has refilled to one unit.
-        rate_per_s = self._size(organisation).rate_per_s
-        return (1 - left) / (rate_per_s * max(reporting.refill_part, MIN_REFILL_PART))
+        return self._wait_s(organisation, 1 - left, reporting)
+
+    def decide(
+        self,
+        organisation: Organisation,
+        cost: float,
+        now: float,
+        reporting: Reporting,
+        asked: Asked,
+    ) -> Grant:
+        """Takes an amount as `take` does, but with a reserve for small requests if it is scarce.
+
+        :param organisation: whose request it is.
+        :param cost: amount that the entry's local bucket cannot cover.
+        :param now: seconds.
+        :param reporting: what is known of the entries.
+        :param asked: the whole request.
+        """
+        if organisation.rate_per_s <= 0 or not organisation.in_tokens:
+            wait_s = self.take(organisation, cost, now, reporting)
+            return Grant(wait_s=wait_s, retry_after_s=wait_s)
+        spending = self.spending(organisation.name)
+        spending.count(asked, now)
+        was_scarce = spending.is_scarce(now)
+        least = spending.least_level(asked, self._size(organisation).capacity, now)
+        left = self._refill(organisation, now, reporting)
+        if left > least:
+            self._levels_by_organisation[organisation.name] = _Level(left - cost, now)
+            spending.granted(asked, now)
+            return Grant(mean=spending.mean(now) if was_scarce else 0)
+        wait_s = self._wait_s(organisation, least + 1 - left, reporting)
+        if self.is_starting(now) and not asked.known_mean:
+            # The bucket may only be empty because this leader is new.
+            return Grant(wait_s=wait_s, retry_after_s=wait_s)
+        rate_per_s = 1 / self._wait_s(organisation, 1, reporting)
+        return Grant(
+            wait_s=wait_s,
+            retry_after_s=spending.rejected(asked, rate_per_s, wait_s, now),
+            mean=spending.mean(now),
+            became_scarce=not was_scarce,
+        )
+
+    def spending(self, organisation: str) -> LimitSpending:
+        """Returns what is known of the requests of an organisation.
+
+        :param organisation: name.
+        """
+        return self._spending_by_organisation.setdefault(organisation, LimitSpending())
 
     def charge(
         self, organisation: Organisation, amount: float, now: float, reporting: Reporting
@@ -157,5 +215,9 @@
         level = self._levels_by_organisation.get(organisation)
         return 0 if level is None else level.left
 
+    def _wait_s(self, organisation: Organisation, missing: float, reporting: Reporting) -> float:
+        rate_per_s = self._size(organisation).rate_per_s
+        return missing / (rate_per_s * max(reporting.refill_part, MIN_REFILL_PART))
+
     def _size(self, organisation: Organisation) -> BucketSize:
         return BucketSize.from_limit(organisation, self._headroom, self._slack)
--- a/geraniumrail/fairness/events.py
+++ b/geraniumrail/fairness/events.py
@@ -8,6 +8,11 @@
     'fairness.shed',
     'A request was refused before it ran, by a limit, the queue depth or the expected wait.',
 )
+LIMIT_SCARCE = Event.define(
+    620,
+    'fairness.limit_scarce',
+    'The leader rejects requests of an organisation; requests below the mean cost go first.',
+)
 
 
 def log_shed(organisation: str, traffic_class: str, error: OverloadedError) -> None:
--- a/geraniumrail/fairness/quota.py
+++ b/geraniumrail/fairness/quota.py
@@ -7,6 +7,8 @@
 from geraniumrail.fairness.bucket_size import BucketSize
 from geraniumrail.fairness.central_buckets import central_part
 from geraniumrail.fairness.entry_share import EntryShare
+from geraniumrail.fairness.limit_spending import MIDDLE_RANK
+from geraniumrail.fairness.scarce_limits import ScarceLimits
 from geraniumrail.fairness.slack import Slack
 
 # Part of a limit by which it may be exceeded; less than the 0.1 that is tolerated.
@@ -43,6 +45,7 @@
     wait_s: float = 0  # until the request may be tried again; 0 if it is not refused
     taken: float = 0  # from the local bucket
     shortfall: float = 0  # to take from the central bucket before the request is admitted
+    is_large: bool = False  # the limit is scarce, and smaller requests go first
 
 
 class Quota:
@@ -79,6 +82,7 @@
         self._levels_by_organisation: dict[str, _Level] = {}
         self._demand_by_organisation: dict[str, float] = {}
         self._admitted_by_organisation: dict[str, float] = {}
+        self.scarce = ScarceLimits()
 
     def update(self, share: EntryShare, now: float = 0) -> None:
         """Applies the shares sent by the leader.
@@ -117,12 +121,15 @@
     def _local_part(self, entries: int) -> float:
         return 1 - central_part(entries) if self._has_central_buckets else 1.0
 
-    def claim(self, organisation: Organisation, cost: float, now: float) -> Claim:
+    def claim(
+        self, organisation: Organisation, cost: float, now: float, rank: int = MIDDLE_RANK
+    ) -> Claim:
         """Takes the cost of a request from the local bucket.
 
         :param organisation: whose request it is.
         :param cost: tokens, or 1 if the limit is in requests.
         :param now: seconds.
+        :param rank: of its route; 0 is the most urgent.
         """
         name = organisation.name
         self._demand_by_organisation[name] = self._demand_by_organisation.get(name, 0) + cost
@@ -140,7 +147,13 @@
         level.left = min(capacity, level.left + rate * max(0, now - level.filled_at))
         level.filled_at = now
         if self._has_central_buckets:
-            claim = _claim_with_central(level, cost, now)
+            large = self.scarce.is_large(name, cost, rank, now)
+            if large:
+                claim = self._claim_large(name, level, cost, now)
+            else:
+                claim = _claim_with_central(level, cost, now)
+            if organisation.in_tokens and not claim.shortfall and (large or not claim.wait_s):
+                self.scarce.count_local(name, cost, admitted=not claim.wait_s)
             self._count_admitted(name, claim.taken)
             return claim
         needed = min(cost, capacity)
@@ -198,6 +211,12 @@
         self._demand_by_organisation = {}
         return demand
 
+    def _claim_large(self, name: str, level: _Level, cost: float, now: float) -> Claim:
+        wait_s = max(self.scarce.large_wait_s(name, now), level.back_off_until - now)
+        if wait_s > 0:
+            return Claim(wait_s=wait_s, is_large=True)
+        return Claim(shortfall=cost, is_large=True)
+
     def _size(self, organisation: Organisation) -> BucketSize:
         return BucketSize.from_limit(organisation, self._headroom, self._slack)
 
--- a/geraniumrail/forwarding/limit_check_test.py
+++ b/geraniumrail/forwarding/limit_check_test.py
@@ -7,6 +7,7 @@
 from geraniumrail.fairness.quota import Quota
 from geraniumrail.forwarding.forwarder import Forwarder
 from geraniumrail.forwarding.testing import Reply, StandIn, head, inbound, make_forwarder, route
+from geraniumrail.links.requests import LimitTaken
 
 OK = [head('req-1', body=b'found')]
 LIMIT = {'rate_per_s': 100, 'burst': 100, 'in_tokens': True, 'plain_tokens': 60}
@@ -18,12 +19,16 @@
     def __init__(self, wait_s):
         self.wait_s = wait_s
         self.costs = []
+        self.questions = []
 
-    async def borrow(self, organisation, cost, limit_s, without_leader):
-        self.costs.append(cost)
+    async def borrow(self, question, limit_s, without_leader):
+        self.costs.append(question.cost)
+        self.questions.append(question)
+        if isinstance(self.wait_s, LimitTaken):
+            return self.wait_s
         if self.wait_s is None:
             raise LinkError(address='', reason='no leader lends')
-        return self.wait_s
+        return LimitTaken(wait_s=self.wait_s)
 
 
 class LimitCheckTest(unittest.IsolatedAsyncioTestCase):
@@ -86,6 +91,30 @@
             await Forwarder(parts).serve(inbound(parts.clock), Reply())
         self.assertGreaterEqual(quota.left(holder.name), before)
 
+    async def test_scarce_limit(self):
+        """Callers were told a few ms and came back at once, to be rejected again. A large request
+        leaves the entry's own part to small ones, and is told when its turn is likely."""
+        plain = make_forwarder([route()], [self.server.backend()], **LIMIT)
+        now = plain.parts.clock.now()
+        quota = Quota(started_at=now, has_central_buckets=True)
+        answer = LimitTaken(wait_s=0.01, retry_after_s=9, mean=50)
+        lender = FakeLender(answer)
+        parts = dataclasses.replace(plain.parts, quota=quota, lender=lender)
+        self.addAsyncCleanup(parts.connections.close)
+        holder = parts.view.table.organisation('key-1')
+        quota.scarce.note(holder.name, 50, now)
+        left = quota.left(holder.name)
+        replies = [Reply(), Reply()]
+        for reply in replies:
+            await Forwarder(parts).serve(inbound(parts.clock, deadline_s=6), reply)
+            retry_s = reply.error.fields['retry_after_s']
+            self.assertTrue(1 < retry_s <= 2, retry_s)
+        self.assertEqual([question.size for question in lender.questions], [60])
+        self.assertEqual(lender.questions[0].cost, 60)
+        reasons = {reason for _, reason in quota.scarce.rejected}
+        self.assertEqual(reasons, {'reserved', 'local'})
+        self.assertGreaterEqual(quota.left(holder.name), left)
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/geraniumrail/links/requests.py
+++ b/geraniumrail/links/requests.py
@@ -61,7 +61,13 @@
     """Asks the leader for a part of an organisation's limit."""
 
     organisation: str
-    cost: float
+    cost: float  # what the entry lacks
+    size: float = 0  # whole cost of the request; 0: not told
+    rank: int = 5  # of its route; 0 is the most urgent
+    local_admitted: int = 0  # requests decided by the entry alone since its last question
+    local_rejected: int = 0  # of these, large ones that were rejected
+    local_tokens: float = 0  # whole cost of both
+    known_mean: float = 0  # `mean` of an earlier answer while the limit was scarce
 
 
 @record
@@ -71,6 +77,8 @@
     wait_s: float = 0  # until something is left again; 0: it was taken
     leads: bool = True  # False: nothing was taken, since the asked member does not lead
     starting: bool = False  # the leader is new, and its ledger has not filled yet
+    retry_after_s: float = 0  # until the request is likely to be granted
+    mean: float = 0  # mean cost of the organisation's requests; 0: its limit is not scarce
 
 
 @record
