--- a/geraniumrail/control/central_limits.py
+++ b/geraniumrail/control/central_limits.py
@@ -102,6 +102,7 @@
         if now >= self._counted_at + RECOUNT_S:
             self._counted_at = now
             publisher = self._control.publisher
+            publisher.usage_shares.scarce_means = self._buckets.scarce_means(now)
             entries = publisher.usage_shares.entries
             interval_s = report_interval_s(entries)
             self._counted = Reporting(
--- a/geraniumrail/control/usage_shares.py
+++ b/geraniumrail/control/usage_shares.py
@@ -14,6 +14,7 @@
 
     def __init__(self) -> None:
         """Starts empty."""
+        self.scarce_means: dict[str, float] = {}  # told to all entries
         self._demand_by_entry: dict[str, dict[str, float]] = {}
         self._total_by_organisation: collections.Counter[str] = collections.Counter()
 
@@ -58,4 +59,5 @@
                 for name, total in self._total_by_organisation.items()
                 if total > NEGLIGIBLE_TOKENS
             },
+            scarce_means=self.scarce_means,
         )
--- a/geraniumrail/daemon/gauges.py
+++ b/geraniumrail/daemon/gauges.py
@@ -36,6 +36,7 @@
         self._sent = 0
         self._received = 0
         self._broken_off: collections.Counter[str] = collections.Counter()
+        self._limit_rejections: collections.Counter[tuple[str, str]] = collections.Counter()
 
     async def run(self) -> None:
         """Refreshes until cancelled."""
@@ -73,6 +74,7 @@
         self._instruments.quarantines.replace(collections.Counter((each.service,) for each in held))
         self._instruments.held_body_bytes.set(entry.forwarder.bodies.held_bytes)
         self.show_answers(entry.forwarder.parts.connections.budget)
+        self.count_limit_rejections(entry.forwarder.parts.quota.scarce.rejected)
         self._instruments.settings_revision.set(view.tree.revision)
         self._instruments.lease_left.set(view.lease_left_s())
         self._instruments.queue_depth.replace(
@@ -89,6 +91,15 @@
             self._instruments.answers_broken_off.add(count, reason)
         self._broken_off = budget.broken_off.copy()
 
+    def count_limit_rejections(self, rejected: collections.Counter[tuple[str, str]]) -> None:
+        """Adds what was rejected since the last refresh.
+
+        :param rejected: requests by organisation and reason, since the start of the entry.
+        """
+        for labels, count in (rejected - self._limit_rejections).items():
+            self._instruments.limit_rejections.add(count, *labels)
+        self._limit_rejections = rejected.copy()
+
     def _show_control(self, control: 'Control') -> None:
         status = control.replica.status()
         self._instruments.log_term.set(status.term)
--- a/geraniumrail/daemon/gauges_test.py
+++ b/geraniumrail/daemon/gauges_test.py
@@ -1,5 +1,6 @@
 """Tests of the gauges."""
 
+import collections
 import unittest
 from unittest import mock
 
@@ -22,6 +23,15 @@
         instruments.held_answer_bytes.set.assert_called_with(60)
         instruments.answers_broken_off.add.assert_called_once_with(2, NO_ROOM)
 
+    def test_limit_rejections_are_counted_once(self):
+        """Nothing showed whether requests were rejected by the reserve or without a leader."""
+        instruments = mock.Mock()
+        gauges = Gauges(instruments, None, None)
+        rejected = collections.Counter({('salon', 'reserved'): 3})
+        for _ in range(2):
+            gauges.count_limit_rejections(rejected)
+        instruments.limit_rejections.add.assert_called_once_with(3, 'salon', 'reserved')
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/geraniumrail/fairness/central_buckets.py
+++ b/geraniumrail/fairness/central_buckets.py
@@ -179,6 +179,17 @@
         """
         return self._spending_by_organisation.setdefault(organisation, LimitSpending())
 
+    def scarce_means(self, now: float) -> dict[str, float]:
+        """Returns the mean cost of the requests of organisations whose limits are scarce.
+
+        :param now: seconds.
+        """
+        return {
+            name: spending.mean(now)
+            for name, spending in self._spending_by_organisation.items()
+            if spending.is_scarce(now)
+        }
+
     def charge(
         self, organisation: Organisation, amount: float, now: float, reporting: Reporting
     ) -> None:
--- a/geraniumrail/fairness/entry_share.py
+++ b/geraniumrail/fairness/entry_share.py
@@ -1,6 +1,7 @@
 """Share of each organisation's limits that one entry may use."""
 
 import collections
+import dataclasses
 from collections.abc import Mapping
 
 from geraniumrail.core.codec import record
@@ -12,6 +13,8 @@
 
     entries: int  # number of entries in service
     share_by_organisation: dict[str, float]  # share of the recent demand, 0 to 1
+    # Mean cost of the requests of organisations whose limits are scarce.
+    scarce_means: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 def divide_by_demand(demand_by_entry: Mapping[str, Mapping[str, float]]) -> dict[str, EntryShare]:
--- a/geraniumrail/fairness/limit_spending_test.py
+++ b/geraniumrail/fairness/limit_spending_test.py
@@ -15,6 +15,7 @@
 from geraniumrail.fairness import leaderless_admission_test
 from geraniumrail.fairness.central_buckets import CentralBuckets, Reporting
 from geraniumrail.fairness.central_buckets_test import TOKENS_PER_S, Entries, bound
+from geraniumrail.fairness.entry_share import EntryShare
 from geraniumrail.fairness.leaderless_admission import LeaderlessAdmission
 from geraniumrail.fairness.limit_spending import (
     MAX_RETRY_S,
@@ -85,6 +86,19 @@
             self.admitted.append((now, cost))
         return not self.retry_after_s
 
+    def report(self, now):
+        due_at = self.reports_at
+        super().report(now)
+        if self.reports_at > due_at:
+            share = EntryShare(
+                entries=len(self.quotas),
+                share_by_organisation={},
+                scarce_means=self.central.scarce_means(now),
+            )
+            for number, quota in enumerate(self.quotas):
+                if number not in self.silent:
+                    quota.update(share, now)
+
     def ask(self, quota, cost, claim, now):
         self.leader_requests += 1
         name, scarce = self.organisation.name, quota.scarce
--- a/geraniumrail/fairness/quota.py
+++ b/geraniumrail/fairness/quota.py
@@ -94,6 +94,8 @@
         recent = (seen for seen in self._entries_seen if seen[0] > now - FEWER_ENTRIES_DELAY_S)
         higher = (seen for seen in recent if seen[1] > share.entries)
         self._entries_seen = (*higher, (now, share.entries))
+        for organisation, mean in share.scarce_means.items():
+            self.scarce.note(organisation, mean, now)
 
     def part(self, organisation: str) -> float:
         """Returns the part of an organisation's limit that this entry may use.
--- a/geraniumrail/fairness/scarce_limits.py
+++ b/geraniumrail/fairness/scarce_limits.py
@@ -4,7 +4,11 @@
 import dataclasses
 import math
 
-from geraniumrail.fairness.limit_spending import SCARCE_S, Asked, is_large
+from geraniumrail.fairness.limit_spending import Asked, is_large
+
+# An entry takes a limit for scarce so long after the leader last said so, in an answer or with an
+# update; its lease ends then.
+KNOWN_S = 4.0
 
 
 @dataclasses.dataclass
@@ -63,7 +67,7 @@
         """
         known = self._known(organisation)
         known.mean = mean
-        known.scarce_until = now + SCARCE_S if mean else -math.inf
+        known.scarce_until = now + KNOWN_S if mean else -math.inf
 
     def extend(self, organisation: str, now: float) -> None:
         """Keeps a limit scarce for longer, since no leader tells whether it still is.
@@ -72,7 +76,7 @@
         :param now: seconds.
         """
         if self.mean(organisation, now):
-            self._known(organisation).scarce_until = now + SCARCE_S
+            self._known(organisation).scarce_until = now + KNOWN_S
 
     def back_off_large(
         self, organisation: str, wait_s: float, retry_after_s: float, now: float
--- a/geraniumrail/metrics/catalogue.py
+++ b/geraniumrail/metrics/catalogue.py
@@ -131,6 +131,13 @@
         labels=('reason',),
         about='answers of backend servers that were broken off for their size',
     ),
+    Spec(
+        name='geraniumrail.limit_rejections',
+        kind='counter',
+        unit='{request}',
+        labels=('organisation', 'reason'),
+        about="forwarded requests rejected for their organisation's limit; `reason` as in E1805",
+    ),
 )
 _CONTROL = (
     Spec(
--- a/geraniumrail/metrics/instruments.py
+++ b/geraniumrail/metrics/instruments.py
@@ -34,6 +34,7 @@
     held_answer_bytes: Gauge
     held_body_bytes: Gauge
     answers_broken_off: Counter
+    limit_rejections: Counter
     settings_revision: Gauge
     lease_left: Gauge
     control_bytes: Counter
