--- a/geraniumrail/fairness/limit_spending.py
+++ b/geraniumrail/fairness/limit_spending.py
@@ -15,8 +15,9 @@
 DEMAND_S = 2.0
 # The mean is not used before the sums contain so many requests.
 MIN_REQUESTS = 20
-# The reserve for small requests is their demand in this time.
-RESERVE_S = 1.0
+# The reserve for small requests is their demand in this time, and the mean cost of large requests:
+# a grant takes its whole cost, and small ones are rejected until the level is above 0 again.
+RESERVE_S = 0.25
 # Part of the capacity that the reserve takes at most. What is reserved at the end of a burst is not
 # used by it.
 MAX_RESERVE_PART = 0.25
@@ -133,6 +134,8 @@
         self._requests = DecayedSum(MEAN_S)
         self._tokens = DecayedSum(MEAN_S)
         self._small_tokens = DecayedSum(DEMAND_S)
+        self._large_tokens = DecayedSum(MEAN_S)
+        self._large_requests = DecayedSum(MEAN_S)
         self._known_mean: float = 0
         self._small = _Class()
         self._large = _Class()
@@ -153,7 +156,10 @@
             self._small.granted.add(asked.local_admitted, now)
             self._large.asked.add(asked.local_rejected, now)
             self._class_of(asked, now).asked.add(1, now)
-        if not is_large(asked.cost, asked.rank, self.mean(now)):
+        if is_large(asked.cost, asked.rank, self.mean(now)):
+            self._large_tokens.add(asked.cost, now)
+            self._large_requests.add(1, now)
+        else:
             self._small_tokens.add(asked.cost, now)
 
     def is_scarce(self, now: float) -> bool:
@@ -179,7 +185,9 @@
         """
         if not self.is_scarce(now):
             return 0
-        return min(MAX_RESERVE_PART * capacity, RESERVE_S * self.small_per_s(now))
+        large_mean = self._large_tokens.value(now) / max(1, self._large_requests.value(now))
+        wanted = RESERVE_S * self.small_per_s(now) + large_mean
+        return min(MAX_RESERVE_PART * capacity, wanted)
 
     def small_per_s(self, now: float) -> float:
         """Returns the cost of small requests in a second.
