Limit what entries send to plain servers with long queues

Entries learn slots, work time and queue from the load in answers, limit their rate while the queue is longer than the target allows, and let requests wait at the entry or reject them at once.

--- a/geraniumrail/daemon/gauges.py
+++ b/geraniumrail/daemon/gauges.py
@@ -69,6 +69,13 @@
         self._instruments.limited_backends.replace(
             collections.Counter((each.service,) for each in limited if each is not None)
         )
+        places = entry.forwarder.parts.places
+        self._instruments.waiting_requests.replace(
+            {(service,): waiting for service, waiting in places.waiting_by_service().items()}
+        )
+        self._instruments.limited_rate.replace(
+            {(service,): per_s for service, per_s in places.rates_by_service().items()}
+        )
         held = entry.forwarder.parts.watch.quarantines
         self._instruments.quarantines.replace(collections.Counter((each.service,) for each in held))
         self._instruments.held_body_bytes.set(entry.forwarder.bodies.held_bytes)
--- a/geraniumrail/entry/entry.py
+++ b/geraniumrail/entry/entry.py
@@ -42,6 +42,7 @@
 from geraniumrail.forwarding.forwarder import Forwarder
 from geraniumrail.forwarding.limit_lender import NoLender
 from geraniumrail.forwarding.parts import Parts
+from geraniumrail.forwarding.places import Places
 from geraniumrail.forwarding.recorder import Recorder
 from geraniumrail.forwarding.usage_counter import UsageCounter
 from geraniumrail.links.datagrams import Datagrams
@@ -149,6 +150,7 @@
                 retries=self._completions.retries,
                 usage=UsageCounter(),
                 demand=DemandCounter(),
+                places=Places(self.view, clock),
                 clock=clock,
                 rng=rng,
                 recorder=Recorder(),
--- a/geraniumrail/forwarding/events.py
+++ b/geraniumrail/forwarding/events.py
@@ -37,3 +37,13 @@
     'forwarding.admitted_without_leader',
     'No leader could be asked; a request counts towards what it would have lent meanwhile.',
 )
+LIMIT_BEGAN = Event.define(
+    1807,
+    'forwarding.limit_began',
+    'The queue of a plain backend server is too long for the target; this entry sends it less.',
+)
+LIMIT_ENDED = Event.define(
+    1808,
+    'forwarding.limit_ended',
+    'The queue of a plain backend server has been short for some time; nothing limits it now.',
+)
--- a/geraniumrail/forwarding/forwarder.py
+++ b/geraniumrail/forwarding/forwarder.py
@@ -71,6 +71,7 @@
         """Ends all requests in progress as if their time had passed, each with an answer."""
         for run in self._runs:
             run.expire()
+        self.parts.places.reject_all()
 
     async def serve(self, inbound: Inbound, reply: Reply) -> None:
         """Answers a request.
--- a/geraniumrail/forwarding/parts.py
+++ b/geraniumrail/forwarding/parts.py
@@ -14,6 +14,7 @@
 from geraniumrail.forwarding.demand import DemandCounter
 from geraniumrail.forwarding.dialect import Dialect
 from geraniumrail.forwarding.limit_lender import LimitLender
+from geraniumrail.forwarding.places import Places
 from geraniumrail.forwarding.recorder import Recorder
 from geraniumrail.forwarding.usage_counter import UsageCounter
 from geraniumrail.quarantine.part_watch import PartWatch
@@ -34,6 +35,7 @@
     retries: RetryBudget
     usage: UsageCounter
     demand: DemandCounter
+    places: Places
     clock: Clock
     rng: random.Random
     recorder: Recorder
--- a/geraniumrail/forwarding/run.py
+++ b/geraniumrail/forwarding/run.py
@@ -16,14 +16,13 @@
 from geraniumrail.forwarding import events
 from geraniumrail.forwarding.admitted import Admitted, spread
 from geraniumrail.forwarding.attempt import Attempt, has_ended
+from geraniumrail.forwarding.choose_place import choose_place
 from geraniumrail.forwarding.dialect import Sending
 from geraniumrail.forwarding.event_splitter import EventSplitter, EventTooLongError
 from geraniumrail.forwarding.inbound import Inbound
 from geraniumrail.forwarding.parts import Parts
 from geraniumrail.forwarding.reply import Reply
 from geraniumrail.forwarding.run_notes import RunNotes
-from geraniumrail.routing.choice import choose
-from geraniumrail.routing.events import log_decision
 from geraniumrail.routing.rendezvous import preferred_instances
 from geraniumrail.routing.request import LanguageRequest, PlainRequest, RouteRequest
 
@@ -102,7 +101,7 @@
 
     async def _try_once(self, failure: BackendError | None) -> BackendError | None:
         """Makes one attempt and returns its failure, or None if the answer was delivered."""
-        backend = self._choose(failure)
+        backend = await self._choose(failure)
         sending = Sending(
             backend=backend,
             organisation=self._admitted.organisation,
@@ -246,21 +245,22 @@
             return False
         return self._parts.retries.allows_retry(self._admitted.service, self._now())
 
-    def _choose(self, failure: BackendError | None) -> Backend:
-        now = self._now()
+    async def _choose(self, failure: BackendError | None) -> Backend:
         try:
-            decision = choose(
-                self._candidates(),
+            self._last = await choose_place(
+                self._inbound,
+                self._admitted,
+                self._parts,
                 self._route_request(),
-                self._parts.view.knowledge,
-                self._parts.rng,
-                now,
+                is_repeat=self._may_have_run,
             )
         except NoBackendError as error:
             raise self._given_up(failure or error) from error
-        log_decision(decision)
-        self._last = decision.backend
-        return decision.backend
+        except NotRunError as error:
+            if self._may_have_run:
+                raise IncompleteAnswerError(reason=str(error)) from error
+            raise
+        return self._last
 
     def _candidates(self) -> list[Backend]:
         return self._parts.view.usable(self._admitted.service)
--- a/geraniumrail/forwarding/run_notes.py
+++ b/geraniumrail/forwarding/run_notes.py
@@ -77,6 +77,9 @@
         knowledge = self._parts.view.knowledge
         if attempt.head.load is not None:
             knowledge.observe_load(attempt.backend.instance, attempt.head.load, now)
+            self._parts.places.observe(
+                self._admitted.service, attempt.backend.instance, attempt.head.load
+            )
         pause_s = attempt.head.retry_after_s
         if attempt.status == UNAVAILABLE and pause_s is not None and pause_s > 0:
             knowledge.pauses.begin(attempt.backend, pause_s, now)
@@ -120,9 +123,12 @@
         :param failed: whether the backend server failed.
         """
         self.began(sent_at)
+        self.first_s = self._parts.clock.now() - sent_at
         if not failed:
             self._prove(attempt.backend, sent_at)
-        self.first_s = self._parts.clock.now() - sent_at
+            self._parts.places.answered(
+                self._admitted.service, attempt.backend.instance, self.first_s
+            )
         self._record_first(self.first_s)
         self.observe(attempt.backend, failed=failed, first_s=self.first_s)
 
--- a/geraniumrail/forwarding/testing.py
+++ b/geraniumrail/forwarding/testing.py
@@ -27,6 +27,7 @@
 from geraniumrail.forwarding.inbound import Inbound
 from geraniumrail.forwarding.limit_lender import NoLender
 from geraniumrail.forwarding.parts import Parts
+from geraniumrail.forwarding.places import Places
 from geraniumrail.forwarding.recorder import Recorder
 from geraniumrail.forwarding.usage_counter import UsageCounter
 from geraniumrail.links.messages import ControlUpdate
@@ -286,6 +287,7 @@
         retries=RetryBudget(),
         usage=UsageCounter(),
         demand=DemandCounter(),
+        places=Places(view, clock),
         clock=clock,
         rng=random.Random(1),
         recorder=Recorder(),
--- a/geraniumrail/metrics/catalogue.py
+++ b/geraniumrail/metrics/catalogue.py
@@ -105,6 +105,20 @@
         labels=('service',),
         about='backend servers that have named a limit of the requests that they take',
     ),
+    Spec(
+        name='geraniumrail.waiting_requests',
+        kind='gauge',
+        unit='{request}',
+        labels=('service',),
+        about='forwarded requests that wait in this entry for a place at a plain service',
+    ),
+    Spec(
+        name='geraniumrail.limited_rate',
+        kind='gauge',
+        unit='{request}/s',
+        labels=('service',),
+        about='what this entry may send to backend servers of a plain service that are limited',
+    ),
     Spec(
         name='geraniumrail.quarantines',
         kind='gauge',
--- a/geraniumrail/metrics/instruments.py
+++ b/geraniumrail/metrics/instruments.py
@@ -30,6 +30,8 @@
     bookings: Counter
     backends: Gauge
     limited_backends: Gauge
+    waiting_requests: Gauge
+    limited_rate: Gauge
     quarantines: Gauge
     held_answer_bytes: Gauge
     held_body_bytes: Gauge
