--- a/geraniumrail/admission/recent_use.py
+++ b/geraniumrail/admission/recent_use.py
@@ -3,7 +3,7 @@
 import math
 
 from geraniumrail.admission.ask import Ask
-from geraniumrail.admission.decayed_count import DecayedCount
+from geraniumrail.admission.decayed_counts import DecayedCounts
 
 USE_DECAY_S = 3.0
 ACTIVE = 0.1  # an organisation counts while so much of its requests is left
@@ -17,9 +17,9 @@
 
     def __init__(self) -> None:
         """Starts empty."""
-        self._asked: dict[str, DecayedCount] = {}  # by organisation
-        self._served: dict[str, DecayedCount] = {}  # by organisation
-        self._served_by_route: dict[str, DecayedCount] = {}
+        self._asked = DecayedCounts(USE_DECAY_S)  # by organisation
+        self._served = DecayedCounts(USE_DECAY_S)  # by organisation
+        self._served_by_route = DecayedCounts(USE_DECAY_S)
         self._equal_part = math.inf  # of the use; infinite for a single organisation
         self._recounted_at = -math.inf
 
@@ -29,7 +29,7 @@
         :param ask: the request.
         :param now: monotonic seconds.
         """
-        _add(self._asked, ask.organisation, now)
+        self._asked.add(ask.organisation, now)
         if now - self._recounted_at >= RECOUNT_S:
             self._recount(now)
 
@@ -39,8 +39,8 @@
         :param ask: the request.
         :param now: monotonic seconds.
         """
-        _add(self._served, ask.organisation, now)
-        _add(self._served_by_route, ask.route, now)
+        self._served.add(ask.organisation, now)
+        self._served_by_route.add(ask.route, now)
 
     def order(self, ask: Ask, now: float) -> tuple[float, float]:
         """Returns the key by which waiting requests are sorted; the lowest goes first.
@@ -48,8 +48,8 @@
         :param ask: the request.
         :param now: monotonic seconds.
         """
-        served = _value(self._served, ask.organisation, now)
-        by_route = _value(self._served_by_route, ask.route, now)
+        served = self._served.value(ask.organisation, now)
+        by_route = self._served_by_route.value(ask.route, now)
         return (served + by_route + RANK_REQUESTS * ask.rank, ask.due_at)
 
     def is_ahead(self, ask: Ask, now: float) -> bool:
@@ -58,27 +58,12 @@
         :param ask: the request.
         :param now: monotonic seconds.
         """
-        return _value(self._served, ask.organisation, now) > AHEAD * self._equal_part
+        return self._served.value(ask.organisation, now) > AHEAD * self._equal_part
 
     def _recount(self, now: float) -> None:
         self._recounted_at = now
-        self._asked = _active(self._asked, now)
-        self._served = _active(self._served, now)
-        self._served_by_route = _active(self._served_by_route, now)
+        for counts in (self._asked, self._served, self._served_by_route):
+            counts.drop_below(ACTIVE, now)
         self._equal_part = math.inf
         if len(self._asked) > 1:
-            used = sum(count.value(now) for count in self._served.values())
-            self._equal_part = used / len(self._asked)
-
-
-def _active(counts: dict[str, DecayedCount], now: float) -> dict[str, DecayedCount]:
-    return {name: count for name, count in counts.items() if count.value(now) > ACTIVE}
-
-
-def _add(counts: dict[str, DecayedCount], name: str, now: float) -> None:
-    counts.setdefault(name, DecayedCount(USE_DECAY_S)).add(1, now)
-
-
-def _value(counts: dict[str, DecayedCount], name: str, now: float) -> float:
-    count = counts.get(name)
-    return 0 if count is None else count.value(now)
+            self._equal_part = self._served.total(now) / len(self._asked)
--- a/geraniumrail/admission/server_limit.py
+++ b/geraniumrail/admission/server_limit.py
@@ -66,6 +66,14 @@
         """Places that may be taken at once."""
         return self._level
 
+    @property
+    def next_place_s(self) -> float:
+        """Seconds from the last `refill` until there is one place more than now."""
+        if self._level >= BURST:
+            return math.inf
+        missing = max(1, math.floor(self._level) + 1) - self._level
+        return missing / max(self.rate_per_s, LEAST_PER_S)
+
     @property
     def expected_s(self) -> float:
         """Time that a request takes which is sent now."""
@@ -130,15 +138,12 @@
         self._level = min(BURST, self._level + accrued)
         self._refilled_at = now
 
-    def wait_s(self, ahead: float) -> float:
-        """Returns the seconds from the last `refill` until a place is free; 0: there is one.
+    def has_place(self, kept: float) -> bool:
+        """Returns whether there was a place at the last `refill`.
 
-        :param ahead: requests that go first, and places that are kept free.
+        :param kept: places that are kept free.
         """
-        if not self.is_limited:
-            return 0
-        missing = 1 + ahead - self._level
-        return max(0, missing) / max(self.rate_per_s, LEAST_PER_S)
+        return not self.is_limited or self._level >= 1 + kept
 
     def take(self, now: float) -> None:
         """Takes a place.
--- a/geraniumrail/admission/server_limits.py
+++ b/geraniumrail/admission/server_limits.py
@@ -1,13 +1,30 @@
 """The limits of the backend servers of one service."""
 
+import dataclasses
+import math
 from collections.abc import Callable
 
-from geraniumrail.admission.server_limit import ServerLimit
+from geraniumrail.admission.server_limit import LEAST_PER_S, ServerLimit
 from geraniumrail.core.clock import Clock
 
 FORGOTTEN_S = 60.0  # after a backend server was last heard of
 
 
+@dataclasses.dataclass(frozen=True)
+class Outlook:
+    """Places of some backend servers, now and later."""
+
+    level: float
+    rate_per_s: float
+
+    def wait_s(self, ahead: float) -> float:
+        """Returns the seconds until there is a place.
+
+        :param ahead: requests that go first, and places that are kept free.
+        """
+        return max(0, 1 + ahead - self.level) / max(LEAST_PER_S, self.rate_per_s)
+
+
 class ServerLimits:
     """Made when a backend server is first heard of; forgotten some time after the last answer."""
 
@@ -46,23 +63,34 @@
         found = ((each, self.by_instance.get(each)) for each in instances)
         return frozenset(each for each, limit in found if limit is None or not limit.is_limited)
 
+    def open_instances(self) -> frozenset[str]:
+        """Returns the backend servers at which there is a place, if none is kept free."""
+        found = self.by_instance.items()
+        return frozenset(instance for instance, limit in found if limit.has_place(0))
+
     def free(self, instances: frozenset[str], kept: float) -> frozenset[str]:
         """Returns the backend servers at which there is a place.
 
         :param instances: some backend servers.
         :param kept: places at each that are kept free.
         """
-        return frozenset(each for each in instances if self.limit(each).wait_s(kept) <= 0)
+        return frozenset(each for each in instances if self.limit(each).has_place(kept))
 
-    def wait_s(self, instances: frozenset[str], ahead: float, kept: float) -> float:
-        """Returns the seconds until there is a place at one of some backend servers.
+    def outlook(self, instances: frozenset[str]) -> Outlook:
+        """Returns how soon there are places at some backend servers together.
 
         :param instances: the backend servers.
-        :param ahead: requests that go first, to any of them.
-        :param kept: places at each that are kept free.
         """
-        before = kept + ahead / len(instances)
-        return min(self.limit(each).wait_s(before) for each in instances)
+        limits = [self.limit(each) for each in instances]
+        return Outlook(
+            level=sum(each.level for each in limits),
+            rate_per_s=sum(each.rate_per_s for each in limits),
+        )
+
+    def next_place_s(self) -> float:
+        """Returns the seconds until some backend server has one place more."""
+        limited = (limit for limit in self.by_instance.values() if limit.is_limited)
+        return min((limit.next_place_s for limit in limited), default=math.inf)
 
     def expected_s(self, instances: frozenset[str]) -> float:
         """Returns the time that a request takes at the one that answers soonest.
--- a/geraniumrail/admission/service_gate.py
+++ b/geraniumrail/admission/service_gate.py
@@ -2,17 +2,17 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 
 from geraniumrail.admission.ask import Ask
 from geraniumrail.admission.place import Place
 from geraniumrail.admission.recent_use import RecentUse
-from geraniumrail.admission.server_limits import ServerLimits
+from geraniumrail.admission.server_limits import Outlook, ServerLimits
 from geraniumrail.core.clock import Clock
 from geraniumrail.core.load_report import LoadReport
 from geraniumrail.errors.request import NotRunError
 
-MAX_WAITING = 64
+MAX_WAITING = 32
 # One place of a bucket is kept for organisations that have used less than an equal part: their
 # requests are too few to find a place beside those of a larger one that takes each as it accrues.
 KEPT_PLACES = 1.0
@@ -71,7 +71,7 @@
         unlimited = self.limits.unlimited(instances)
         if unlimited:
             return Place(self, ask, unlimited)
-        self._pump(now)
+        self._give_out(now)
         free = self._free(ask, instances, now)
         if free and not any(waiter.instances & free for waiter in self._waiting):
             return Place(self, ask, free)
@@ -152,32 +152,40 @@
     def _shed(self, now: float) -> None:
         """Rejects the requests for which no place will be free in time, as it looks now."""
         ahead = 0
+        outlooks: dict[frozenset[str], Outlook] = {}
         for waiter in self._ordered(now):
-            wait_s = self._wait_s(waiter, ahead, now)
+            outlook = outlooks.get(waiter.instances)
+            if outlook is None:
+                outlook = self.limits.outlook(waiter.instances)
+                outlooks[waiter.instances] = outlook
+            wait_s = outlook.wait_s(ahead + self._kept(waiter.ask, now))
             if wait_s > waiter.latest - now or ahead >= MAX_WAITING:
                 self._reject(waiter, now)
             else:
                 ahead += 1
 
-    def _wait_s(self, waiter: _Waiter, ahead: int, now: float) -> float:
-        return self.limits.wait_s(waiter.instances, ahead, self._kept(waiter.ask, now))
-
     def _pump(self, now: float) -> None:
+        self._give_out(now)
+        self._schedule(now)
+
+    def _give_out(self, now: float) -> None:
         """Gives out the places that have become free."""
         self.limits.refill(now)
         if not self._waiting:
             return
+        open_instances = self.limits.open_instances()
+        if not open_instances and min(waiter.latest for waiter in self._waiting) >= now:
+            return
         for waiter in self._ordered(now):
             if waiter.latest < now:
                 self._reject(waiter, now)
                 continue
-            free = self._free(waiter.ask, waiter.instances, now)
+            free = self._free(waiter.ask, waiter.instances & open_instances, now)
             if free:
                 self._waiting.remove(waiter)
                 place = Place(self, waiter.ask, free)
                 place.take(self.limits.fullest_bucket(free))
                 waiter.future.set_result(place)
-        self._schedule(now)
 
     def _ordered(self, now: float) -> list[_Waiter]:
         # The caller of one that is done has left.
@@ -193,7 +201,8 @@
     def _reject(self, waiter: _Waiter, now: float) -> None:
         self._waiting.remove(waiter)
         longest_s = RETURN_SHARE * waiter.ask.target_s or LONGEST_RETRY_S
-        wait_s = min(longest_s, self._wait_s(waiter, 0, now))
+        ahead = self._kept(waiter.ask, now)
+        wait_s = min(longest_s, self.limits.outlook(waiter.instances).wait_s(ahead))
         waiter.future.set_exception(
             NotRunError(
                 reason='no place at a backend server in time',
@@ -205,15 +214,12 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-        pause_s = min(self._pauses(now), default=None)
-        if pause_s is not None:
+        if self._waiting:
+            latest = min(waiter.latest for waiter in self._waiting)
+            pause_s = min(self.limits.next_place_s(), latest - now) + SHORTEST_PAUSE_S
             loop = asyncio.get_running_loop()
             self._timer = loop.call_later(max(SHORTEST_PAUSE_S, pause_s), self._tick)
 
     def _tick(self) -> None:
         self._timer = None
         self._pump(self._clock.now())
-
-    def _pauses(self, now: float) -> Iterator[float]:
-        for waiter in self._waiting:
-            yield min(self._wait_s(waiter, 0, now), waiter.latest - now + SHORTEST_PAUSE_S)
--- a/geraniumrail/admission/testing.py
+++ b/geraniumrail/admission/testing.py
@@ -166,6 +166,7 @@
         ]
         self.tallies = collections.defaultdict(Tally)
         self.same_entry = same_entry
+        self.served_meanwhile = 0  # before the last arrivals are worked off
         self.tasks = set()
 
     def start(self, work):
@@ -182,6 +183,7 @@
             for _ in range(self.rng.choice((size - 1, size, size + 1)) if size > 1 else 1):
                 route = self.rng.choice(('safe', 'unsafe'))
                 self.start(self.call(organisation, route, entry if self.same_entry else None))
+        self.served_meanwhile = sum(server.served for server in self.servers)
         while self.tasks:
             await asyncio.wait(self.tasks)
 
--- a/geraniumrail/forwarding/testing.py
+++ b/geraniumrail/forwarding/testing.py
@@ -59,6 +59,12 @@
     return f'HTTP/1.1 {status}\r\n{signed}{size}\r\n{extra}\r\n'.encode() + (body or b'')
 
 
+def read_load(text):
+    """Decodes the numbers of running and waiting requests and of slots."""
+    running, queued, slots = (int(field) for field in text.split(','))
+    return LoadReport(running=running, queued=queued, slots=slots)
+
+
 class TestDialect:
     """Headers of the scripted backend server."""
 
@@ -84,6 +90,7 @@
             leaving='X-Leaving' in headers,
             retry_after_s=float(headers['Retry-After']) if 'Retry-After' in headers else None,
             limit_per_s=float(headers['X-Limit']) if 'X-Limit' in headers else None,
+            load=read_load(headers['X-Load']) if 'X-Load' in headers else None,
         )
 
 
