--- a/geraniumrail/daemon/gauges.py
+++ b/geraniumrail/daemon/gauges.py
@@ -80,6 +80,13 @@
             )
         )
         self.show_cold(view.knowledge.cold, backends, entry.forwarder.parts.clock.now())
+        places = entry.forwarder.parts.places
+        self._instruments.waiting_requests.replace(
+            {(service,): waiting for service, waiting in places.waiting_by_service().items()}
+        )
+        self._instruments.limited_rate.replace(
+            {(service,): per_s for service, per_s in places.rates_by_service().items()}
+        )
         held = entry.forwarder.parts.watch.quarantines
         self._instruments.quarantines.replace(collections.Counter((each.service,) for each in held))
         self._instruments.held_body_bytes.set(entry.forwarder.bodies.held_bytes)
--- a/geraniumrail/forwarding/testing.py
+++ b/geraniumrail/forwarding/testing.py
@@ -27,6 +27,7 @@
 from geraniumrail.forwarding.inbound import Inbound
 from geraniumrail.forwarding.limit_lender import NoLender
 from geraniumrail.forwarding.parts import Parts
+from geraniumrail.forwarding.places import Places
 from geraniumrail.forwarding.recorder import Recorder
 from geraniumrail.forwarding.usage_counter import UsageCounter
 from geraniumrail.links.messages import ControlUpdate
@@ -60,6 +61,12 @@
     return f'HTTP/1.1 {status}\r\n{signed}{size}\r\n{extra}\r\n'.encode() + (body or b'')
 
 
+def read_load(text):
+    """Decodes the numbers of running and waiting requests and of slots."""
+    running, queued, slots = (int(field) for field in text.split(','))
+    return LoadReport(running=running, queued=queued, slots=slots)
+
+
 class TestDialect:
     """Headers of the scripted backend server."""
 
@@ -86,6 +93,7 @@
             retry_after_s=float(headers['Retry-After']) if 'Retry-After' in headers else None,
             limit_per_s=float(headers['X-Limit']) if 'X-Limit' in headers else None,
             cold_s=float(headers['X-Cold']) if 'X-Cold' in headers else None,
+            load=read_load(headers['X-Load']) if 'X-Load' in headers else None,
         )
 
 
@@ -290,6 +298,7 @@
         retries=RetryBudget(),
         usage=UsageCounter(),
         demand=DemandCounter(),
+        places=Places(view, clock),
         clock=clock,
         rng=random.Random(1),
         recorder=Recorder(),
--- a/geraniumrail/metrics/catalogue.py
+++ b/geraniumrail/metrics/catalogue.py
@@ -119,6 +119,20 @@
         labels=('service',),
         about='backend servers that this entry knows to be cold',
     ),
+    Spec(
+        name='geraniumrail.waiting_requests',
+        kind='gauge',
+        unit='{request}',
+        labels=('service',),
+        about='forwarded requests that wait in this entry for a place at a plain service',
+    ),
+    Spec(
+        name='geraniumrail.limited_rate',
+        kind='gauge',
+        unit='{request}/s',
+        labels=('service',),
+        about='what this entry may send to backend servers of a plain service that are limited',
+    ),
     Spec(
         name='geraniumrail.quarantines',
         kind='gauge',
--- a/geraniumrail/metrics/instruments.py
+++ b/geraniumrail/metrics/instruments.py
@@ -32,6 +32,8 @@
     limited_backends: Gauge
     evacuated_backends: Gauge
     cold_backends: Gauge
+    waiting_requests: Gauge
+    limited_rate: Gauge
     quarantines: Gauge
     held_answer_bytes: Gauge
     held_body_bytes: Gauge
