--- a/geraniumrail/forwarding/choose_place.py
+++ b/geraniumrail/forwarding/choose_place.py
@@ -3,7 +3,7 @@
 from geraniumrail.admission.ask import Ask
 from geraniumrail.core.backend import Backend
 from geraniumrail.errors.request import NotRunError
-from geraniumrail.forwarding.admitted import Admitted, spread
+from geraniumrail.forwarding.admitted import Admitted, allows, spread
 from geraniumrail.forwarding.inbound import Inbound
 from geraniumrail.forwarding.parts import Parts
 from geraniumrail.routing.choice import choose
@@ -26,7 +26,7 @@
     :raises NotRunError: if no place will be free in time.
     """
     while parts.places.limits(admitted.service):
-        candidates = parts.view.usable(admitted.service)
+        candidates = candidates_of(admitted, parts)
         found = eligible_backends(
             candidates, request, parts.view.knowledge, parts.rng, parts.clock.now()
         )
@@ -40,14 +40,24 @@
             raise NotRunError(
                 reason=error.fields['reason'], retry_after_s=spread(retry_after_s, parts.rng)
             ) from error
-        usable = parts.view.usable(admitted.service)
-        present = [each for each in usable if each.instance in place.instances]
+        candidates = candidates_of(admitted, parts)
+        present = [each for each in candidates if each.instance in place.instances]
         if present:
             backend = _choose(present, request, parts)
             place.take(backend.instance)
             return backend
         place.give_back()  # its backend server has gone meanwhile
-    return _choose(parts.view.usable(admitted.service), request, parts)
+    return _choose(candidates_of(admitted, parts), request, parts)
+
+
+def candidates_of(admitted: Admitted, parts: Parts) -> list[Backend]:
+    """Returns the usable backend servers in the allowed regions of a request.
+
+    :param admitted: the request.
+    :param parts: of the entry.
+    """
+    usable = parts.view.usable(admitted.service)
+    return [backend for backend in usable if allows(admitted, backend)]
 
 
 def _ask(inbound: Inbound, admitted: Admitted, *, is_repeat: bool) -> Ask:
--- a/geraniumrail/forwarding/run.py
+++ b/geraniumrail/forwarding/run.py
@@ -18,7 +18,7 @@
 from geraniumrail.forwarding import events
 from geraniumrail.forwarding.admitted import Admitted, allows, spread
 from geraniumrail.forwarding.attempt import Attempt, has_ended
-from geraniumrail.forwarding.choose_place import choose_place
+from geraniumrail.forwarding.choose_place import candidates_of, choose_place
 from geraniumrail.forwarding.dialect import Sending
 from geraniumrail.forwarding.event_splitter import EventSplitter, EventTooLongError
 from geraniumrail.forwarding.inbound import Inbound
@@ -274,8 +274,7 @@
         return self._last
 
     def _candidates(self) -> list[Backend]:
-        usable = self._parts.view.usable(self._admitted.service)
-        return [backend for backend in usable if allows(self._admitted, backend)]
+        return candidates_of(self._admitted, self._parts)
 
     def _route_request(self) -> RouteRequest:
         inbound, parts = self._inbound, self._parts
