Bound what clients send before their requests are complete

A process read up to 8 MiB of a connection before any handler ran, kept header lines and trailers of each connection up to the library's limits, and fed a failed parser on. Malformed requests at the callers' address get a typed body.

--- a/geraniumrail/callers/events.py
+++ b/geraniumrail/callers/events.py
@@ -31,3 +31,9 @@
     'callers.handshake_refused',
     'A connection was refused because its TLS handshake failed.',
 )
+CLIENT_REFUSED = Event.define(
+    905,
+    'callers.client_refused',
+    'A connection was refused or closed; the reason says which limit of clients was exceeded.',
+    logging.WARNING,
+)
--- a/geraniumrail/callers/limited_server.py
+++ b/geraniumrail/callers/limited_server.py
@@ -5,10 +5,14 @@
 
 from aiohttp import web
 
+from geraniumrail.callers.client_limits import ClientLimits
+from geraniumrail.callers.failures import failure_response
+from geraniumrail.callers.guarded_connection import GuardedConnection
+from geraniumrail.callers.intake import Intake, bounded
 from geraniumrail.core.byte_budget import Hold
 from geraniumrail.deployment.http_limits import HttpLimits
 from geraniumrail.errors.headers import HeadersTooLargeError
-from geraniumrail.errors.request import BodyTooLargeError, SlowRequestError
+from geraniumrail.errors.request import BodyTooLargeError, RequestError, SlowRequestError
 from geraniumrail.forwarding.body_budget import ArrivingBody
 
 Limits = Callable[[], HttpLimits]
@@ -19,12 +23,20 @@
 _COLON_AND_END = 4  # of a header line: `: ` and the end of the line
 
 
-class LimitedConnection(web.RequestHandler):
+class LimitedConnection(GuardedConnection):
     """Closed if its first request does not begin, or its headers do not end, in time.
 
     The server's own limit of idle connections holds for the later requests.
     """
 
+    def max_head_bytes(self) -> int:
+        """Returns the largest request line and headers together."""
+        return self.max_line_size + self._manager.limits().header_bytes
+
+    def head_timeout_s(self) -> float:
+        """Returns how long a head that has begun may take, seconds."""
+        return self._manager.limits().header_timeout_s
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Waits for the first bytes.
 
@@ -55,6 +67,26 @@
         self._first_timer.cancel()
         super().connection_lost(exc)
 
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Answers a request that could not be read.
+
+        :param request: what is known of it.
+        :param status: HTTP status.
+        :param exc: what the library met.
+        :param message: text that the library would answer.
+        """
+        if not isinstance(exc, RequestError):
+            return super().handle_error(request, status, exc, message)
+        response = failure_response(exc)
+        response.force_close()
+        return response
+
     def _check_first(self) -> None:
         if not self._request_count:
             self.force_close()
@@ -63,19 +95,27 @@
 class LimitedServer(web.Server):
     """Makes the connections of one listening address."""
 
-    def __init__(self, handler: Handler, limits: Limits, **options: object) -> None:
+    def __init__(
+        self, handler: Handler, limits: Limits, clients: ClientLimits, **options: object
+    ) -> None:
         """Prepares the server.
 
         :param handler: answers the requests.
         :param limits: returns the limits in force.
+        :param clients: limits of all connections.
         :param options: as for `web.Server`.
         """
         super().__init__(handler, **options)
         self.limits = limits
+        self._clients = clients
+        self._make_intake = bounded(self._make_connection)
 
-    def __call__(self) -> LimitedConnection:
+    def __call__(self) -> Intake:
         """Returns the protocol of a new connection."""
-        return LimitedConnection(self, loop=self._loop, **self._kwargs)
+        return self._make_intake()
+
+    def _make_connection(self) -> LimitedConnection:
+        return LimitedConnection(self, loop=self._loop, clients=self._clients, **self._kwargs)
 
 
 async def read_request(
--- a/geraniumrail/callers/server.py
+++ b/geraniumrail/callers/server.py
@@ -8,6 +8,7 @@
 from geraniumrail.callers import events
 from geraniumrail.callers.auth import KEY_RING
 from geraniumrail.callers.bodies import BODY_TIMEOUT_S
+from geraniumrail.callers.client_limits import ClientLimits
 from geraniumrail.callers.connection import ConnectionRunner
 from geraniumrail.callers.failures import answer_failures
 from geraniumrail.config.key_ring import KeyRing
@@ -43,6 +44,7 @@
         limits: LimitsConfig,
         key_ring: KeyRing,
         routes: list[web.RouteDef],
+        clients: ClientLimits | None = None,
     ) -> None:
         """Builds the application.
 
@@ -50,9 +52,11 @@
         :param limits: limits on requests.
         :param key_ring: API keys.
         :param routes: route table.
+        :param clients: limits of all connections of the process.
         """
         self._listen = listen
         self._limits = limits
+        self._clients = clients or ClientLimits.from_machine()
         application = web.Application(middlewares=[answer_failures])
         application[KEY_RING] = key_ring
         application[BODY_TIMEOUT_S] = float(limits.body_timeout_s)
@@ -60,6 +64,7 @@
         self._runner = ConnectionRunner(
             application,
             header_timeout_s=float(limits.header_timeout_s),
+            clients=self._clients,
             access_log=None,
             handler_cancellation=True,
             keepalive_timeout=IDLE_CONNECTION_S,
@@ -78,6 +83,7 @@
             self._listen.host,
             self._listen.port,
             ssl_context=self._tls(),
+            backlog=self._clients.backlog,
             shutdown_timeout=1,
         )
         await self._site.start()
--- a/geraniumrail/daemon/daemon.py
+++ b/geraniumrail/daemon/daemon.py
@@ -4,6 +4,7 @@
 import random
 import signal
 
+from geraniumrail.callers.client_limits import ClientLimits
 from geraniumrail.callers.server import HttpServer
 from geraniumrail.config.daemon import CONTROL, ENTRY, DaemonConfig
 from geraniumrail.config.key_ring import KeyRing
@@ -33,7 +34,8 @@
         self._links = LinkPool(tls)
         self._link_server = LinkServer(config.peers.listen, tls)
         self._key_ring = KeyRing.from_config(config)
-        self._metrics = Metrics.from_config(config)
+        self._clients = ClientLimits.from_machine()
+        self._metrics = Metrics.from_config(config, self._clients)
         self._servers: list[HttpServer] = []
         self._control = self._build_control() if CONTROL in config.roles else None
         self._entry = self._build_entry() if ENTRY in config.roles else None
@@ -69,7 +71,7 @@
         for server in self._servers:
             await server.start()
         await self._metrics.start()
-        gauges = Gauges(self._metrics.instruments, self._entry, self._control)
+        gauges = Gauges(self._metrics.instruments, self._entry, self._control, self._clients)
         self._gauges_task = asyncio.create_task(supervise('gauges', gauges.run), name='gauges')
         log(
             events.STARTED,
@@ -117,7 +119,7 @@
         return entry
 
     def _serve(self, listen: object, routes: list) -> None:
-        server = HttpServer(listen, self._config.limits, self._key_ring, routes)
+        server = HttpServer(listen, self._config.limits, self._key_ring, routes, self._clients)
         self._servers.append(server)
 
 
--- a/geraniumrail/daemon/gauges.py
+++ b/geraniumrail/daemon/gauges.py
@@ -9,6 +9,7 @@
 
 if TYPE_CHECKING:  # a role that is not configured is not loaded
     from geraniumrail.backends.answer_budget import AnswerBudget
+    from geraniumrail.callers.client_limits import ClientLimits
     from geraniumrail.control.control import Control
     from geraniumrail.entry.entry import Entry
 
@@ -23,13 +24,17 @@
         instruments: Instruments,
         entry: 'Entry | None',
         control: 'Control | None',
+        clients: 'ClientLimits | None' = None,
     ) -> None:
         """Connects the roles.
 
         :param instruments: where to record.
         :param entry: the entry role, if it is configured.
         :param control: the control role, if it is configured.
+        :param clients: limits of the connections of clients.
         """
+        self._clients = clients
+        self._refused: collections.Counter[str] = collections.Counter()
         self._instruments = instruments
         self._entry = entry
         self._control = control
@@ -46,6 +51,8 @@
     def refresh(self) -> None:
         """Sets all gauges."""
         self._count_traffic()
+        if self._clients is not None:
+            self.show_clients(self._clients)
         if self._entry is not None:
             self._show_entry(self._entry)
         if self._control is not None:
@@ -89,6 +96,17 @@
             self._instruments.answers_broken_off.add(count, reason)
         self._broken_off = budget.broken_off.copy()
 
+    def show_clients(self, clients: 'ClientLimits') -> None:
+        """Sets what is known of the connections of clients.
+
+        :param clients: their limits.
+        """
+        self._instruments.held_head_bytes.set(clients.heads.held_bytes)
+        self._instruments.client_connections.set(len(clients.connections))
+        for reason, count in (clients.refused - self._refused).items():
+            self._instruments.clients_refused.add(count, reason)
+        self._refused = clients.refused.copy()
+
     def _show_control(self, control: 'Control') -> None:
         status = control.replica.status()
         self._instruments.log_term.set(status.term)
--- a/geraniumrail/daemon/gauges_test.py
+++ b/geraniumrail/daemon/gauges_test.py
@@ -4,6 +4,8 @@
 from unittest import mock
 
 from geraniumrail.backends.answer_budget import NO_ROOM, AnswerBudget
+from geraniumrail.callers.client_limits import HEAD, ClientLimits
+from geraniumrail.callers.head_budget import HeldHead
 from geraniumrail.daemon.gauges import Gauges
 
 
@@ -22,6 +24,19 @@
         instruments.held_answer_bytes.set.assert_called_with(60)
         instruments.answers_broken_off.add.assert_called_once_with(2, NO_ROOM)
 
+    def test_clients_that_were_refused_are_counted_once(self):
+        """Nothing showed that clients outside the limits were refused, nor what they hold."""
+        instruments = mock.Mock()
+        gauges = Gauges(instruments, None, None)
+        clients = ClientLimits.from_machine(160, 1638)
+        clients.heads.update(HeldHead('127.0.0.1', mock.Mock()), 60)
+        clients.note_refused(HEAD, '127.0.0.1', 1)
+        for _ in range(2):
+            gauges.show_clients(clients)
+        instruments.held_head_bytes.set.assert_called_with(60)
+        instruments.client_connections.set.assert_called_with(0)
+        instruments.clients_refused.add.assert_called_once_with(1, HEAD)
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/geraniumrail/daemon/hosted_adapter.py
+++ b/geraniumrail/daemon/hosted_adapter.py
@@ -6,6 +6,7 @@
 
 if TYPE_CHECKING:
     # Loading what speaks HTTP takes longer than an election.
+    from geraniumrail.callers.client_limits import ClientLimits
     from geraniumrail.control.access import ControlAccess
     from geraniumrail.control.control import Control
     from geraniumrail.control.duty_call import DutyTarget
@@ -29,17 +30,21 @@
     def dialect(self) -> 'Dialect':
         """Returns the headers between the entries and the backend servers."""
 
-    def caller_front(self, entry: 'Entry') -> Front:
+    def caller_front(self, entry: 'Entry', clients: 'ClientLimits') -> Front:
         """Returns the servers for callers.
 
         :param entry: the entry role.
+        :param clients: limits of all connections of the process.
         """
 
-    def control_front(self, control: 'Control', access: 'ControlAccess') -> Front:
+    def control_front(
+        self, control: 'Control', access: 'ControlAccess', clients: 'ClientLimits'
+    ) -> Front:
         """Returns the servers for operators, backend servers and the directory.
 
         :param control: the control role.
         :param access: calls to the leader.
+        :param clients: limits of all connections of the process.
         """
 
     def duty_target(self) -> 'DutyTarget | None':
--- a/geraniumrail/daemon/hosted_daemon.py
+++ b/geraniumrail/daemon/hosted_daemon.py
@@ -5,6 +5,7 @@
 import signal
 from typing import Any
 
+from geraniumrail.callers.client_limits import ClientLimits
 from geraniumrail.core.clock import SystemClock
 from geraniumrail.core.events import log
 from geraniumrail.daemon import events
@@ -54,6 +55,7 @@
         self._links = LinkPool()
         self._link_server = LinkServer(config.daemon.peers.listen)
         self._datagrams = Datagrams(config.daemon.peers.listen)
+        self._clients = ClientLimits.from_machine(config.memory_mb, config.max_descriptors)
         self._fronts: list[Front] = []
         self._target: Any = None
         self._metrics: Any = None
@@ -104,11 +106,12 @@
         from geraniumrail.daemon.gauges import Gauges
         from geraniumrail.metrics.metrics import Metrics
 
-        self._metrics = Metrics.from_config(self._config.daemon)
+        self._metrics = Metrics.from_config(self._config.daemon, self._clients)
         await self._metrics.start()
         if self._entry is not None:
             self._entry.forwarder.parts.recorder.instruments = self._metrics.instruments
-        await Gauges(self._metrics.instruments, self._entry, self._control).run()
+        instruments = self._metrics.instruments
+        await Gauges(instruments, self._entry, self._control, self._clients).run()
 
     async def _stop(self) -> None:
         steps = StopSteps(self._clock, self._clock.now() + self._config.grace_s)
@@ -192,7 +195,7 @@
                 config.usage_late_s,
             )
             control.jobs.append(duties)
-        self._fronts.append(self._adapter.control_front(control, access))
+        self._fronts.append(self._adapter.control_front(control, access, self._clients))
 
     def _build_entry(self) -> Any:
         from geraniumrail.backends.connections import ConnectionsConfig
@@ -217,7 +220,7 @@
             self._datagrams,
         )
         entry.register(self._link_server)
-        self._fronts.append(self._adapter.caller_front(entry))
+        self._fronts.append(self._adapter.caller_front(entry, self._clients))
         return entry
 
     def _reload(self) -> None:
--- a/geraniumrail/metrics/catalogue.py
+++ b/geraniumrail/metrics/catalogue.py
@@ -131,6 +131,25 @@
         labels=('reason',),
         about='answers of backend servers that were broken off for their size',
     ),
+    Spec(
+        name='geraniumrail.held_head_bytes',
+        kind='gauge',
+        unit='By',
+        about='bytes of clients whose requests are not complete, at all addresses of the process',
+    ),
+    Spec(
+        name='geraniumrail.client_connections',
+        kind='gauge',
+        unit='{connection}',
+        about='open connections of clients, at all addresses of the process',
+    ),
+    Spec(
+        name='geraniumrail.clients_refused',
+        kind='counter',
+        unit='{connection}',
+        labels=('reason',),
+        about='connections of clients that were refused or closed because of a limit',
+    ),
 )
 _CONTROL = (
     Spec(
--- a/geraniumrail/metrics/instruments.py
+++ b/geraniumrail/metrics/instruments.py
@@ -34,6 +34,9 @@
     held_answer_bytes: Gauge
     held_body_bytes: Gauge
     answers_broken_off: Counter
+    held_head_bytes: Gauge
+    client_connections: Gauge
+    clients_refused: Counter
     settings_revision: Gauge
     lease_left: Gauge
     control_bytes: Counter
--- a/geraniumrail/metrics/metrics.py
+++ b/geraniumrail/metrics/metrics.py
@@ -4,6 +4,7 @@
 
 from opentelemetry.metrics import MeterProvider, NoOpMeterProvider
 
+from geraniumrail.callers.client_limits import ClientLimits
 from geraniumrail.config.daemon import DaemonConfig
 from geraniumrail.metrics.instruments import Instruments
 
@@ -24,10 +25,11 @@
         self._server = server
 
     @classmethod
-    def from_config(cls, config: DaemonConfig) -> 'Metrics':
+    def from_config(cls, config: DaemonConfig, clients: ClientLimits | None = None) -> 'Metrics':
         """Creates the metrics of a settings file; loads only the exporter that it names.
 
         :param config: settings file.
+        :param clients: limits of all connections of the process.
         :raises MissingPackageError: if the package of the exporter is not installed.
         """
         if config.metrics.exporter == 'none':
@@ -36,7 +38,7 @@
 
         if config.metrics.exporter == 'otlp':
             return cls(otlp_provider(config))
-        return cls(*prometheus_provider(config))
+        return cls(*prometheus_provider(config, clients))
 
     async def start(self) -> None:
         """Starts the server.
--- a/geraniumrail/metrics/prometheus_server.py
+++ b/geraniumrail/metrics/prometheus_server.py
@@ -4,23 +4,30 @@
 from prometheus_client import CollectorRegistry
 from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
 
+from geraniumrail.callers.client_limits import ClientLimits
+from geraniumrail.callers.connection import ConnectionRunner
 from geraniumrail.config.address import split_address
 
 
 class PrometheusServer:
     """One listening address without API keys; it is meant for a private network."""
 
-    def __init__(self, listen: str, registry: CollectorRegistry) -> None:
+    def __init__(
+        self, listen: str, registry: CollectorRegistry, clients: ClientLimits | None = None
+    ) -> None:
         """Builds the application.
 
         :param listen: ip:port.
         :param registry: what to show.
+        :param clients: limits of all connections of the process.
         """
+        self._clients = clients or ClientLimits.from_machine()
         self._listen = listen
         self._registry = registry
         application = web.Application(client_max_size=0)
         application.add_routes([web.get('/metrics', self._show)])
-        self._runner = web.AppRunner(application, access_log=None, shutdown_timeout=1)
+        options = {'access_log': None, 'shutdown_timeout': 1}
+        self._runner = ConnectionRunner(application, self._clients, **options)
 
     async def start(self) -> None:
         """Listens.
@@ -29,7 +36,7 @@
         """
         host, port = split_address(self._listen)
         await self._runner.setup()
-        await web.TCPSite(self._runner, host, port).start()
+        await web.TCPSite(self._runner, host, port, backlog=self._clients.backlog).start()
 
     async def stop(self) -> None:
         """Stops listening and ends the connections."""
--- a/geraniumrail/metrics/providers.py
+++ b/geraniumrail/metrics/providers.py
@@ -4,22 +4,27 @@
 from opentelemetry.sdk.metrics.export import MetricReader
 from opentelemetry.sdk.resources import Resource
 
+from geraniumrail.callers.client_limits import ClientLimits
 from geraniumrail.config.daemon import DaemonConfig
 from geraniumrail.metrics.otlp_reader import otlp_reader
 from geraniumrail.metrics.prometheus_server import PrometheusServer
 
 
-def prometheus_provider(config: DaemonConfig) -> tuple[MeterProvider, PrometheusServer]:
+def prometheus_provider(
+    config: DaemonConfig, clients: ClientLimits | None
+) -> tuple[MeterProvider, PrometheusServer]:
     """Creates a provider and the server that shows it.
 
     :param config: settings file.
+    :param clients: limits of all connections of the process.
     """
     from opentelemetry.exporter.prometheus import PrometheusMetricReader
     from prometheus_client import CollectorRegistry
 
     registry = CollectorRegistry()
     reader = PrometheusMetricReader(registry=registry, scope_info_enabled=False)
-    return _provider(config, reader), PrometheusServer(config.metrics.listen, registry)
+    server = PrometheusServer(config.metrics.listen, registry, clients)
+    return _provider(config, reader), server
 
 
 def otlp_provider(config: DaemonConfig) -> MeterProvider:
