Take no part of a reset answer and no odd status for an answer

All clients but the platform's took statuses such as 000 for statuses. The handler of connections to backend servers now shares a base with them that refuses both.

--- a/geraniumrail/backends/events.py
+++ b/geraniumrail/backends/events.py
@@ -27,3 +27,9 @@
     'an answer was broken off for its size; the reason says which limit it exceeded',
     logging.WARNING,
 )
+INVALID_STATUS = Event.define(
+    1104,
+    'backends.invalid_status',
+    'An answer had a status that HTTP does not have; its request may have run.',
+    logging.WARNING,
+)
--- a/geraniumrail/backends/guarded_handler.py
+++ b/geraniumrail/backends/guarded_handler.py
@@ -5,7 +5,6 @@
 from typing import Any
 
 from aiohttp import ClientPayloadError
-from aiohttp.client_proto import ResponseHandler
 from aiohttp.http import RawResponseMessage
 from aiohttp.streams import EMPTY_PAYLOAD
 
@@ -17,6 +16,8 @@
     TOO_LONG,
     AnswerBudget,
 )
+from geraniumrail.backends.strict_handler import INTERIM as INTERIM_STATUSES
+from geraniumrail.backends.strict_handler import StrictHandler
 from geraniumrail.core.byte_budget import Hold
 
 # Closes idle connections before the backend server does: a request that crosses its close may
@@ -31,7 +32,6 @@
 # By which the chunk sizes, extensions and trailers of an answer may exceed its body: chunks of a
 # byte or two cost as much time as large ones. One read, 256 KiB, may wait to be parsed.
 MAX_FRAMING_BYTES = 384 * 1024
-_INTERIM = range(100, 200)
 # A connection that has carried so many is closed, which bounds what it remembers of them: 8 bytes
 # of each.
 MAX_REQUESTS = 1000
@@ -67,7 +67,7 @@
         return min(self._default_s, self._limits_by_address.get(address, self._default_s))
 
 
-class GuardedHandler(ResponseHandler):
+class GuardedHandler(StrictHandler):
     """Refuses reuse after stray bytes or a long pause, and notices answers that were reset.
 
     A server may send the copy of an earlier answer where the next one is due. The copy names its
@@ -84,7 +84,6 @@
         :param budget: of the bytes of all answers.
         """
         super().__init__(loop)
-        self.address = ''
         self._hold = budget.hold('', self._give_up)  # of the present answer
         self._is_hold_taken = False
         self._budget = budget
@@ -153,9 +152,11 @@
         :param size: of the HTTP library.
         """
         if self.requests > 1 and _holds_status_line(data[0]):
-            self._abort(ClientPayloadError('the beginning of an earlier answer precedes the head'))
+            self.abort_answer(
+                ClientPayloadError('the beginning of an earlier answer precedes the head')
+            )
             return
-        is_interim = data[0].code in _INTERIM
+        is_interim = data[0].code in INTERIM_STATUSES
         self._interim_answers += is_interim
         self._has_head = self._has_head or not is_interim
         self._head_bytes = self._answer_bytes
@@ -165,15 +166,6 @@
             self._break_off(ANNOUNCED)
         super().feed_data(data, size)
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Notes the address.
-
-        :param transport: the connection.
-        """
-        peer = transport.get_extra_info('peername')
-        self.address = f'{peer[0]}:{peer[1]}' if peer else ''
-        super().connection_made(transport)
-
     def data_received(self, data: bytes) -> None:
         """Notes when the last bytes came, and breaks off an answer that has no end.
 
@@ -210,14 +202,7 @@
             return
         self._is_broken_off = True
         self._budget.note_broken_off(reason, self.address, self._answer_bytes)
-        self._abort(ClientPayloadError(f'the answer was broken off: {reason}'))
-
-    def _abort(self, failure: ClientPayloadError) -> None:
-        if self._payload is not None and not self._payload.is_eof():
-            self._payload.set_exception(failure)
-        self.set_exception(failure)
-        if self.transport is not None:
-            self.transport.abort()
+        self.abort_answer(ClientPayloadError(f'the answer was broken off: {reason}'))
 
     def is_connected(self) -> bool:
         """Returns whether a request may be sent on this connection.
@@ -231,13 +216,10 @@
         return super().is_connected() and not stray and fresh
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Marks an answer without a length as incomplete if its connection was reset.
+        """Ends the count of the present answer.
 
         :param exc: why the connection ended; None after an orderly end.
         """
-        payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(ClientPayloadError(f'the connection was reset: {exc!r}'))
         if self._is_hold_taken:
             self._hold.settle()
         else:
--- a/geraniumrail/cloud/cloud_client.py
+++ b/geraniumrail/cloud/cloud_client.py
@@ -4,8 +4,9 @@
 from typing import Any, TypeVar
 
 import msgspec
-from aiohttp import ClientError, ClientSession, ClientTimeout, TCPConnector
+from aiohttp import ClientError, ClientSession, ClientTimeout
 
+from geraniumrail.backends.strict_handler import strict_connector
 from geraniumrail.cloud.bounded_answer import read_answer
 from geraniumrail.cloud.instance import CloudInstance
 from geraniumrail.cloud.notice import CloudNotice
@@ -44,7 +45,7 @@
         :param limit_s: limit of each call, in seconds.
         """
         # A late second answer on a kept connection would be taken for the answer to the next call.
-        connector = TCPConnector(force_close=True)
+        connector = strict_connector()
         return cls(url, ClientSession(connector=connector, timeout=ClientTimeout(total=limit_s)))
 
     async def close(self) -> None:
--- a/geraniumrail/cloud/weight_client.py
+++ b/geraniumrail/cloud/weight_client.py
@@ -9,9 +9,9 @@
     ClientResponse,
     ClientSession,
     ClientTimeout,
-    TCPConnector,
 )
 
+from geraniumrail.backends.strict_handler import strict_connector
 from geraniumrail.errors.cloud import (
     PlatformError,
     PlatformUnreachableError,
@@ -42,7 +42,7 @@
         """
         timeout = ClientTimeout(total=None, sock_connect=silence_limit_s, sock_read=silence_limit_s)
         # Answers name no weights: a late second one on a kept connection would be taken for others.
-        connector = TCPConnector(force_close=True)
+        connector = strict_connector()
         session = ClientSession(connector=connector, timeout=timeout, auto_decompress=False)
         return cls(url, session)
 
