--- a/geraniumrail/metrics/catalogue.py
+++ b/geraniumrail/metrics/catalogue.py
@@ -166,6 +166,25 @@
         labels=('organisation', 'reason'),
         about="forwarded requests rejected for their organisation's limit; `reason` as in E1805",
     ),
+    Spec(
+        name='geraniumrail.held_head_bytes',
+        kind='gauge',
+        unit='By',
+        about='bytes of clients whose requests are not complete, at all addresses of the process',
+    ),
+    Spec(
+        name='geraniumrail.client_connections',
+        kind='gauge',
+        unit='{connection}',
+        about='open connections of clients, at all addresses of the process',
+    ),
+    Spec(
+        name='geraniumrail.clients_refused',
+        kind='counter',
+        unit='{connection}',
+        labels=('reason',),
+        about='connections of clients that were refused or closed because of a limit',
+    ),
 )
 _CONTROL = (
     Spec(
--- a/geraniumrail/metrics/instruments.py
+++ b/geraniumrail/metrics/instruments.py
@@ -39,6 +39,9 @@
     held_body_bytes: Gauge
     answers_broken_off: Counter
     limit_rejections: Counter
+    held_head_bytes: Gauge
+    client_connections: Gauge
+    clients_refused: Counter
     settings_revision: Gauge
     lease_left: Gauge
     control_bytes: Counter
