--- a/geraniumrail/bench/engine_shape.py
+++ b/geraniumrail/bench/engine_shape.py
@@ -16,6 +16,18 @@
     block_tokens: int = 64
     kv_tokens: int = 60_000
 
+    def scaled(self, speed: float) -> 'EngineShape':
+        """Returns the shape of an engine that works faster or slower.
+
+        :param speed: 1 for the same speed.
+        """
+        return dataclasses.replace(
+            self,
+            step_s=self.step_s / speed,
+            sequence_s=self.sequence_s / speed,
+            prefill_tokens_per_s=self.prefill_tokens_per_s * speed,
+        )
+
     def request_rate(self, prefill_tokens: float, answer_tokens: float) -> float:
         """Returns the requests per second at which all slots are in use.
 
--- a/geraniumrail/bench/fleet.py
+++ b/geraniumrail/bench/fleet.py
@@ -40,6 +40,7 @@
         time: VirtualTime,
         rng: random.Random,
         data_centres: int = 3,
+        speeds: Sequence[float] = (1,),
     ) -> None:
         """Creates the engines.
 
@@ -49,13 +50,17 @@
         :param time: event queue.
         :param rng: source of all draws.
         :param data_centres: three are in the first region; two of four are in a second one.
+        :param speeds: of the engines relative to `shape`, in turn.
         """
         self._lag = lag
         self._time = time
         self._rng = rng
         self._sequence = 0
         self.engines_by_name = {
-            f'e{number:03}': FakeEngine(f'e{number:03}', shape, time) for number in range(count)
+            f'e{number:03}': FakeEngine(
+                f'e{number:03}', shape.scaled(speeds[number % len(speeds)]), time
+            )
+            for number in range(count)
         }
         self.backends = tuple(
             Backend(
@@ -71,6 +76,11 @@
             for number, (name, engine) in enumerate(self.engines_by_name.items())
         )
 
+    @property
+    def names(self) -> tuple[str, ...]:
+        """Instances."""
+        return tuple(self.engines_by_name)
+
     def announce_to(self, views: Sequence[Observer]) -> None:
         """Schedules all announcements.
 
--- a/geraniumrail/bench/job.py
+++ b/geraniumrail/bench/job.py
@@ -14,6 +14,8 @@
     prompt_tokens: int
     answer_tokens: int
     arrived_at: float
+    part_blocks: tuple[int, ...] = ()  # blocks of each part, if the prompt has parts
+    engine: str = ''
     bound_s: float | None = None
     sent_at: float | None = None
     first_token_at: float | None = None
