Learn the speed of each backend server from its answers

Answers that report a load are compared with those of the same kind from the other servers. The work factor of a report counts for some tenths of a second. Reading, waiting and plain work in the score scale with both; servers that are alike keep the speed 1 and are chosen as before.

--- a/geraniumrail/bench/document_entry.py
+++ b/geraniumrail/bench/document_entry.py
@@ -9,7 +9,9 @@
 from geraniumrail.bench.load_model import EXPECTED_ANSWER_TOKENS, NETWORK_S, DirectEntry
 from geraniumrail.bench.virtual_time import VirtualTime
 from geraniumrail.core.load_report import LoadReport
+from geraniumrail.forwarding.run_notes import MIN_PAUSES
 from geraniumrail.routing.choice import choose
+from geraniumrail.routing.prefill_rate import MIN_SAMPLE_TOKENS
 from geraniumrail.routing.rendezvous import preferred_instances
 from geraniumrail.routing.request import LanguageRequest
 
@@ -43,13 +45,14 @@
         cached, worth = self.knowledge.hints.cached_prefix(name, request.prefixes, now)
         known = request.prefix_tokens[cached - 1] * worth if cached else 0
         unread = max(0, job.prompt_tokens - known)
+        ahead = self.knowledge.pending_prompt_tokens(name)
         self.knowledge.add_pending_prompt_tokens(name, unread)
         tokens = job.prompt_tokens + EXPECTED_ANSWER_TOKENS
         self.knowledge.record_sent(name, tokens, request.prefixes, now)
         job.sent_at = now
         job.engine = name
         engine = self._fleet.engines_by_name[name]
-        first = functools.partial(self._first_event, name, unread)
+        first = functools.partial(self._first_event, name, unread, ahead)
         last = functools.partial(self._last, name, tokens)
         self._time.after(NETWORK_S, lambda: engine.submit(job, first, last))
 
@@ -71,14 +74,24 @@
             expected_answer_tokens=EXPECTED_ANSWER_TOKENS,
         )
 
-    def _first_event(self, name: str, unread: float, job: Job) -> None:
+    def _first_event(self, name: str, unread: float, ahead: float, job: Job) -> None:
         self._first(name, job)
         knowledge, seconds = self.knowledge, self._time.now - (job.sent_at or 0)
         knowledge.add_pending_prompt_tokens(name, -unread)
-        knowledge.prefill_rate.observe(unread, seconds)
+        slowness = knowledge.speeds.slowness(name, self._time.now)
+        knowledge.prefill_rate.observe(unread * slowness, seconds)
         report = self._fleet.engines_by_name[name].report()
         told = LoadReport(running=report.running, queued=report.queued, slots=report.slots)
         knowledge.observe_load(name, told, self._time.now)
+        if unread >= MIN_SAMPLE_TOKENS:
+            queue = 1 + report.queued / report.slots
+            per_token_s = seconds / queue / (unread + ahead)
+            knowledge.speeds.observe_work(name, 'read', per_token_s, 1, self._time.now)
+
+    def _on_finished(self, name: str, job: Job) -> None:
+        if job.answer_tokens > MIN_PAUSES:
+            pause_s = (self._time.now - (job.first_token_at or 0)) / job.answer_tokens
+            self.knowledge.speeds.observe_work(name, 'pause', pause_s, 1, self._time.now)
 
 
 class Documents:
--- a/geraniumrail/daemon/gauges.py
+++ b/geraniumrail/daemon/gauges.py
@@ -69,6 +69,9 @@
         self._instruments.limited_backends.replace(
             collections.Counter((each.service,) for each in limited if each is not None)
         )
+        self._instruments.server_speed.replace(
+            view.knowledge.speeds.bounds(backends, entry.forwarder.parts.clock.now()),
+        )
         held = entry.forwarder.parts.watch.quarantines
         self._instruments.quarantines.replace(collections.Counter((each.service,) for each in held))
         self._instruments.held_body_bytes.set(entry.forwarder.bodies.held_bytes)
--- a/geraniumrail/forwarding/run.py
+++ b/geraniumrail/forwarding/run.py
@@ -156,6 +156,7 @@
 
     async def _relay(self, attempt: Attempt, sent_at: float) -> None:
         self._splitter.restart()
+        known_events = self._splitter.events
         stall_s, stall = self._stall_s(), asyncio.timeout(None)
         try:
             async with stall:
@@ -182,7 +183,8 @@
                 reason='the stream ended within an event',
             )
         await self._reply.finish()
-        self._notes.ended_whole(attempt.backend)
+        pauses = self._splitter.events - known_events - 1
+        self._notes.ended_whole(attempt.backend, pauses)
         self._notes.log_end(attempt, self._sent, self._splitter.events)
 
     def _stall_s(self) -> float | None:
--- a/geraniumrail/forwarding/run_notes.py
+++ b/geraniumrail/forwarding/run_notes.py
@@ -2,14 +2,18 @@
 
 from geraniumrail.core.backend import Backend
 from geraniumrail.core.events import log
+from geraniumrail.core.load_report import LoadReport
 from geraniumrail.forwarding import events
 from geraniumrail.forwarding.admitted import Admitted
 from geraniumrail.forwarding.attempt import Attempt
 from geraniumrail.forwarding.inbound import Inbound
 from geraniumrail.forwarding.parts import Parts
 from geraniumrail.quarantine.part_watch import PROOF_S
+from geraniumrail.routing.prefill_rate import MIN_SAMPLE_TOKENS
 
 UNAVAILABLE = 503
+# The mean pause of a shorter stream says little about the speed of its backend server.
+MIN_PAUSES = 8
 
 
 class RunNotes:
@@ -31,6 +35,8 @@
         self._unread: float = 0  # prompt tokens that the chosen backend server has yet to read
         self._read_tokens: float = 0  # the same, also once they were read
         self._first_event_at: float | None = None  # of the present attempt
+        self._ahead: float = 0  # prompt tokens of this entry that are read before the present one's
+        self._load: LoadReport | None = None  # of the present answer; None: it teaches no speed
 
     def sent(self, backend: Backend, attempt: str) -> None:
         """Notes that an attempt is made.
@@ -45,6 +51,8 @@
         self._unread = max(0, (inbound.prompt_tokens or 0) - known)
         self._read_tokens = self._unread
         self._first_event_at = None
+        self._load = None
+        self._ahead = knowledge.pending_prompt_tokens(backend.instance)
         self.is_proved = False
         knowledge.add_pending_prompt_tokens(backend.instance, self._unread)
         knowledge.record_sent(backend.instance, inbound.tokens or 1, inbound.prefixes, now)
@@ -77,6 +85,8 @@
         knowledge = self._parts.view.knowledge
         if attempt.head.load is not None:
             knowledge.observe_load(attempt.backend.instance, attempt.head.load, now)
+        # A cold server is slow for another reason, and only for some seconds.
+        self._load = None if attempt.head.cold_s else attempt.head.load
         pause_s = attempt.head.retry_after_s
         if attempt.status == UNAVAILABLE and pause_s is not None and pause_s > 0:
             knowledge.pauses.begin(attempt.backend, pause_s, now)
@@ -95,7 +105,7 @@
             self._first_event_at = now
         if self.first_s is None:
             self.first_s = now - sent_at
-            self._parts.view.knowledge.prefill_rate.observe(self._unread, self.first_s)
+            self._learn_reading(backend, now - sent_at, now)
             self._record_first(self.first_s)
             self.began(now)
             self.observe(backend, failed=None, first_s=self.first_s)
@@ -103,13 +113,17 @@
             self._prove(backend, self._first_event_at)
         self._read(backend)
 
-    def ended_whole(self, backend: Backend) -> None:
+    def ended_whole(self, backend: Backend, pauses: int = 0) -> None:
         """Notes the end of a whole stream.
 
         :param backend: where it came from.
+        :param pauses: between the events of the present attempt.
         """
         if self._first_event_at is not None:
             self._prove(backend, self._first_event_at)
+            if pauses >= MIN_PAUSES:
+                now = self._parts.clock.now()
+                self._learn(backend, 'pause', (now - self._first_event_at) / pauses, now)
         self.observe(backend, failed=False)
 
     def answered(self, attempt: Attempt, sent_at: float, *, failed: bool) -> None:
@@ -120,9 +134,11 @@
         :param failed: whether the backend server failed.
         """
         self.began(sent_at)
+        self.first_s = self._parts.clock.now() - sent_at
         if not failed:
             self._prove(attempt.backend, sent_at)
-        self.first_s = self._parts.clock.now() - sent_at
+            if attempt.is_success:
+                self._learn_plain(attempt.backend, self.first_s)
         self._record_first(self.first_s)
         self.observe(attempt.backend, failed=failed, first_s=self.first_s)
 
@@ -210,6 +226,36 @@
             self.is_proved = True
             self._parts.watch.record_answer(backend.service, self._admitted.traits, began_at)
 
+    def _learn_plain(self, backend: Backend, seconds: float) -> None:
+        """Learns from a whole answer that tells the queue in which the request may have waited."""
+        if self._load is None:
+            return
+        knowledge, now = self._parts.view.knowledge, self._parts.clock.now()
+        work_s = seconds / (1 + self._load.queued / max(1, self._load.slots))
+        slowness = knowledge.speeds.slowness(backend.instance, now)
+        knowledge.speeds.observe_plain(backend.service, work_s / slowness)
+        self._learn(backend, self._admitted.route.name, work_s, now)
+
+    def _learn_reading(self, backend: Backend, seconds: float, now: float) -> None:
+        knowledge = self._parts.view.knowledge
+        slowness = knowledge.speeds.slowness(backend.instance, now)
+        # In tokens that an engine of the usual speed reads in the same time.
+        knowledge.prefill_rate.observe(self._unread * slowness, seconds)
+        if self._unread >= MIN_SAMPLE_TOKENS and self._load is not None:
+            queue = 1 + self._load.queued / max(1, self._load.slots)
+            per_token_s = seconds / queue / (self._unread + self._ahead)
+            self._learn(backend, 'read', per_token_s, now)
+
+    def _learn(self, backend: Backend, kind: str, seconds: float, now: float) -> None:
+        if self._load is not None:
+            self._parts.view.knowledge.speeds.observe_work(
+                backend.instance,
+                f'{backend.service} {kind}',
+                seconds,
+                self._load.work_factor,
+                now,
+            )
+
     def _record_first(self, seconds: float) -> None:
         recorder = self._parts.recorder
         recorder.first_event(self._admitted.service, self._admitted.route.name, seconds)
@@ -221,8 +267,10 @@
             return
         generating_s = self._parts.clock.now() - self._first_event_at
         slots = max(1, self._parts.view.knowledge.last_report(backend).slots)
+        # Reading takes a slow engine longer than the reported rate, which is of a usual one, tells.
+        speed = self._parts.view.knowledge.speeds.speed(backend.instance, self._parts.clock.now())
         self._parts.demand.worked(
-            self._admitted.service, tokens, self._read_tokens, generating_s / slots
+            self._admitted.service, tokens, self._read_tokens / speed, generating_s / slots
         )
 
     def _read(self, backend: Backend) -> None:
--- a/geraniumrail/forwarding/testing.py
+++ b/geraniumrail/forwarding/testing.py
@@ -83,6 +83,7 @@
             leaving='X-Leaving' in headers,
             retry_after_s=float(headers['Retry-After']) if 'Retry-After' in headers else None,
             limit_per_s=float(headers['X-Limit']) if 'X-Limit' in headers else None,
+            load=LoadReport(slots=int(headers['X-Slots'])) if 'X-Slots' in headers else None,
         )
 
 
--- a/geraniumrail/metrics/catalogue.py
+++ b/geraniumrail/metrics/catalogue.py
@@ -105,6 +105,13 @@
         labels=('service',),
         about='backend servers that have named a limit of the requests that they take',
     ),
+    Spec(
+        name='geraniumrail.server_speed',
+        kind='gauge',
+        unit='1',
+        labels=('service', 'rank'),
+        about='learned speed of the `slowest` and the `fastest` backend server; 1 is the mean',
+    ),
     Spec(
         name='geraniumrail.quarantines',
         kind='gauge',
--- a/geraniumrail/metrics/instruments.py
+++ b/geraniumrail/metrics/instruments.py
@@ -30,6 +30,7 @@
     bookings: Counter
     backends: Gauge
     limited_backends: Gauge
+    server_speed: Gauge
     quarantines: Gauge
     held_answer_bytes: Gauge
     held_body_bytes: Gauge
--- a/geraniumrail/routing/backend_tracker.py
+++ b/geraniumrail/routing/backend_tracker.py
@@ -19,6 +19,7 @@
 from geraniumrail.routing.estimate import Estimate
 from geraniumrail.routing.prefill_rate import INITIAL_TOKENS_PER_S, PrefillRate
 from geraniumrail.routing.prefix_hints import PrefixHints
+from geraniumrail.routing.server_speed import ServerSpeeds
 
 # Until the next report the other entries choose the same idle engine, so each own request counts
 # three times; counting it once is worse with both 4 and 40 entries.
@@ -46,6 +47,7 @@
         self.hints = PrefixHints()
         self.limits = EngineLimits()
         self.pauses = EnginePauses()
+        self.speeds = ServerSpeeds()
         self._leaving_by_instance: dict[str, int] = {}  # incarnation that said so
         self._views_by_id: dict[str, BackendView] = {}
         self._mean_occupancy: float = 0
@@ -84,6 +86,7 @@
         :param now: monotonic seconds.
         """
         self._view(backend_id).observe_report(report, now)
+        self.speeds.observe_factor(backend_id, report.work_factor, now - report.age_s)
         requests = report.running + report.queued
         self._mean_occupancy += _MEAN_SMOOTHING * (
             requests / max(1, report.slots) - self._mean_occupancy
@@ -193,6 +196,7 @@
         """
         self._views_by_id.pop(backend_id, None)
         self._pending_prompt_tokens.pop(backend_id, None)
+        self.speeds.remove(backend_id)
         self.hints.remove(backend_id)
 
     def is_usable(self, backend: Backend, now: float) -> bool:
@@ -239,6 +243,8 @@
             tokens_per_s=max(view.best_tokens_per_s, MIN_TOKENS_PER_S),
             kv_used=report.kv_used,
             penalty_s=view.penalty_s(now),
+            slowness=self.speeds.slowness(backend.instance, now),
+            work_s=self.speeds.work_s(backend.service),
         )
 
     def opens_in_s(self, backends: Iterable[Backend], now: float) -> float:
--- a/geraniumrail/routing/choice.py
+++ b/geraniumrail/routing/choice.py
@@ -51,8 +51,8 @@
     for backend, estimate in zip(sample, estimates, strict=True):
         parts = score(request, backend, estimate, tracker, now)
         if not within_affinity_cap(estimate, mean_occupancy):
-            parts = _without_affinity(parts, request, tracker)
-        scored.append(ScoredBackend(backend, parts))
+            parts = _without_affinity(parts, request, estimate, tracker)
+        scored.append(ScoredBackend(backend, parts, estimate.slowness))
     scored.sort(key=lambda each: each.total)
     return _decide(request, scored)
 
@@ -83,6 +83,7 @@
         parts=best.parts,
         alternatives=tuple((other.backend.instance, other.total) for other in others),
         reason=_reason(best.parts, others[0].parts if others else ()),
+        slowness=best.slowness,
     )
 
 
@@ -96,12 +97,15 @@
 
 
 def _without_affinity(
-    parts: tuple[ScorePart, ...], request: RouteRequest, tracker: BackendTracker
+    parts: tuple[ScorePart, ...],
+    request: RouteRequest,
+    estimate: Estimate,
+    tracker: BackendTracker,
 ) -> tuple[ScorePart, ...]:
     """Counts the whole prompt as not cached, so that a popular prefix overloads no engine."""
     if not isinstance(request, LanguageRequest):
         return parts
-    whole = request.prompt_tokens / tracker.prefill_tokens_per_s
+    whole = request.prompt_tokens / tracker.prefill_tokens_per_s * estimate.slowness
     return tuple(ScorePart(part.name, whole) if part.name == 'prefill' else part for part in parts)
 
 
--- a/geraniumrail/routing/decision.py
+++ b/geraniumrail/routing/decision.py
@@ -17,3 +17,4 @@
     parts: tuple[ScorePart, ...]
     alternatives: tuple[tuple[str, float], ...]  # (instance, score) of the others that were scored
     reason: str
+    slowness: float = 1  # of the chosen one, relative to the other backend servers
--- a/geraniumrail/routing/estimate.py
+++ b/geraniumrail/routing/estimate.py
@@ -13,6 +13,8 @@
     tokens_per_s: float
     kv_used: float
     penalty_s: float
+    slowness: float = 1  # how long work takes now, relative to the other backend servers
+    work_s: float | None = None  # learned time of a plain answer at the usual speed
 
     @property
     def occupancy(self) -> float:
--- a/geraniumrail/routing/events.py
+++ b/geraniumrail/routing/events.py
@@ -38,6 +38,7 @@
         version=decision.backend.version,
         reason=decision.reason,
         score=round(decision.score, 4),
+        slowness=round(decision.slowness, 3),
         parts={part.name: round(part.amount, 4) for part in decision.parts},
         alternatives={name: round(total, 4) for name, total in decision.alternatives},
     )
--- a/geraniumrail/routing/score.py
+++ b/geraniumrail/routing/score.py
@@ -20,7 +20,7 @@
 # A full batch delays the first token by some decode steps. At 0.3 and more, small differences
 # between stale reports outweigh the random draw if there are many entries.
 BATCH_COST_S = 0.2
-# Cost of a plain backend server whose slots are all in use.
+# Cost of a plain backend server whose slots are all in use, until its work time is known.
 PLAIN_OCCUPANCY_COST_S = 0.05
 # Other entries have probably sent the same prefix there, but this entry has no hint of it.
 PREFERRED_CONFIDENCE = 0.6
@@ -68,9 +68,9 @@
     uncached_tokens += tracker.pending_prompt_tokens(backend.instance)
     adapter_missing = request.adapter and request.adapter not in backend.adapters
     amounts = {
-        'wait': waiting * mean_tokens / estimate.tokens_per_s,
+        'wait': waiting * mean_tokens / estimate.tokens_per_s * estimate.slowness,
         'batch': BATCH_COST_S * min(1, estimate.occupancy),
-        'prefill': uncached_tokens / tracker.prefill_tokens_per_s,
+        'prefill': uncached_tokens / tracker.prefill_tokens_per_s * estimate.slowness,
         'distance': distance_s(request, backend),
         'adapter': ADAPTER_LOAD_S if adapter_missing else 0,
         'kv': KV_FULL_COST_S
@@ -94,8 +94,11 @@
     tracker: BackendTracker,
     now: float,
 ) -> tuple[ScorePart, ...]:
+    work_s = PLAIN_OCCUPANCY_COST_S if estimate.work_s is None else estimate.work_s
     return (
-        ScorePart('wait', PLAIN_OCCUPANCY_COST_S * estimate.occupancy),
+        ScorePart('wait', work_s * estimate.slowness * estimate.occupancy),
+        # Relative to a server of the usual speed: servers that are alike get no part.
+        ScorePart('work', work_s * (estimate.slowness - 1)),
         ScorePart('distance', distance_s(request, backend)),
         ScorePart('penalty', estimate.penalty_s),
     )
--- a/geraniumrail/routing/scored_backend.py
+++ b/geraniumrail/routing/scored_backend.py
@@ -12,6 +12,7 @@
 
     backend: Backend
     parts: tuple[ScorePart, ...]
+    slowness: float = 1
 
     @property
     def total(self) -> float:
