Weigh cached prefixes against the load of engines

Where the configuration gives the memory of an engine (kv_tokens), each request weighs the prompt tokens that an engine probably caches against its wait and what the request evicts there, without a cap of affinity. The number of engines that keep a shared part follows its popularity. Other services are served as before.

--- a/geraniumrail/bench/document_entry.py
+++ b/geraniumrail/bench/document_entry.py
@@ -9,10 +9,10 @@
 from geraniumrail.bench.load_model import EXPECTED_ANSWER_TOKENS, NETWORK_S, DirectEntry
 from geraniumrail.bench.virtual_time import VirtualTime
 from geraniumrail.core.load_report import LoadReport
-from geraniumrail.forwarding.run_notes import MIN_PAUSES
+from geraniumrail.forwarding.speed_notes import MIN_PAUSES
 from geraniumrail.routing.choice import choose
 from geraniumrail.routing.prefill_rate import MIN_SAMPLE_TOKENS
-from geraniumrail.routing.rendezvous import preferred_instances
+from geraniumrail.routing.prefix_value import Pool
 from geraniumrail.routing.request import LanguageRequest
 
 
@@ -31,6 +31,8 @@
         super().__init__(number, choose, fleet, time, seed)
         self.knowledge.limits.entries = entries
         self._instances = [each.instance for each in fleet.backends]
+        self._value = self.knowledge.prefix_values['bench']
+        self._entries = entries
 
     def submit(self, job: Job) -> None:
         """Sends a job.
@@ -39,12 +41,11 @@
         """
         now = self._time.now
         request = self._request(job)
-        name = self._choose(
-            self._fleet.backends, request, self.knowledge, self._rng, now
-        ).backend.instance
-        cached, worth = self.knowledge.hints.cached_prefix(name, request.prefixes, now)
-        known = request.prefix_tokens[cached - 1] * worth if cached else 0
-        unread = max(0, job.prompt_tokens - known)
+        decision = self._choose(self._fleet.backends, request, self.knowledge, self._rng, now)
+        name = decision.backend.instance
+        cached = decision.cached_tokens or 0
+        unread = job.prompt_tokens - cached
+        self._value.sent(job.prompt_tokens, cached, EXPECTED_ANSWER_TOKENS, now)
         ahead = self.knowledge.pending_prompt_tokens(name)
         self.knowledge.add_pending_prompt_tokens(name, unread)
         tokens = job.prompt_tokens + EXPECTED_ANSWER_TOKENS
@@ -57,9 +58,18 @@
         self._time.after(NETWORK_S, lambda: engine.submit(job, first, last))
 
     def _request(self, job: Job) -> LanguageRequest:
+        now = self._time.now
         ends = tuple(itertools.accumulate(job.part_blocks))
-        block_tokens = self._fleet.engines_by_name[self._instances[0]].shape.block_tokens
+        shape = self._fleet.engines_by_name[self._instances[0]].shape
         prefixes = tuple(job.prefixes[end - 1] for end in ends)
+        prefix_tokens = tuple(end * shape.block_tokens for end in ends)
+        pool = Pool(
+            instances=self._instances,
+            kv_tokens=shape.kv_tokens,
+            requests=self.knowledge.mean_occupancy * shape.slots,
+            entries=self._entries,
+        )
+        self._value.observe(prefixes[:-1], now)
         return LanguageRequest(
             request_id=job.job_id,
             service='bench',
@@ -67,9 +77,9 @@
             data_centre=self._data_centre,
             region=self._region,
             prefixes=prefixes,
-            prefix_tokens=tuple(end * block_tokens for end in ends),
+            prefix_tokens=prefix_tokens,
+            plan=self._value.plan(prefixes[:-1], prefix_tokens, pool, now),
             prompt_tokens=job.prompt_tokens,
-            preferred=preferred_instances(prefixes[-2], self._instances),
             shared_prefix_count=len(prefixes) - 1,
             expected_answer_tokens=EXPECTED_ANSWER_TOKENS,
         )
--- a/geraniumrail/daemon/gauges.py
+++ b/geraniumrail/daemon/gauges.py
@@ -72,6 +72,12 @@
         self._instruments.server_speed.replace(
             view.knowledge.speeds.bounds(backends, entry.forwarder.parts.clock.now()),
         )
+        self._instruments.prefix_residence.replace(
+            {
+                (service,): value.last_residence_s
+                for service, value in view.knowledge.prefix_values.items()
+            }
+        )
         held = entry.forwarder.parts.watch.quarantines
         self._instruments.quarantines.replace(collections.Counter((each.service,) for each in held))
         self._instruments.held_body_bytes.set(entry.forwarder.bodies.held_bytes)
--- a/geraniumrail/forwarding/recorder.py
+++ b/geraniumrail/forwarding/recorder.py
@@ -8,6 +8,8 @@
 NO_ROUTE = 'none'
 OK = 'ok'
 CALLER_GONE = 'caller_gone'
+CACHED = 'cached'
+READ = 'read'
 
 
 class Recorder:
@@ -39,6 +41,17 @@
         if self.instruments is not None:
             self.instruments.first_token.record(seconds, service, route)
 
+    def prompt_sent(self, service: str, tokens: float, cached_tokens: float) -> None:
+        """Counts the tokens of a prompt by what its engine is expected to do with them.
+
+        :param service: name of the service.
+        :param tokens: of the prompt.
+        :param cached_tokens: those that are expected to be cached.
+        """
+        if self.instruments is not None:
+            self.instruments.prompt_tokens.add(round(cached_tokens), service, CACHED)
+            self.instruments.prompt_tokens.add(round(tokens - cached_tokens), service, READ)
+
     def attempt_failed(self, service: str, reason: str) -> None:
         """Counts a failed attempt.
 
--- a/geraniumrail/forwarding/run.py
+++ b/geraniumrail/forwarding/run.py
@@ -20,6 +20,7 @@
 from geraniumrail.forwarding.event_splitter import EventSplitter, EventTooLongError
 from geraniumrail.forwarding.inbound import Inbound
 from geraniumrail.forwarding.parts import Parts
+from geraniumrail.forwarding.prefix_plans import prefix_plan
 from geraniumrail.forwarding.reply import Reply
 from geraniumrail.forwarding.run_notes import RunNotes
 from geraniumrail.routing.choice import choose
@@ -250,10 +251,11 @@
 
     def _choose(self, failure: BackendError | None) -> Backend:
         now = self._now()
+        candidates = self._candidates()
         try:
             decision = choose(
-                self._candidates(),
-                self._route_request(),
+                candidates,
+                self._route_request(candidates, is_first=failure is None),
                 self._parts.view.knowledge,
                 self._parts.rng,
                 now,
@@ -261,13 +263,14 @@
         except NoBackendError as error:
             raise self._given_up(failure or error) from error
         log_decision(decision)
+        self._notes.expect_cached(decision.cached_tokens)
         self._last = decision.backend
         return decision.backend
 
     def _candidates(self) -> list[Backend]:
         return self._parts.view.usable(self._admitted.service)
 
-    def _route_request(self) -> RouteRequest:
+    def _route_request(self, candidates: list[Backend], *, is_first: bool) -> RouteRequest:
         inbound, parts = self._inbound, self._parts
         version = parts.outcomes.version(
             self._admitted.service, self._admitted.route.name, self._draw
@@ -278,28 +281,33 @@
             'data_centre': parts.data_centre,
             'region': parts.region,
             'version_shares': ((version, 1.0),) if version else (),
-            'excluded': self._avoided(),
+            'excluded': self._avoided(candidates),
         }
         if inbound.prompt_tokens is None:
             return PlainRequest(**common)
         shared = inbound.prefixes[: len(inbound.shared_parts)]
-        instances = [each.instance for each in self._candidates()]
         sizes = tuple(itertools.accumulate(part.tokens for part in inbound.parts))
+        plan = prefix_plan(parts, self._admitted.service, shared, sizes, is_first=is_first)
+        preferred: tuple[str, ...] = ()
+        if plan is None and shared:
+            instances = [each.instance for each in candidates]
+            preferred = preferred_instances(shared[-1], instances)
         return LanguageRequest(
             **common,
             model=inbound.model,
             prefixes=inbound.prefixes,
             prefix_tokens=sizes,
             prompt_tokens=inbound.prompt_tokens,
-            preferred=preferred_instances(shared[-1] if shared else '', instances),
+            preferred=preferred,
+            plan=plan,
             shared_prefix_count=len(shared),
             expected_answer_tokens=inbound.output_tokens,
         )
 
-    def _avoided(self) -> frozenset[str]:
+    def _avoided(self, candidates: list[Backend]) -> frozenset[str]:
         now = self._now()
         knowledge = self._parts.view.knowledge
-        usable = frozenset(each.instance for each in self._candidates())
+        usable = frozenset(each.instance for each in candidates)
         silent = frozenset(each for each in usable if knowledge.is_unresponsive(each, now))
         avoided = self._excluded | silent
         return avoided if usable - avoided else self._excluded
--- a/geraniumrail/forwarding/run_notes.py
+++ b/geraniumrail/forwarding/run_notes.py
@@ -2,18 +2,15 @@
 
 from geraniumrail.core.backend import Backend
 from geraniumrail.core.events import log
-from geraniumrail.core.load_report import LoadReport
 from geraniumrail.forwarding import events
 from geraniumrail.forwarding.admitted import Admitted
 from geraniumrail.forwarding.attempt import Attempt
 from geraniumrail.forwarding.inbound import Inbound
 from geraniumrail.forwarding.parts import Parts
+from geraniumrail.forwarding.speed_notes import SpeedNotes
 from geraniumrail.quarantine.part_watch import PROOF_S
-from geraniumrail.routing.prefill_rate import MIN_SAMPLE_TOKENS
 
 UNAVAILABLE = 503
-# The mean pause of a shorter stream says little about the speed of its backend server.
-MIN_PAUSES = 8
 
 
 class RunNotes:
@@ -35,8 +32,8 @@
         self._unread: float = 0  # prompt tokens that the chosen backend server has yet to read
         self._read_tokens: float = 0  # the same, also once they were read
         self._first_event_at: float | None = None  # of the present attempt
-        self._ahead: float = 0  # prompt tokens of this entry that are read before the present one's
-        self._load: LoadReport | None = None  # of the present answer; None: it teaches no speed
+        self._cached: float | None = None  # prompt tokens, as routing expects
+        self._speed = SpeedNotes(parts, admitted.route.name)
 
     def sent(self, backend: Backend, attempt: str) -> None:
         """Notes that an attempt is made.
@@ -46,13 +43,11 @@
         """
         inbound, now = self._inbound, self._parts.clock.now()
         knowledge = self._parts.view.knowledge
-        cached, worth = knowledge.hints.cached_prefix(backend.instance, inbound.prefixes, now)
-        known = sum(part.tokens for part in inbound.parts[:cached]) * worth
-        self._unread = max(0, (inbound.prompt_tokens or 0) - known)
+        prompt_tokens = inbound.prompt_tokens or 0
+        self._unread = max(0, prompt_tokens - self._expected_cached(backend, now))
         self._read_tokens = self._unread
         self._first_event_at = None
-        self._load = None
-        self._ahead = knowledge.pending_prompt_tokens(backend.instance)
+        self._speed.sent(backend)
         self.is_proved = False
         knowledge.add_pending_prompt_tokens(backend.instance, self._unread)
         knowledge.record_sent(backend.instance, inbound.tokens or 1, inbound.prefixes, now)
@@ -60,6 +55,13 @@
             attempt, self._admitted.service, backend.version, self._admitted.route.name, now
         )
 
+    def expect_cached(self, tokens: float | None) -> None:
+        """Notes what routing expects the chosen engine to have cached.
+
+        :param tokens: of the prompt; None: not known.
+        """
+        self._cached = tokens
+
     def ended(self, backend: Backend, attempt: str) -> None:
         """Notes that an attempt has ended, however it did.
 
@@ -85,8 +87,7 @@
         knowledge = self._parts.view.knowledge
         if attempt.head.load is not None:
             knowledge.observe_load(attempt.backend.instance, attempt.head.load, now)
-        # A cold server is slow for another reason, and only for some seconds.
-        self._load = None if attempt.head.cold_s else attempt.head.load
+        self._speed.head(attempt.head)
         pause_s = attempt.head.retry_after_s
         if attempt.status == UNAVAILABLE and pause_s is not None and pause_s > 0:
             knowledge.pauses.begin(attempt.backend, pause_s, now)
@@ -105,7 +106,7 @@
             self._first_event_at = now
         if self.first_s is None:
             self.first_s = now - sent_at
-            self._learn_reading(backend, now - sent_at, now)
+            self._speed.reading(backend, self._unread, self.first_s)
             self._record_first(self.first_s)
             self.began(now)
             self.observe(backend, failed=None, first_s=self.first_s)
@@ -121,9 +122,8 @@
         """
         if self._first_event_at is not None:
             self._prove(backend, self._first_event_at)
-            if pauses >= MIN_PAUSES:
-                now = self._parts.clock.now()
-                self._learn(backend, 'pause', (now - self._first_event_at) / pauses, now)
+            seconds = self._parts.clock.now() - self._first_event_at
+            self._speed.pauses(backend, pauses, seconds)
         self.observe(backend, failed=False)
 
     def answered(self, attempt: Attempt, sent_at: float, *, failed: bool) -> None:
@@ -138,7 +138,7 @@
         if not failed:
             self._prove(attempt.backend, sent_at)
             if attempt.is_success:
-                self._learn_plain(attempt.backend, self.first_s)
+                self._speed.plain(attempt.backend, self.first_s)
         self._record_first(self.first_s)
         self.observe(attempt.backend, failed=failed, first_s=self.first_s)
 
@@ -226,35 +226,16 @@
             self.is_proved = True
             self._parts.watch.record_answer(backend.service, self._admitted.traits, began_at)
 
-    def _learn_plain(self, backend: Backend, seconds: float) -> None:
-        """Learns from a whole answer that tells the queue in which the request may have waited."""
-        if self._load is None:
-            return
-        knowledge, now = self._parts.view.knowledge, self._parts.clock.now()
-        work_s = seconds / (1 + self._load.queued / max(1, self._load.slots))
-        slowness = knowledge.speeds.slowness(backend.instance, now)
-        knowledge.speeds.observe_plain(backend.service, work_s / slowness)
-        self._learn(backend, self._admitted.route.name, work_s, now)
-
-    def _learn_reading(self, backend: Backend, seconds: float, now: float) -> None:
-        knowledge = self._parts.view.knowledge
-        slowness = knowledge.speeds.slowness(backend.instance, now)
-        # In tokens that an engine of the usual speed reads in the same time.
-        knowledge.prefill_rate.observe(self._unread * slowness, seconds)
-        if self._unread >= MIN_SAMPLE_TOKENS and self._load is not None:
-            queue = 1 + self._load.queued / max(1, self._load.slots)
-            per_token_s = seconds / queue / (self._unread + self._ahead)
-            self._learn(backend, 'read', per_token_s, now)
-
-    def _learn(self, backend: Backend, kind: str, seconds: float, now: float) -> None:
-        if self._load is not None:
-            self._parts.view.knowledge.speeds.observe_work(
-                backend.instance,
-                f'{backend.service} {kind}',
-                seconds,
-                self._load.work_factor,
-                now,
-            )
+    def _expected_cached(self, backend: Backend, now: float) -> float:
+        """Returns the cached prompt tokens; counts them if the memory of engines is known."""
+        inbound, knowledge = self._inbound, self._parts.view.knowledge
+        value = knowledge.prefix_values.get(backend.service)
+        if value is None or self._cached is None or not inbound.prompt_tokens:
+            cached, worth = knowledge.hints.cached_prefix(backend.instance, inbound.prefixes, now)
+            return sum(part.tokens for part in inbound.parts[:cached]) * worth
+        value.sent(inbound.prompt_tokens, self._cached, inbound.output_tokens, now)
+        self._parts.recorder.prompt_sent(backend.service, inbound.prompt_tokens, self._cached)
+        return self._cached
 
     def _record_first(self, seconds: float) -> None:
         recorder = self._parts.recorder
--- a/geraniumrail/forwarding/testing.py
+++ b/geraniumrail/forwarding/testing.py
@@ -253,7 +253,9 @@
     return Inbound(**{**fields, **changes})
 
 
-def make_forwarder(routes, backends, *, version=1, lease_s=60, dialect=None, **organisation):
+def make_forwarder(
+    routes, backends, *, version=1, lease_s=60, dialect=None, engine=None, **organisation
+):
     """Builds a forwarder whose view has one configuration and some backend servers."""
     clock = SystemClock()
     view = ClusterView(clock, BackendTracker())
@@ -261,7 +263,7 @@
     deployment = Deployment(
         version=version,
         routes=tuple(routes),
-        services=(ServiceSpec(name=SERVICE),),
+        services=(ServiceSpec(name=SERVICE, engine=engine),),
         organisations=(holder,),
     )
     update = ControlUpdate(
--- a/geraniumrail/metrics/catalogue.py
+++ b/geraniumrail/metrics/catalogue.py
@@ -23,6 +23,21 @@
         labels=('service', 'organisation', 'direction'),
         about='tokens of language model requests; `direction` is `prompt` or `answer`',
     ),
+    Spec(
+        name='geraniumrail.prompt_tokens',
+        kind='counter',
+        unit='{token}',
+        labels=('service', 'expected'),
+        about='prompt tokens that were sent, by whether the engine is expected to have them '
+        '`cached` or has to `read` them; only for services whose `kv_tokens` is configured',
+    ),
+    Spec(
+        name='geraniumrail.prefix_residence',
+        kind='gauge',
+        unit='s',
+        labels=('service',),
+        about='time for which an engine is expected to keep a prefix that is not used again',
+    ),
     Spec(
         name='geraniumrail.first_token',
         kind='histogram',
--- a/geraniumrail/metrics/instruments.py
+++ b/geraniumrail/metrics/instruments.py
@@ -19,6 +19,8 @@
 
     requests: Counter
     tokens: Counter
+    prompt_tokens: Counter
+    prefix_residence: Gauge
     first_token: Histogram
     between_tokens: Histogram
     answer: Histogram
--- a/geraniumrail/routing/backend_tracker.py
+++ b/geraniumrail/routing/backend_tracker.py
@@ -1,5 +1,6 @@
 """Load and cached prefixes of the backend servers as this entry sees them."""
 
+import collections
 import dataclasses
 import math
 from collections.abc import Iterable, Iterator, Sequence
@@ -19,6 +20,7 @@
 from geraniumrail.routing.estimate import Estimate
 from geraniumrail.routing.prefill_rate import INITIAL_TOKENS_PER_S, PrefillRate
 from geraniumrail.routing.prefix_hints import PrefixHints
+from geraniumrail.routing.prefix_value import PrefixValue
 from geraniumrail.routing.server_speed import ServerSpeeds
 
 # Until the next report the other entries choose the same idle engine, so each own request counts
@@ -48,9 +50,10 @@
         self.limits = EngineLimits()
         self.pauses = EnginePauses()
         self.speeds = ServerSpeeds()
+        self.prefix_values: dict[str, PrefixValue] = collections.defaultdict(PrefixValue)
         self._leaving_by_instance: dict[str, int] = {}  # incarnation that said so
         self._views_by_id: dict[str, BackendView] = {}
-        self._mean_occupancy: float = 0
+        self.mean_occupancy: float = 0  # requests per slot of a backend server
         self._mean_tokens: float = 0
         self._pending_prompt_tokens: dict[str, float] = {}
 
@@ -88,8 +91,8 @@
         self._view(backend_id).observe_report(report, now)
         self.speeds.observe_factor(backend_id, report.work_factor, now - report.age_s)
         requests = report.running + report.queued
-        self._mean_occupancy += _MEAN_SMOOTHING * (
-            requests / max(1, report.slots) - self._mean_occupancy
+        self.mean_occupancy += _MEAN_SMOOTHING * (
+            requests / max(1, report.slots) - self.mean_occupancy
         )
         if requests:
             self._mean_tokens += _MEAN_SMOOTHING * (
@@ -224,12 +227,12 @@
         view = self._views_by_id.get(backend.instance)
         if view is None:
             slots = backend.load.slots
-            mean = self._mean_occupancy * slots
+            mean = self.mean_occupancy * slots
             return Estimate(mean, slots, mean * self._mean_tokens, MIN_TOKENS_PER_S, 0, 0)
         report = view.report
         report_weight = math.exp(min(0, view.measured_at - now) / REPORT_DECAY_S)
         reported = report.running + report.queued
-        mean = (1 - report_weight) * self._mean_occupancy * report.slots
+        mean = (1 - report_weight) * self.mean_occupancy * report.slots
         own_requests, own_tokens = view.own_load(now)
         return Estimate(
             requests=max(0, report_weight * reported + mean + self.own_send_weight * own_requests),
--- a/geraniumrail/routing/choice.py
+++ b/geraniumrail/routing/choice.py
@@ -1,5 +1,6 @@
 """Chooses a backend server for a request."""
 
+import dataclasses
 import itertools
 import random
 from collections.abc import Sequence
@@ -10,7 +11,7 @@
 from geraniumrail.routing.eligibility import eligible_backends
 from geraniumrail.routing.estimate import Estimate
 from geraniumrail.routing.request import LanguageRequest, RouteRequest
-from geraniumrail.routing.score import score
+from geraniumrail.routing.score import cached_tokens, score
 from geraniumrail.routing.score_part import ScorePart
 from geraniumrail.routing.scored_backend import ScoredBackend
 
@@ -50,11 +51,15 @@
     scored = []
     for backend, estimate in zip(sample, estimates, strict=True):
         parts = score(request, backend, estimate, tracker, now)
-        if not within_affinity_cap(estimate, mean_occupancy):
+        if _is_capped(request) and not within_affinity_cap(estimate, mean_occupancy):
             parts = _without_affinity(parts, request, estimate, tracker)
         scored.append(ScoredBackend(backend, parts, estimate.slowness))
     scored.sort(key=lambda each: each.total)
-    return _decide(request, scored)
+    decision = _decide(request, scored)
+    if not isinstance(request, LanguageRequest):
+        return decision
+    cached = cached_tokens(request, decision.backend, tracker, now)
+    return dataclasses.replace(decision, cached_tokens=min(request.prompt_tokens, cached))
 
 
 def _draw(usable: Sequence[Backend], region: str, rng: random.Random) -> list[Backend]:
@@ -87,6 +92,11 @@
     )
 
 
+def _is_capped(request: RouteRequest) -> bool:
+    """Returns whether affinity ends at some load; with a plan it is weighed against the load."""
+    return not isinstance(request, LanguageRequest) or request.plan is None
+
+
 def within_affinity_cap(estimate: Estimate, mean_occupancy: float) -> bool:
     """Returns whether a backend server's load is low enough for prefix affinity.
 
@@ -120,9 +130,8 @@
         for instance in tracker.hints.holders(request.prefixes)
         if instance in usable_by_id
     )
-    preferred = (
-        usable_by_id[instance] for instance in request.preferred if instance in usable_by_id
-    )
+    wanted = request.preferred if request.plan is None else request.plan.preferred
+    preferred = (usable_by_id[instance] for instance in wanted if instance in usable_by_id)
     return (*itertools.islice(found, MAX_PREFIX_HOLDERS), *preferred)
 
 
--- a/geraniumrail/routing/decision.py
+++ b/geraniumrail/routing/decision.py
@@ -17,4 +17,5 @@
     parts: tuple[ScorePart, ...]
     alternatives: tuple[tuple[str, float], ...]  # (instance, score) of the others that were scored
     reason: str
+    cached_tokens: float | None = None  # prompt tokens expected to be cached there
     slowness: float = 1  # of the chosen one, relative to the other backend servers
--- a/geraniumrail/routing/events.py
+++ b/geraniumrail/routing/events.py
@@ -39,6 +39,7 @@
         reason=decision.reason,
         score=round(decision.score, 4),
         slowness=round(decision.slowness, 3),
+        cached_tokens=None if decision.cached_tokens is None else round(decision.cached_tokens),
         parts={part.name: round(part.amount, 4) for part in decision.parts},
         alternatives={name: round(total, 4) for name, total in decision.alternatives},
     )
--- a/geraniumrail/routing/prefix_hints.py
+++ b/geraniumrail/routing/prefix_hints.py
@@ -13,6 +13,8 @@
 HINT_DECAY_S = 300.0  # time constant
 # A sent prompt is usually cached, but its eviction may not have been announced yet.
 SENT_CONFIDENCE = 0.9
+# Prefixes that are looked up for one prompt, so that a prompt of many parts costs little more.
+MAX_EVIDENCE = 8
 # A gap in the sequence of events may hide the eviction of any prefix added before it.
 GAP_CONFIDENCE_FACTOR = 0.5
 
@@ -94,6 +96,27 @@
         aged = hint.confidence * math.exp((hint.at - now) / HINT_DECAY_S)
         return aged * GAP_CONFIDENCE_FACTOR ** (hints.gaps - hint.gaps)
 
+    def evidence(
+        self, backend_id: str, prefixes: Sequence[str], now: float
+    ) -> Iterator[tuple[int, float, float]]:
+        """Yields (number of prefixes, confidence, age) for the longest prefixes that are known.
+
+        The age is that of a prompt which was sent; it is 0 if a cache event is the evidence, since
+        another event tells the eviction.
+
+        :param backend_id: instance.
+        :param prefixes: digests, shortest first.
+        :param now: monotonic seconds.
+        """
+        hints = self._hints_by_backend.get(backend_id)
+        if hints is None:
+            return
+        for count in range(len(prefixes), max(0, len(prefixes) - MAX_EVIDENCE), -1):
+            hint = hints.hints_by_prefix.get(prefixes[count - 1])
+            if hint is not None:
+                age_s = now - hint.at if hint.confidence <= SENT_CONFIDENCE else 0
+                yield count, self.confidence(backend_id, prefixes[count - 1], now), age_s
+
     def cached_blocks(self, backend_id: str, prefixes: Sequence[str], now: float) -> float:
         """Returns the expected number of leading blocks that are cached.
 
--- a/geraniumrail/routing/request.py
+++ b/geraniumrail/routing/request.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from geraniumrail.routing.prefix_value import PrefixPlan
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class RouteRequest:
@@ -29,6 +31,7 @@
     preferred: tuple[str, ...] = ()  # instances to which all entries send the shared prefix
     shared_prefix_count: int = 1  # leading prefixes that other requests may share
     expected_answer_tokens: int = 0
+    plan: PrefixPlan | None = None  # None: the memory of the engines is not known
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/geraniumrail/routing/score.py
+++ b/geraniumrail/routing/score.py
@@ -59,27 +59,59 @@
         estimate.backlog_tokens / estimate.requests if estimate.requests >= 1 else own_tokens
     )
     waiting = max(0, estimate.requests + 1 - estimate.slots)
-    cached, confidence = tracker.hints.cached_prefix(backend.instance, request.prefixes, now)
-    cached_tokens = _tokens_of(request, cached) * confidence
-    if backend.instance in request.preferred:
-        shared_tokens = _tokens_of(request, request.shared_prefix_count)
-        cached_tokens = max(cached_tokens, shared_tokens * PREFERRED_CONFIDENCE)
-    uncached_tokens = max(0, request.prompt_tokens - cached_tokens)
-    uncached_tokens += tracker.pending_prompt_tokens(backend.instance)
+    uncached_tokens = max(0, request.prompt_tokens - cached_tokens(request, backend, tracker, now))
+    pending_tokens = tracker.pending_prompt_tokens(backend.instance)
+    read_s = estimate.slowness / tracker.prefill_tokens_per_s  # for each token
     adapter_missing = request.adapter and request.adapter not in backend.adapters
     amounts = {
         'wait': waiting * mean_tokens / estimate.tokens_per_s * estimate.slowness,
         'batch': BATCH_COST_S * min(1, estimate.occupancy),
-        'prefill': uncached_tokens / tracker.prefill_tokens_per_s * estimate.slowness,
+        'prefill': (uncached_tokens + pending_tokens) * read_s,
         'distance': distance_s(request, backend),
         'adapter': ADAPTER_LOAD_S if adapter_missing else 0,
         'kv': KV_FULL_COST_S
-        * (max(0, estimate.kv_used - KV_SAFE_SHARE) / (1 - KV_SAFE_SHARE)) ** 2,
+        * (max(0, _kv_used(request, estimate) - KV_SAFE_SHARE) / (1 - KV_SAFE_SHARE)) ** 2,
         'penalty': estimate.penalty_s,
     }
+    if request.plan is not None:
+        added_tokens = uncached_tokens + request.expected_answer_tokens
+        amounts['evict'] = added_tokens * request.plan.evicts * read_s
     return tuple(itertools.starmap(ScorePart, amounts.items()))
 
 
+def cached_tokens(
+    request: LanguageRequest, backend: Backend, tracker: BackendTracker, now: float
+) -> float:
+    """Returns the prompt tokens that an engine is expected to have cached.
+
+    :param request: with its prefixes.
+    :param backend: the engine.
+    :param tracker: cache data of this entry.
+    :param now: monotonic seconds.
+    """
+    plan = request.plan
+    if plan is not None:
+        known = tracker.hints.evidence(backend.instance, request.prefixes, now)
+        hinted = [
+            (_tokens_of(request, count), confidence * plan.holds(age_s))
+            for count, confidence, age_s in known
+        ]
+        return plan.cached_tokens(backend.instance, hinted)
+    cached, confidence = tracker.hints.cached_prefix(backend.instance, request.prefixes, now)
+    tokens = _tokens_of(request, cached) * confidence
+    if backend.instance in request.preferred:
+        shared_tokens = _tokens_of(request, request.shared_prefix_count)
+        return max(tokens, shared_tokens * PREFERRED_CONFIDENCE)
+    return tokens
+
+
+def _kv_used(request: LanguageRequest, estimate: Estimate) -> float:
+    """Returns the share of KV memory in use, as reported or by the requests that run there."""
+    if request.plan is None or estimate.kv_used:
+        return estimate.kv_used
+    return min(1, estimate.requests * request.plan.request_tokens / request.plan.kv_tokens)
+
+
 def _tokens_of(request: LanguageRequest, prefixes: int) -> int:
     """Returns the number of prompt tokens in the first `prefixes` prefixes."""
     sizes = request.prefix_tokens
