--- a/geraniumrail/routing/choice.py
+++ b/geraniumrail/routing/choice.py
@@ -124,10 +124,13 @@
 ) -> tuple[Backend, ...]:
     if not isinstance(request, LanguageRequest):
         return ()
+    # The same few holders of a part that is everywhere would be scored for all its requests.
+    known = 0 if request.plan is None else request.plan.everywhere
+    prefixes = request.prefixes[known:]
     usable_by_id = {backend.instance: backend for backend in usable}
     found = (
         usable_by_id[instance]
-        for instance in tracker.hints.holders(request.prefixes)
+        for instance in tracker.hints.holders(prefixes)
         if instance in usable_by_id
     )
     wanted = request.preferred if request.plan is None else request.plan.preferred
--- a/geraniumrail/routing/part_popularity.py
+++ b/geraniumrail/routing/part_popularity.py
@@ -14,7 +14,7 @@
 PRIOR_REQUESTS = 0.5
 # Until this many requests were seen, a part is expected to be asked for now and then.
 INITIAL_COUNT = 0.1
-INITIAL_REQUESTS = 20
+INITIAL_REQUESTS = 5
 WINDOW = 300
 
 
--- a/geraniumrail/routing/prefix_value.py
+++ b/geraniumrail/routing/prefix_value.py
@@ -75,6 +75,11 @@
         copies = [part.copies[:PREFERRED_INSTANCES] for part in reversed(self.parts)]
         return tuple(dict.fromkeys(instance for found in copies for instance in found))
 
+    @property
+    def everywhere(self) -> int:
+        """Number of leading parts that are taken to be at every engine."""
+        return sum(not part.copies for part in self.parts)
+
     def holds(self, age_s: float) -> float:
         """Returns the probability that an engine still caches what was sent there.
 
