--- a/geraniumrail/forwarding/choose_place.py
+++ b/geraniumrail/forwarding/choose_place.py
@@ -7,6 +7,7 @@
 from geraniumrail.forwarding.inbound import Inbound
 from geraniumrail.forwarding.parts import Parts
 from geraniumrail.routing.choice import choose
+from geraniumrail.routing.decision import Decision
 from geraniumrail.routing.eligibility import eligible_backends
 from geraniumrail.routing.events import log_decision
 from geraniumrail.routing.request import RouteRequest
@@ -14,8 +15,8 @@
 
 async def choose_place(
     inbound: Inbound, admitted: Admitted, parts: Parts, request: RouteRequest, *, is_repeat: bool
-) -> Backend:
-    """Returns the backend server; its place is taken.
+) -> Decision:
+    """Returns the decision for a backend server whose place is taken.
 
     :param inbound: the caller's request.
     :param admitted: how it is forwarded.
@@ -43,9 +44,9 @@
         candidates = candidates_of(admitted, parts)
         present = [each for each in candidates if each.instance in place.instances]
         if present:
-            backend = _choose(present, request, parts)
-            place.take(backend.instance)
-            return backend
+            decision = _choose(present, request, parts)
+            place.take(decision.backend.instance)
+            return decision
         place.give_back()  # its backend server has gone meanwhile
     return _choose(candidates_of(admitted, parts), request, parts)
 
@@ -74,7 +75,7 @@
     )
 
 
-def _choose(candidates: list[Backend], request: RouteRequest, parts: Parts) -> Backend:
+def _choose(candidates: list[Backend], request: RouteRequest, parts: Parts) -> Decision:
     decision = choose(candidates, request, parts.view.knowledge, parts.rng, parts.clock.now())
     log_decision(decision)
-    return decision.backend
+    return decision
--- a/geraniumrail/forwarding/run.py
+++ b/geraniumrail/forwarding/run.py
@@ -23,6 +23,7 @@
 from geraniumrail.forwarding.event_splitter import EventSplitter, EventTooLongError
 from geraniumrail.forwarding.inbound import Inbound
 from geraniumrail.forwarding.parts import Parts
+from geraniumrail.forwarding.prefix_plans import prefix_plan
 from geraniumrail.forwarding.reply import Reply
 from geraniumrail.forwarding.run_notes import RunNotes
 from geraniumrail.routing.rendezvous import preferred_instances
@@ -166,6 +167,7 @@
 
     async def _relay(self, attempt: Attempt, sent_at: float) -> None:
         self._splitter.restart()
+        known_events = self._splitter.events
         stall_s, stall = self._stall_s(), asyncio.timeout(None)
         try:
             async with stall:
@@ -192,7 +194,8 @@
                 reason='the stream ended within an event',
             )
         await self._reply.finish()
-        self._notes.ended_whole(attempt.backend)
+        pauses = self._splitter.events - known_events - 1
+        self._notes.ended_whole(attempt.backend, pauses)
         self._notes.log_end(attempt, self._sent, self._splitter.events)
 
     def _stall_s(self) -> float | None:
@@ -257,12 +260,13 @@
         return self._parts.retries.allows_retry(self._admitted.service, self._now())
 
     async def _choose(self, failure: BackendError | None) -> Backend:
+        candidates = self._candidates()
         try:
-            self._last = await choose_place(
+            decision = await choose_place(
                 self._inbound,
                 self._admitted,
                 self._parts,
-                self._route_request(),
+                self._route_request(candidates, is_first=failure is None),
                 is_repeat=self._may_have_run,
             )
         except NoBackendError as error:
@@ -271,12 +275,14 @@
             if self._may_have_run:
                 raise IncompleteAnswerError(reason=str(error)) from error
             raise
-        return self._last
+        self._notes.expect_cached(decision.cached_tokens)
+        self._last = decision.backend
+        return decision.backend
 
     def _candidates(self) -> list[Backend]:
         return candidates_of(self._admitted, self._parts)
 
-    def _route_request(self) -> RouteRequest:
+    def _route_request(self, candidates: list[Backend], *, is_first: bool) -> RouteRequest:
         inbound, parts = self._inbound, self._parts
         version = parts.outcomes.version(
             self._admitted.service, self._admitted.route.name, self._draw
@@ -287,28 +293,33 @@
             'data_centre': parts.data_centre,
             'region': parts.region,
             'version_shares': ((version, 1.0),) if version else (),
-            'excluded': self._avoided(),
+            'excluded': self._avoided(candidates),
         }
         if inbound.prompt_tokens is None:
             return PlainRequest(**common)
         shared = inbound.prefixes[: len(inbound.shared_parts)]
-        instances = [each.instance for each in self._candidates()]
         sizes = tuple(itertools.accumulate(part.tokens for part in inbound.parts))
+        plan = prefix_plan(parts, self._admitted.service, shared, sizes, is_first=is_first)
+        preferred: tuple[str, ...] = ()
+        if plan is None and shared:
+            instances = [each.instance for each in candidates]
+            preferred = preferred_instances(shared[-1], instances)
         return LanguageRequest(
             **common,
             model=inbound.model,
             prefixes=inbound.prefixes,
             prefix_tokens=sizes,
             prompt_tokens=inbound.prompt_tokens,
-            preferred=preferred_instances(shared[-1] if shared else '', instances),
+            preferred=preferred,
+            plan=plan,
             shared_prefix_count=len(shared),
             expected_answer_tokens=inbound.output_tokens,
         )
 
-    def _avoided(self) -> frozenset[str]:
+    def _avoided(self, candidates: list[Backend]) -> frozenset[str]:
         now = self._now()
         knowledge = self._parts.view.knowledge
-        usable = frozenset(each.instance for each in self._candidates())
+        usable = frozenset(each.instance for each in candidates)
         silent = frozenset(each for each in usable if knowledge.is_unresponsive(each, now))
         avoided = self._excluded | silent
         return avoided if usable - avoided else self._excluded
--- a/geraniumrail/forwarding/run_notes.py
+++ b/geraniumrail/forwarding/run_notes.py
@@ -7,6 +7,7 @@
 from geraniumrail.forwarding.attempt import Attempt
 from geraniumrail.forwarding.inbound import Inbound
 from geraniumrail.forwarding.parts import Parts
+from geraniumrail.forwarding.speed_notes import SpeedNotes
 from geraniumrail.quarantine.part_watch import PROOF_S
 
 UNAVAILABLE = 503
@@ -32,6 +33,8 @@
         self._read_tokens: float = 0  # the same, also once they were read
         self._first_event_at: float | None = None  # of the present attempt
         self._is_cold = False  # the backend server, when the present attempt was sent
+        self._cached: float | None = None  # prompt tokens, as routing expects
+        self._speed = SpeedNotes(parts, admitted.route.name)
 
     def sent(self, backend: Backend, attempt: str) -> None:
         """Notes that an attempt is made.
@@ -41,11 +44,11 @@
         """
         inbound, now = self._inbound, self._parts.clock.now()
         knowledge = self._parts.view.knowledge
-        cached, worth = knowledge.hints.cached_prefix(backend.instance, inbound.prefixes, now)
-        known = sum(part.tokens for part in inbound.parts[:cached]) * worth
-        self._unread = max(0, (inbound.prompt_tokens or 0) - known)
+        prompt_tokens = inbound.prompt_tokens or 0
+        self._unread = max(0, prompt_tokens - self._expected_cached(backend, now))
         self._read_tokens = self._unread
         self._first_event_at = None
+        self._speed.sent(backend)
         self.is_proved = False
         self._is_cold = knowledge.cold.is_cold(backend, now)
         knowledge.add_pending_prompt_tokens(backend.instance, self._unread)
@@ -54,6 +57,13 @@
             attempt, self._admitted.service, backend.version, self._admitted.route.name, now
         )
 
+    def expect_cached(self, tokens: float | None) -> None:
+        """Notes what routing expects the chosen engine to have cached.
+
+        :param tokens: of the prompt; None: not known.
+        """
+        self._cached = tokens
+
     def ended(self, backend: Backend, attempt: str) -> None:
         """Notes that an attempt has ended, however it did.
 
@@ -82,6 +92,7 @@
             self._parts.places.observe(
                 self._admitted.service, attempt.backend.instance, attempt.head.load
             )
+        self._speed.head(attempt.head)
         pause_s = attempt.head.retry_after_s
         if attempt.status == UNAVAILABLE and pause_s is not None and pause_s > 0:
             knowledge.pauses.begin(attempt.backend, pause_s, now)
@@ -101,7 +112,7 @@
             self._first_event_at = now
         if self.first_s is None:
             self.first_s = now - sent_at
-            self._parts.view.knowledge.prefill_rate.observe(self._unread, self.first_s)
+            self._speed.reading(backend, self._unread, self.first_s)
             self._record_first(self.first_s)
             self.began(now)
             self.observe(backend, failed=None, first_s=self.first_s)
@@ -109,13 +120,16 @@
             self._prove(backend, self._first_event_at)
         self._read(backend)
 
-    def ended_whole(self, backend: Backend) -> None:
+    def ended_whole(self, backend: Backend, pauses: int = 0) -> None:
         """Notes the end of a whole stream.
 
         :param backend: where it came from.
+        :param pauses: between the events of the present attempt.
         """
         if self._first_event_at is not None:
             self._prove(backend, self._first_event_at)
+            seconds = self._parts.clock.now() - self._first_event_at
+            self._speed.pauses(backend, pauses, seconds)
         self.observe(backend, failed=False)
 
     def answered(self, attempt: Attempt, sent_at: float, *, failed: bool) -> None:
@@ -132,6 +146,8 @@
             self._parts.places.answered(
                 self._admitted.service, attempt.backend.instance, self.first_s
             )
+            if attempt.is_success:
+                self._speed.plain(attempt.backend, self.first_s)
         self._record_first(self.first_s)
         self.observe(attempt.backend, failed=failed, first_s=self.first_s)
 
@@ -219,6 +235,17 @@
             self.is_proved = True
             self._parts.watch.record_answer(backend.service, self._admitted.traits, began_at)
 
+    def _expected_cached(self, backend: Backend, now: float) -> float:
+        """Returns the cached prompt tokens; counts them if the memory of engines is known."""
+        inbound, knowledge = self._inbound, self._parts.view.knowledge
+        value = knowledge.prefix_values.get(backend.service)
+        if value is None or self._cached is None or not inbound.prompt_tokens:
+            cached, worth = knowledge.hints.cached_prefix(backend.instance, inbound.prefixes, now)
+            return sum(part.tokens for part in inbound.parts[:cached]) * worth
+        value.sent(inbound.prompt_tokens, self._cached, inbound.output_tokens, now)
+        self._parts.recorder.prompt_sent(backend.service, inbound.prompt_tokens, self._cached)
+        return self._cached
+
     def _record_first(self, seconds: float) -> None:
         recorder = self._parts.recorder
         recorder.first_event(self._admitted.service, self._admitted.route.name, seconds)
@@ -231,8 +258,10 @@
             return
         generating_s = self._parts.clock.now() - self._first_event_at
         slots = max(1, self._parts.view.knowledge.last_report(backend).slots)
+        # Reading takes a slow engine longer than the reported rate, which is of a usual one, tells.
+        speed = self._parts.view.knowledge.speeds.speed(backend.instance, self._parts.clock.now())
         self._parts.demand.worked(
-            self._admitted.service, tokens, self._read_tokens, generating_s / slots
+            self._admitted.service, tokens, self._read_tokens / speed, generating_s / slots
         )
 
     def _read(self, backend: Backend) -> None:
--- a/geraniumrail/metrics/instruments.py
+++ b/geraniumrail/metrics/instruments.py
@@ -19,6 +19,8 @@
 
     requests: Counter
     tokens: Counter
+    prompt_tokens: Counter
+    prefix_residence: Gauge
     first_token: Histogram
     between_tokens: Histogram
     answer: Histogram
@@ -34,6 +36,7 @@
     cold_backends: Gauge
     waiting_requests: Gauge
     limited_rate: Gauge
+    server_speed: Gauge
     quarantines: Gauge
     held_answer_bytes: Gauge
     held_body_bytes: Gauge
--- a/geraniumrail/routing/choice.py
+++ b/geraniumrail/routing/choice.py
@@ -1,5 +1,6 @@
 """Chooses a backend server for a request."""
 
+import dataclasses
 import itertools
 import random
 from collections.abc import Sequence
@@ -10,7 +11,7 @@
 from geraniumrail.routing.eligibility import eligible_backends
 from geraniumrail.routing.estimate import Estimate
 from geraniumrail.routing.request import LanguageRequest, RouteRequest
-from geraniumrail.routing.score import score
+from geraniumrail.routing.score import cached_tokens, score
 from geraniumrail.routing.score_part import ScorePart
 from geraniumrail.routing.scored_backend import ScoredBackend
 
@@ -51,11 +52,15 @@
     scored = []
     for backend, estimate in zip(sample, estimates, strict=True):
         parts = score(request, backend, estimate, tracker, now)
-        if not within_affinity_cap(estimate, mean_occupancy):
-            parts = _without_affinity(parts, request, tracker)
-        scored.append(ScoredBackend(backend, parts))
+        if _is_capped(request) and not within_affinity_cap(estimate, mean_occupancy):
+            parts = _without_affinity(parts, request, estimate, tracker)
+        scored.append(ScoredBackend(backend, parts, estimate.slowness))
     scored.sort(key=lambda each: each.total)
-    return _decide(request, scored)
+    decision = _decide(request, scored)
+    if not isinstance(request, LanguageRequest):
+        return decision
+    cached = cached_tokens(request, decision.backend, tracker, now)
+    return dataclasses.replace(decision, cached_tokens=min(request.prompt_tokens, cached))
 
 
 def _draw(usable: Sequence[Backend], region: str, rng: random.Random) -> list[Backend]:
@@ -84,9 +89,15 @@
         parts=best.parts,
         alternatives=tuple((other.backend.instance, other.total) for other in others),
         reason=_reason(best.parts, others[0].parts if others else ()),
+        slowness=best.slowness,
     )
 
 
+def _is_capped(request: RouteRequest) -> bool:
+    """Returns whether affinity ends at some load; with a plan it is weighed against the load."""
+    return not isinstance(request, LanguageRequest) or request.plan is None
+
+
 def within_affinity_cap(estimate: Estimate, mean_occupancy: float) -> bool:
     """Returns whether a backend server's load is low enough for prefix affinity.
 
@@ -97,12 +108,15 @@
 
 
 def _without_affinity(
-    parts: tuple[ScorePart, ...], request: RouteRequest, tracker: BackendTracker
+    parts: tuple[ScorePart, ...],
+    request: RouteRequest,
+    estimate: Estimate,
+    tracker: BackendTracker,
 ) -> tuple[ScorePart, ...]:
     """Counts the whole prompt as not cached, so that a popular prefix overloads no engine."""
     if not isinstance(request, LanguageRequest):
         return parts
-    whole = request.prompt_tokens / tracker.prefill_tokens_per_s
+    whole = request.prompt_tokens / tracker.prefill_tokens_per_s * estimate.slowness
     return tuple(ScorePart(part.name, whole) if part.name == 'prefill' else part for part in parts)
 
 
@@ -111,15 +125,17 @@
 ) -> tuple[Backend, ...]:
     if not isinstance(request, LanguageRequest):
         return ()
+    # The same few holders of a part that is everywhere would be scored for all its requests.
+    known = 0 if request.plan is None else request.plan.everywhere
+    prefixes = request.prefixes[known:]
     usable_by_id = {backend.instance: backend for backend in usable}
     found = (
         usable_by_id[instance]
-        for instance in tracker.hints.holders(request.prefixes)
+        for instance in tracker.hints.holders(prefixes)
         if instance in usable_by_id
     )
-    preferred = (
-        usable_by_id[instance] for instance in request.preferred if instance in usable_by_id
-    )
+    wanted = request.preferred if request.plan is None else request.plan.preferred
+    preferred = (usable_by_id[instance] for instance in wanted if instance in usable_by_id)
     return (*itertools.islice(found, MAX_PREFIX_HOLDERS), *preferred)
 
 
