Mend what the reviews of the merged parts found

- A connection that was withdrawn at sending (no lease, an evacuated data centre) counted as unreachable, and its healthy server was avoided for up to 6 s.
- A new leader took relayed announcements of before for the end of the cold time.
- A server that had turned warm was drawn twice.
- One lost datagram counted as a lost leader for all limits of an entry.
- Chunks of one byte, within the limits of a body, were refused as framing.
- A kept connection whose long answer had just ended counted as the longest idle.
- A cut Retry-After could be zero.

--- a/geraniumrail/admission/service_gate.py
+++ b/geraniumrail/admission/service_gate.py
@@ -70,7 +70,10 @@
         self._use.asked(ask, now)
         unlimited = self.limits.unlimited(instances)
         if unlimited:
-            return Place(self, ask, unlimited)
+            # Limited ones are offered too: a limit ends by what their answers report.
+            self.limits.refill(now)
+            limited = frozenset() if self._waiting else instances - unlimited
+            return Place(self, ask, unlimited | self._free(ask, limited, now))
         self._give_out(now)
         free = self._free(ask, instances, now)
         if free and not any(waiter.instances & free for waiter in self._waiting):
--- a/geraniumrail/admission/service_gate_test.py
+++ b/geraniumrail/admission/service_gate_test.py
@@ -32,6 +32,25 @@
     return sum(each.in_time for each in tallies) / sum(each.asked for each in tallies)
 
 
+class MixedLimitsTest(unittest.TestCase):
+    def test_limited_servers_get_requests_beside_unlimited_ones(self):
+        """Servers whose queues had been long got nothing more, and so stayed limited."""
+
+        async def play():
+            clock = LoopClock()
+            gate = ServiceGate(clock, lambda: 1)
+            for _ in range(3):
+                gate.observe('i-0', FULL)
+                await asyncio.sleep(0.3)
+            await asyncio.sleep(2)
+            now = clock.now()
+            ask = Ask(organisation='a', route='r', target_s=1, due_at=now + 1, ends_at=now + 2)
+            place = await gate.enter(ask, frozenset(('i-0', 'i-1')))
+            return gate.limits.limit('i-0').is_limited, place.instances
+
+        self.assertEqual(run_virtually(play()), (True, frozenset(('i-0', 'i-1'))))
+
+
 class LoadTest(unittest.TestCase):
     def test_scarce_servers(self):
         """The queues of the servers stayed full, so that nearly all answers were late."""
--- a/geraniumrail/callers/guarded_connection.py
+++ b/geraniumrail/callers/guarded_connection.py
@@ -21,9 +21,10 @@
 from geraniumrail.errors.headers import HeadersTooLargeError
 from geraniumrail.errors.request import InvalidRequestError, NotRunError, RequestError
 
-# By which chunk sizes, extensions and trailers may exceed their body: chunks of five bytes or more
-# never do, smaller ones cost processor time for nothing.
+# By which chunk sizes, extensions and trailers may exceed their body: a chunk of one byte has five
+# bytes of framing. What exceeds it are extensions and trailers.
 MAX_FRAMING_BYTES = 64 * 1024
+FRAMING_FACTOR = 5
 # Of a body that no handler reads; the HTTP library takes twice as much before it pauses.
 UNREAD_BYTES = 16 * 1024
 # Requests that wait behind the one in progress; the connection is not read beyond them.
@@ -146,7 +147,12 @@
         if not self._messages:
             self._waiting_bytes = 0
             self._count()
-        return await super()._handle_request(*request)
+        try:
+            return await super()._handle_request(*request)
+        finally:
+            # Idle from now on; a long answer would count as the longest idle time otherwise.
+            if self.transport is not None:
+                self._clients.connections.touch(self)
 
     def _begin_body(self, body: StreamReader) -> None:
         self._body = body
@@ -166,7 +172,7 @@
         self._framing_bytes += count - grown
         if grown:
             self._pending_bytes = 0
-        if self._framing_bytes > MAX_FRAMING_BYTES + self._body_bytes:
+        if self._framing_bytes > MAX_FRAMING_BYTES + FRAMING_FACTOR * self._body_bytes:
             self._refuse(FRAMING, InvalidRequestError(reason='chunk framing'))
 
     def _check_head(self, data: bytes) -> None:
--- a/geraniumrail/control/access.py
+++ b/geraniumrail/control/access.py
@@ -1,5 +1,6 @@
 """Calls to the control leader from any control process."""
 
+import asyncio
 import functools
 import random
 from collections.abc import Callable
@@ -14,6 +15,7 @@
 from geraniumrail.entry.control_link import ControlLink
 from geraniumrail.entry.leader_finder import LeaderFinder
 from geraniumrail.errors.deployment import UnknownServiceMoveError
+from geraniumrail.errors.link import NoControlError
 from geraniumrail.errors.request import InvalidRequestError
 from geraniumrail.links.messages import Accepted
 from geraniumrail.links.pool import LinkPool
@@ -124,7 +126,11 @@
         wanted = ChangeEvacuation(
             data_centre=data_centre, evacuated=evacuated, after=0, operator=OPERATOR
         )
-        await set_evacuation(wanted, self.call, self._control.now, limit_s, is_awaited)
+        try:
+            async with asyncio.timeout(limit_s):
+                await set_evacuation(wanted, self.call, self._control.now, limit_s, is_awaited)
+        except TimeoutError as error:
+            raise NoControlError(limit_s=limit_s, reason='the log took too long') from error
 
     async def _on_leader(self, handler: Any, request: object) -> object:
         self._control.leadership.require_term()
--- a/geraniumrail/control/central_limits.py
+++ b/geraniumrail/control/central_limits.py
@@ -131,7 +131,7 @@
 
 def _asked(request: TakeLimit) -> Asked:
     return Asked(
-        cost=request.size,
+        cost=request.size or request.cost,  # entries of earlier versions tell no size
         rank=request.rank,
         local_admitted=request.local_admitted,
         local_rejected=request.local_rejected,
--- a/geraniumrail/control/cold_board.py
+++ b/geraniumrail/control/cold_board.py
@@ -95,7 +95,9 @@
         self._warm_since_by_instance: dict[str, float] = {}
         self._rates_by_instance: dict[str, dict[str, float]] = {}
 
-    def assume_cold(self, data_centre: str, until: float, now: float) -> None:
+    def assume_cold(
+        self, data_centre: str, until: float, now: float, since: float | None = None
+    ) -> None:
         """Treats the servers of a data centre as cold that have not announced themselves since.
 
         It is in the memory of this leader; the next one has to be told again.
@@ -103,8 +105,12 @@
         :param data_centre: only services with `cold_per_s` above 0 are concerned.
         :param until: monotonic seconds; an announcement received after `now` ends it earlier.
         :param now: monotonic seconds.
+        :param since: announcements received until then don't end it; None: `now`.
         """
-        self._assumed_by_data_centre[data_centre] = _Assumed(now, until)
+        known = self._assumed_by_data_centre.get(data_centre)
+        if known is not None and known.until >= until:
+            return
+        self._assumed_by_data_centre[data_centre] = _Assumed(now if since is None else since, until)
         log(events.COLD_ASSUMED, data_centre=data_centre, for_s=round(until - now, 3))
 
     def observe(self, cold_s_by_instance: Mapping[str, float], now: float) -> bool:
--- a/geraniumrail/control/entry_session.py
+++ b/geraniumrail/control/entry_session.py
@@ -45,7 +45,6 @@
         self._sent_hazards: PartHazards | None = None
         self._sent_rates: dict[str, float] | None = None
         self._sent_evacuated: tuple[str, ...] | None = None
-        self._sent_evacuation_ends: dict[str, float] | None = None
         self._sent_cold_rates: dict[str, float] | None = None
 
     def receive_report(self, report: EntryReport) -> None:
@@ -111,7 +110,6 @@
             watched=changed.watched,
             trials=changed.trials,
             evacuated=self._evacuated(tables),
-            evacuation_ends=self._evacuation_ends(tables),
         )
         self._sent_revision = tables.tree.revision
         self._sent_registry_version = difference.version
@@ -131,13 +129,6 @@
         self._sent_evacuated = evacuated
         return evacuated
 
-    def _evacuation_ends(self, tables: Tables) -> dict[str, float] | None:
-        ends = tables.evacuation_ends_by_data_centre
-        if ends == self._sent_evacuation_ends:
-            return None
-        self._sent_evacuation_ends = ends
-        return ends
-
     def _cold_rates(self, group: GroupInfo) -> dict[str, float] | None:
         if group.cold_rates is None or group.cold_rates == self._sent_cold_rates:
             return None
--- a/geraniumrail/control/publisher.py
+++ b/geraniumrail/control/publisher.py
@@ -41,6 +41,8 @@
 # For this time a new leader sends the noted backend servers (`BackendNotes`) to entries that have
 # none; after it each backend server has announced itself (the interval is 1.2 s).
 NOTES_DURATION_S = 1.6
+# By which the time of day of a process may be wrong before it has heard of the others'.
+CLOCK_ERROR_S = 5.0
 
 PUBLISHED_COMMANDS = (
     commands.ChangeSettings,
@@ -113,7 +115,11 @@
         wall = self.median_clock.wall(self._clock.wall(), self._clock.now())
         ends = self._machine.tables.evacuation_ends_by_data_centre
         for data_centre, ended_at in ends.items():
-            self._assume_cold_since(data_centre, wall - ended_at)
+            # Announcements of before may be relayed to this leader, and its clock may be wrong.
+            cold_s = self._longest_cold_s()
+            if wall - ended_at < cold_s + CLOCK_ERROR_S:
+                until = self._leader_since + cold_s
+                self.cold_board.assume_cold(data_centre, until, self._leader_since, until)
 
     def receive_announcement(self, backend: Backend) -> None:
         """Records an announcement that a control process received.
@@ -148,18 +154,9 @@
         self.cold_board.assume_cold(data_centre, now + for_s, now)
         self._refresh_cold()
 
-    def _assume_cold_since(self, data_centre: str, ended_s: float) -> None:
-        """Treats the servers of a data centre as cold, since its evacuation has ended.
-
-        They may have become cold shortly before, and have not announced it yet.
-
-        :param data_centre: its name.
-        :param ended_s: seconds since the end.
-        """
+    def _longest_cold_s(self) -> float:
         services = self._machine.tables.deployment.services
-        cold_s = max((each.cold_start_s for each in services if each.cold_per_s > 0), default=0)
-        if ended_s < cold_s:
-            self.assume_cold(data_centre, cold_s - max(0, ended_s))
+        return max((each.cold_start_s for each in services if each.cold_per_s > 0), default=0)
 
     def _refresh_cold(self) -> None:
         self._cold_is_stale = False
@@ -317,7 +314,8 @@
         if isinstance(command, RecordDepartures):
             self.registry.remove_departed(command.added)
         if isinstance(answer, EvacuationSet) and self._ends_evacuation(command, answer):
-            self._assume_cold_since(answer.data_centre, 0)
+            # Its servers may have become cold shortly before, and not have announced it yet.
+            self.assume_cold(answer.data_centre, self._longest_cold_s())
         # Changes of bookings concern one entry each, and are too frequent to update all entries.
         if command is None or isinstance(command, PUBLISHED_COMMANDS):
             self.wake_sessions()
--- a/geraniumrail/entry/booking_run.py
+++ b/geraniumrail/entry/booking_run.py
@@ -12,6 +12,7 @@
 from geraniumrail.entry import events
 from geraniumrail.entry.cluster_view import ClusterView
 from geraniumrail.entry.control_link import ControlLink
+from geraniumrail.entry.lease_wait import may_send
 from geraniumrail.entry.leaving_backend import is_leaving
 from geraniumrail.entry.outcomes import Outcomes
 from geraniumrail.entry.service_headers import content_type_of, request_headers
@@ -122,8 +123,10 @@
         sent = await self._dispatch(booking, backend)
         # Without a lease another entry may have been told to resolve this attempt. Nothing waits
         # between this check and the first byte.
-        if not self._view.holds_lease():
-            return await self._release(sent, 'the settings lease ran out')
+        if not may_send(self._view, backend):
+            return await self._release(
+                sent, 'the settings lease ran out, or nothing may be sent there'
+            )
         sent_at = self._clock.now()
         try:
             answer = await self._send(sent, backend)
--- a/geraniumrail/entry/borrower.py
+++ b/geraniumrail/entry/borrower.py
@@ -13,6 +13,8 @@
 
 TRY_S = 0.12  # far above the round trip between regions; a datagram is lost now and then
 TRIES = 3
+# A scarce limit is decided at once without a leader; a single lost datagram is no lost leader.
+SCARCE_TRIES = 2
 # An election is over, or another leader is known, after about a second of these.
 NO_LEADER_PAUSE_S = 0.06
 # Requests that wait for a ledger that fills ask again after about this time; some hundreds wait at
@@ -91,7 +93,7 @@
         """Decides at once if no leader answers: waiting does not make the limit less scarce."""
         answer = LimitTaken(leads=False)
         if self._may_ask():
-            answer = await self._ask(question, 1)
+            answer = await self._ask(question, SCARCE_TRIES)
         if answer.leads or without_leader(max(self._answered_at, self._followed_at())):
             return answer
         return LimitTaken(leads=False, wait_s=ALONE_RETRY_S, retry_after_s=ALONE_RETRY_S)
@@ -105,11 +107,13 @@
         return True
 
     async def _ask(self, question: TakeLimit, tries: int) -> LimitTaken:
+        began_at = self._clock.now()
         try:
             answer = await self._datagrams.ask(self._finder.address, question, TRY_S, tries)
         except LinkError:
             answer = LimitTaken(leads=False)
-        self._is_silent = not answer.leads
+        # One question of many may be lost while the leader answers the others.
+        self._is_silent = not answer.leads and self._answered_at <= began_at
         if answer.leads:
             self._answered_at = self._clock.now()
         return answer
--- a/geraniumrail/entry/known_evacuations.py
+++ b/geraniumrail/entry/known_evacuations.py
@@ -14,8 +14,6 @@
     def __init__(self) -> None:
         """Starts empty."""
         self.data_centres: frozenset[str] = frozenset()
-        # Agreed time of day at which those of the last minute ended; some may be older.
-        self.ends_by_data_centre: dict[str, float] = {}
 
     def take(self, update: ControlUpdate, backends: Collection[Backend]) -> None:
         """Applies an update of the control leader.
@@ -23,8 +21,6 @@
         :param update: differences since the last update.
         :param backends: all that the entry knows.
         """
-        if update.evacuation_ends is not None:
-            self.ends_by_data_centre = update.evacuation_ends
         if update.evacuated is None or self.data_centres == frozenset(update.evacuated):
             return
         self.data_centres = frozenset(update.evacuated)
--- a/geraniumrail/errors/backend.py
+++ b/geraniumrail/errors/backend.py
@@ -18,6 +18,12 @@
     template = 'nothing was sent to backend server {backend}: {reason}'
 
 
+class WithdrawnSendError(NotSentError):
+    """The entry may not send there any more; it says nothing about the backend server."""
+
+    type_name = 'backend_send_withdrawn'
+
+
 class RefusedError(BackendError):
     """The backend server refused before it ran the request."""
 
--- a/geraniumrail/forwarding/attempt.py
+++ b/geraniumrail/forwarding/attempt.py
@@ -18,6 +18,7 @@
     CrossedAnswerError,
     NotSentError,
     RefusedError,
+    WithdrawnSendError,
 )
 from geraniumrail.forwarding.dialect import Dialect, Head, Sending
 from geraniumrail.forwarding.inbound import Headers, Inbound
@@ -162,6 +163,8 @@
 
     def _typed(self, error: Exception) -> NotSentError | ConnectionLostError:
         kind = ConnectionLostError if self.exchange.connected else NotSentError
+        if isinstance(error, WithdrawnError):
+            kind = WithdrawnSendError
         # The HTTP library quotes what it could not read, up to a whole block of it.
         return kind(backend=self.backend.instance, reason=repr(error)[:MAX_REASON])
 
--- a/geraniumrail/forwarding/choose_place.py
+++ b/geraniumrail/forwarding/choose_place.py
@@ -58,6 +58,8 @@
     :param parts: of the entry.
     """
     usable = parts.view.usable(admitted.service)
+    if admitted.allowed_regions is None:
+        return usable
     return [backend for backend in usable if allows(admitted, backend)]
 
 
--- a/geraniumrail/forwarding/limit_check.py
+++ b/geraniumrail/forwarding/limit_check.py
@@ -146,9 +146,10 @@
     retry_after_s = spread(max(likely_s, SHORTEST_RETRY_S), parts.rng)
     if mean:
         target_s = admitted.route.target_s or math.inf
-        retry_after_s = useful_wait_s(
+        useful_s = useful_wait_s(
             retry_after_s, admitted.ends_at - now, inbound.arrived_at + target_s - now
         )
+        retry_after_s = max(useful_s, spread(SHORTEST_RETRY_S, parts.rng))
     scarce.rejected[organisation.name, reason] += 1
     log(
         events.LIMIT_EXCEEDED,
--- a/geraniumrail/forwarding/run.py
+++ b/geraniumrail/forwarding/run.py
@@ -13,6 +13,7 @@
     NoBackendError,
     NotSentError,
     RefusedError,
+    WithdrawnSendError,
 )
 from geraniumrail.errors.request import IncompleteAnswerError, NotRunError, OutcomeUnknownError
 from geraniumrail.forwarding import events
@@ -31,6 +32,9 @@
 
 # A refusal because the backend servers are full or gone; the next ones serve within this time.
 FULL_RETRY_S = 0.4
+# No backend server in an allowed region is a matter of the configuration, or of a region that is
+# lost: coming back at once would change nothing.
+NO_REGION_RETRY_S = 5.0
 # A stream without an event for so many of the longest pauses of its route goes on elsewhere; its
 # caller waits for twice as many.
 STALLED_GAPS = 4
@@ -327,9 +331,12 @@
     def _note_failure(self, attempt: Attempt, error: BackendError, sent_at: float) -> None:
         backend, now = attempt.backend, self._now()
         knowledge = self._parts.view.knowledge
-        self._excluded |= {backend.instance}
+        is_withdrawn = isinstance(error, WithdrawnSendError)
+        self._excluded |= frozenset() if is_withdrawn else {backend.instance}
         refused = isinstance(error, RefusedError)
-        if isinstance(error, NotSentError):
+        if is_withdrawn:
+            self._sent -= 1
+        elif isinstance(error, NotSentError):
             self._sent -= 1
             self._unsent += 1
             knowledge.mark_unresponsive(backend.instance, now)
@@ -375,7 +382,8 @@
             servers = view.servers(self._admitted.service)
             allowed = [backend for backend in servers if allows(self._admitted, backend)]
             opens_in_s = view.knowledge.opens_in_s(allowed, self._now())
-            retry_after_s = failure.fields.get('retry_after_s') or opens_in_s or FULL_RETRY_S
+            full_s = FULL_RETRY_S if allowed or not servers else NO_REGION_RETRY_S
+            retry_after_s = failure.fields.get('retry_after_s') or opens_in_s or full_s
             return NotRunError(
                 reason=str(failure),
                 retry_after_s=spread(float(str(retry_after_s)), self._parts.rng),
--- a/geraniumrail/links/messages.py
+++ b/geraniumrail/links/messages.py
@@ -154,9 +154,6 @@
     engine_rates: dict[str, float] | None = None
     trials: tuple[str, ...] = ()  # quarantines of which the entry may send one request
     evacuated: tuple[str, ...] | None = None  # data centres; None: unchanged
-    # Agreed time of day at which evacuations ended in the last minute, by data centre;
-    # None: unchanged.
-    evacuation_ends: dict[str, float] | None = None
     # Requests a second that the entry may send, by cold backend server; None: unchanged.
     cold_rates: dict[str, float] | None = None
 
--- a/geraniumrail/routing/cold_backends.py
+++ b/geraniumrail/routing/cold_backends.py
@@ -213,9 +213,10 @@
         """
         if not self._per_s_by_service:
             return usable
+        known = dict.fromkeys((*self._announced_by_instance, *self._ended_at_by_instance))
         held_back = {
             instance
-            for instance in (*self._announced_by_instance, *self._ended_at_by_instance)
+            for instance in known
             if rng.random() >= max(FIRST_SHARE, self._share_since_end(instance, now))
         }
         if not held_back:
