--- a/geraniumrail/config/section.py
+++ b/geraniumrail/config/section.py
@@ -88,6 +88,25 @@
             raise self.error(key, f'must be one of {", ".join(choices)}, got {found}')
         return found
 
+    def unchecked_texts(self, key: str) -> tuple[str, ...]:
+        """Returns a list of texts; empty if there is none.
+
+        :param key: its key.
+        """
+        node = self.nodes_by_key.get(key)
+        if not isinstance(node, yaml.SequenceNode):
+            return ()
+        return tuple(item.value for item in node.value)
+
+    def texts_by_key(self, key: str) -> dict[str, str]:
+        """Returns a table of texts; empty if there is none.
+
+        :param key: its key.
+        """
+        node = self.nodes_by_key.get(key)
+        pairs = node.value if isinstance(node, yaml.MappingNode) else ()
+        return {name.value: item.value for name, item in pairs}
+
     def flag(self, key: str, *, default: bool) -> bool:
         """Returns a boolean.
 
--- a/geraniumrail/control/publisher.py
+++ b/geraniumrail/control/publisher.py
@@ -20,6 +20,7 @@
 from geraniumrail.core.backend import Backend
 from geraniumrail.core.clock import Clock
 from geraniumrail.core.departure import Departure
+from geraniumrail.deployment.deployment import Deployment
 from geraniumrail.errors.consensus import NotLeaderError
 from geraniumrail.links.messages import ControlUpdate, EntryReport
 from geraniumrail.quarantine.crash_ledger import CrashLedger
@@ -116,7 +117,7 @@
         ends = self._machine.tables.evacuation_ends_by_data_centre
         for data_centre, ended_at in ends.items():
             # Announcements of before may be relayed to this leader, and its clock may be wrong.
-            cold_s = self._longest_cold_s()
+            cold_s = _longest_cold_s(self._machine.tables.deployment)
             if wall - ended_at < cold_s + CLOCK_ERROR_S:
                 until = self._leader_since + cold_s
                 self.cold_board.assume_cold(data_centre, until, self._leader_since, until)
@@ -154,10 +155,6 @@
         self.cold_board.assume_cold(data_centre, now + for_s, now)
         self._refresh_cold()
 
-    def _longest_cold_s(self) -> float:
-        services = self._machine.tables.deployment.services
-        return max((each.cold_start_s for each in services if each.cold_per_s > 0), default=0)
-
     def _refresh_cold(self) -> None:
         self._cold_is_stale = False
         now, tables = self._clock.now(), self._machine.tables
@@ -313,9 +310,9 @@
     def _on_applied(self, command: object, answer: object) -> None:
         if isinstance(command, RecordDepartures):
             self.registry.remove_departed(command.added)
-        if isinstance(answer, EvacuationSet) and self._ends_evacuation(command, answer):
+        if _ends_evacuation(command, answer) and self._leadership.is_active():
             # Its servers may have become cold shortly before, and not have announced it yet.
-            self.assume_cold(answer.data_centre, self._longest_cold_s())
+            self.assume_cold(command.data_centre, _longest_cold_s(self._machine.tables.deployment))
         # Changes of bookings concern one entry each, and are too frequent to update all entries.
         if command is None or isinstance(command, PUBLISHED_COMMANDS):
             self.wake_sessions()
@@ -324,6 +321,12 @@
             if session is not None:
                 session.wake.set()
 
-    def _ends_evacuation(self, command: object, answer: EvacuationSet) -> bool:
-        is_end = isinstance(command, SetEvacuation) and not command.evacuated
-        return is_end and answer.is_current and self._leadership.is_active()
+
+def _longest_cold_s(deployment: Deployment) -> float:
+    services = deployment.services
+    return max((each.cold_start_s for each in services if each.cold_per_s > 0), default=0)
+
+
+def _ends_evacuation(command: object, answer: object) -> bool:
+    is_end = isinstance(command, SetEvacuation) and not command.evacuated
+    return is_end and isinstance(answer, EvacuationSet) and answer.is_current
--- a/geraniumrail/operators/cluster_routes.py
+++ b/geraniumrail/operators/cluster_routes.py
@@ -1,7 +1,10 @@
 """Servers, entries, members, drains and status."""
 
+import functools
+
 from aiohttp import web
 
+from geraniumrail.callers.awaited import is_awaited
 from geraniumrail.callers.bodies import parse_object, read_body
 from geraniumrail.callers.failures import json_response
 from geraniumrail.control.control import Control
@@ -172,7 +175,7 @@
             self._control.evacuations.ask,
             self._control.now,
             EVACUATION_LIMIT_S,
-            lambda: request.transport is not None and not request.transport.is_closing(),
+            functools.partial(is_awaited, request),
         )
         return json_response({'data_centre': wanted.data_centre, 'evacuated': wanted.evacuated})
 
