--- a/geraniumrail/routing/cold_backends.py
+++ b/geraniumrail/routing/cold_backends.py
@@ -18,7 +18,7 @@
 BURST = 1.0
 # A server that has turned warm is a candidate for a share of the requests that rises to 1 within
 # this time, in which its load reports begin to show what it is sent.
-RAMP_S = 2.0
+RAMP_S = 0.5
 FIRST_SHARE = 0.1
 # An entry without a rate is told within this time that the server is warm, or gets a rate.
 TOLD_S = 0.5
@@ -225,20 +225,6 @@
             each for each in usable if each.instance not in held_back or self.is_cold(each, now)
         ] or usable
 
-    def cost_s(self, backend: Backend, requests: float, now: float) -> float:
-        """Returns the cost of the slowness of a cold or just started server, in seconds.
-
-        :param backend: candidate.
-        :param requests: expected there.
-        :param now: monotonic seconds.
-        """
-        per_s = self._per_s_by_service.get(backend.service, 0)
-        if per_s <= 0:
-            return 0
-        is_cold = self.is_cold(backend, now)
-        share = 0 if is_cold else min(1, self._share_since_end(backend.instance, now))
-        return (1 - share) * (requests + 1) / per_s
-
     def report(self, now: float) -> dict[str, float]:
         """Returns the seconds for which servers are cold that the leader has not been told of.
 
--- a/geraniumrail/routing/score.py
+++ b/geraniumrail/routing/score.py
@@ -72,7 +72,6 @@
         'kv': KV_FULL_COST_S
         * (max(0, _kv_used(request, estimate) - KV_SAFE_SHARE) / (1 - KV_SAFE_SHARE)) ** 2,
         'penalty': estimate.penalty_s,
-        'cold': tracker.cold.cost_s(backend, estimate.requests, now),
     }
     if request.plan is not None:
         added_tokens = uncached_tokens + request.expected_answer_tokens
@@ -134,7 +133,6 @@
         ScorePart('work', work_s * (estimate.slowness - 1)),
         ScorePart('distance', distance_s(request, backend)),
         ScorePart('penalty', estimate.penalty_s),
-        ScorePart('cold', tracker.cold.cost_s(backend, estimate.requests, now)),
     )
 
 
