Weigh cached prompts only where servers report a work factor

Placement of prompts by value took effect on every deployment that names the memory of its engines, so also on the earlier ones, which are to be served as before.

--- a/geraniumrail/fairness/events.py
+++ b/geraniumrail/fairness/events.py
@@ -9,7 +9,7 @@
     'A request was refused before it ran, by a limit, the queue depth or the expected wait.',
 )
 LIMIT_SCARCE = Event.define(
-    620,
+    500,
     'fairness.limit_scarce',
     'The leader rejects requests of an organisation; requests below the mean cost go first.',
 )
--- a/geraniumrail/forwarding/prefix_plans.py
+++ b/geraniumrail/forwarding/prefix_plans.py
@@ -7,7 +7,10 @@
 def prefix_plan(
     parts: Parts, service: str, shared: tuple[str, ...], sizes: tuple[int, ...], *, is_first: bool
 ) -> PrefixPlan | None:
-    """Returns where shared parts are expected, or None if the engines' memory is not configured.
+    """Returns where shared parts are expected, or None if parts are placed by name alone.
+
+    They are weighed where the engines' memory is configured and some server has reported a work
+    factor: on servers that work alike, one trial day each served no more and had worse seconds.
 
     :param parts: of the entry.
     :param service: name of the service.
@@ -19,6 +22,8 @@
     spec = view.table.services_by_name.get(service)
     if spec is None or spec.engine is None or spec.engine.kv_tokens <= 0:
         return None
+    if not view.knowledge.speeds.shares_machines:
+        return None
     value = view.knowledge.prefix_values[service]
     if is_first:
         value.observe(shared, now)
--- a/geraniumrail/forwarding/prefix_plans_test.py
+++ b/geraniumrail/forwarding/prefix_plans_test.py
@@ -15,7 +15,7 @@
 
 
 class PrefixPlansTest(ForwarderCase):
-    async def forwarded(self, engine, *scripts):
+    async def forwarded(self, engine, *scripts, factor=2.5):
         """Serves one request with shared parts and returns what the entry knows then."""
         stands = await self.started(StandIn('i-1'), StandIn('i-2'))
         script = list(scripts)
@@ -26,6 +26,7 @@
             [each.backend() for each in stands],
             engine=engine,
         )
+        forwarder.parts.view.knowledge.speeds.observe_factor('i-1', factor, 0)
         reply = await self.serve(forwarder, parts=PARTS, prompt_tokens=6900, output_tokens=150)
         self.assertEqual(reply.ended, 'whole')
         return forwarder.parts.view.knowledge
@@ -36,6 +37,12 @@
             knowledge = await self.forwarded(engine, STREAM)
             self.assertFalse(knowledge.prefix_values)
 
+    async def test_servers_that_work_alike_are_chosen_as_before(self):
+        """Placement by value had worse seconds where no server reports a work factor."""
+        engine = EngineLimits(slots=32, kv_tokens=278_000)
+        knowledge = await self.forwarded(engine, STREAM, factor=1)
+        self.assertFalse(knowledge.prefix_values)
+
     async def test_parts_of_a_repeated_request_count_once(self):
         """A failing engine would make the parts of its requests look popular."""
         engine = EngineLimits(slots=32, kv_tokens=278_000)
--- a/geraniumrail/routing/server_speed.py
+++ b/geraniumrail/routing/server_speed.py
@@ -78,6 +78,7 @@
 
     def __init__(self) -> None:
         """Starts with equal speeds."""
+        self.shares_machines = False  # some server has told that work takes longer or shorter
         self._servers_by_instance: dict[str, _Server] = {}
         self._means_by_kind: dict[str, _Mean] = collections.defaultdict(_Mean)
         self._work_by_service: dict[str, _Mean] = collections.defaultdict(_Mean)
@@ -90,6 +91,7 @@
         :param factor: as reported; 1: as usual.
         :param measured_at: monotonic seconds.
         """
+        self.shares_machines = self.shares_machines or factor != 1
         server = self._servers_by_instance.get(instance)
         if server is None:
             if factor == 1:
