Block SIGHUP while its handler is replaced at the end of a stop

One started timeit with a number that it refuses, so the process could end by itself before it was killed. In the other, SIGHUP ended a process at the end of its stop, suspected between the removal of the handler and SIG_IGN; not traced, so it is listed.

--- a/geraniumrail/daemon/hosted_daemon.py
+++ b/geraniumrail/daemon/hosted_daemon.py
@@ -87,8 +87,10 @@
         await self._stop()
         log(events.STOPPED, instance=self._config.daemon.instance)
         # A loop that is closed gives the signal its default action, which ends the process.
+        signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP,))
         loop.remove_signal_handler(signal.SIGHUP)
         signal.signal(signal.SIGHUP, signal.SIG_IGN)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, (signal.SIGHUP,))
 
     async def _start(self) -> None:
         await self._link_server.start()
--- a/geraniumrail/testing/process_test.py
+++ b/geraniumrail/testing/process_test.py
@@ -30,7 +30,9 @@
     async def test_signal_does_not_collect_the_exit_code(self):
         """The exit code of a process that ended beside signals was lost; 255 was reported."""
         with tempfile.TemporaryDirectory() as folder:
-            process = await Process.start('killed', pathlib.Path(folder), 'timeit', '--number=1e9')
+            process = await Process.start(
+                'killed', pathlib.Path(folder), 'timeit', '--number=1000000000'
+            )
             with mock.patch.object(subprocess.Popen, 'poll', side_effect=AssertionError):
                 process.freeze()
                 await process.kill()
@@ -41,7 +43,7 @@
         with tempfile.TemporaryDirectory() as name:
             folder = pathlib.Path(name)
             ended = await Process.start('ended', folder, 'timeit', '--unknown')
-            killed = await Process.start('killed', folder, 'timeit', '--number=1e9')
+            killed = await Process.start('killed', folder, 'timeit', '--number=1000000000')
             await ended.process.wait()
             await killed.kill()
             deployment = Deployment(folder)
