Log the memory and time of each step of a replica's start

Cause: the log of a start did not tell reading, checking, decoding and restoring apart, so a kill by the memory limit could not be assigned to one of them. Change: event E0114 names each step with its bytes, seconds and the peak memory of the process.

--- a/geraniumrail/consensus/events.py
+++ b/geraniumrail/consensus/events.py
@@ -58,3 +58,8 @@
 DISK_RECOVERED = Event.define(
     113, 'consensus.disk_recovered', 'Writes to the data folder succeed again.'
 )
+LOAD_STEP = Event.define(
+    114,
+    'consensus.load_step',
+    'A step of a start has ended: its seconds, the bytes that it worked on and the peak memory.',
+)
--- a/geraniumrail/consensus/file_storage.py
+++ b/geraniumrail/consensus/file_storage.py
@@ -22,6 +22,7 @@
 from geraniumrail.consensus import events, frames
 from geraniumrail.consensus.durable_files import replace_file, sync_folder, truncate_file, write_all
 from geraniumrail.consensus.entry import Entry, HardState, Snapshot, Stored
+from geraniumrail.consensus.load_step import logged_step
 from geraniumrail.consensus.memory_storage import new_replica_id
 from geraniumrail.core.codec import decode, encode, record
 from geraniumrail.core.events import log
@@ -231,13 +232,16 @@
         return decode(records[0][1])
 
     def _load_log(self, path: pathlib.Path, snapshot: Snapshot | None) -> Stored:
-        content = path.read_bytes()
-        records = list(frames.read_frames(content))
+        with logged_step('read', path.stat().st_size):
+            content = path.read_bytes()
+        with logged_step('check', len(content)):
+            records = list(frames.read_frames(content))
         end = records[-1][0] if records else 0
         frames.check_tail(str(path), content, end)
         if not records:
             raise LogDamagedError(file=str(path), offset=0, reason='the first record is damaged')
-        start, *batches = [decode(payload) for _, payload in records]
+        with logged_step('decode', end):
+            start, *batches = [decode(payload) for _, payload in records]
         if start.snapshot_index > (snapshot.index if snapshot else 0):
             reason = f'the snapshot of index {start.snapshot_index} is missing'
             raise LogDamagedError(file=str(path), offset=0, reason=reason)
--- a/geraniumrail/consensus/replica.py
+++ b/geraniumrail/consensus/replica.py
@@ -12,6 +12,7 @@
 from geraniumrail.consensus.interfaces import LogStorage, StateMachine, Transport
 from geraniumrail.consensus.journal import Journal
 from geraniumrail.consensus.leadership_transfer import transfer_leadership
+from geraniumrail.consensus.load_step import logged_step
 from geraniumrail.consensus.membership import Member, Membership
 from geraniumrail.consensus.messages import Reply, Request
 from geraniumrail.consensus.request_handler import RequestHandler
@@ -65,7 +66,10 @@
         """
         stored = storage.load()
         journal = Journal(storage, stored)
-        applier = Applier(journal, machine, (config.snapshot_after_entries, config.keep_entries))
+        with logged_step('restore', len(stored.snapshot.payload)):
+            applier = Applier(
+                journal, machine, (config.snapshot_after_entries, config.keep_entries)
+            )
         # The replica may have confirmed the lease of a leader just before it restarted.
         election = ElectionState(
             leader_contact_at=clock.now() if leader_contact_at is None else leader_contact_at,
