--- a/geraniumrail/config/config_test.py
+++ b/geraniumrail/config/config_test.py
@@ -50,6 +50,7 @@
     (8, 'metrics: {exporter: none, listen: 127.0.0.1:1}', 'metrics.listen'),
     (8, 'metrics: {exporter: otlp, endpoint: 127.0.0.1:1}', 'metrics.endpoint'),
     (9, 'control: {seeds: []}', 'control.seeds'),
+    (9, 'control: {seeds: [127.0.0.1:1], snapshot_after_bytes: 1}', 'control.snapshot_after_bytes'),
     (9, 'control: {seeds: [127.0.0.1:1, 127.0.0.1:1]}', 'control.seeds'),
     (9, 'control: {seeds: [127.0.0.1:1], durable: true}', 'control.durable'),
     (9, 'control: {seeds: [127.0.0.1:1], durable: 1, data_folder: x}', 'control.durable'),
--- a/geraniumrail/config/control.py
+++ b/geraniumrail/config/control.py
@@ -5,12 +5,24 @@
 
 from geraniumrail.config.address import check_address
 from geraniumrail.config.section import Section
+from geraniumrail.consensus.config import DEFAULT_LOG_BYTES
 
-KEYS = ('seeds', 'data_folder', 'durable', 'voters', 'found', 'election_timeout_s')
+KEYS = (
+    'seeds',
+    'data_folder',
+    'durable',
+    'voters',
+    'found',
+    'election_timeout_s',
+    'snapshot_after_bytes',
+)
 
 _MAX_VOTERS = 9
 _LEAST_TIMEOUT_S = 0.5
 _MOST_TIMEOUT_S = 60
+# A log that is shorter than one long command would be rewritten for each of them.
+LEAST_LOG_BYTES = 1048576
+_MOST_LOG_BYTES = 1073741824
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -19,6 +31,7 @@
 
     `durable` syncs each write to disk; it may be turned off only for experiments. With `voters`
     the group keeps that many voters by itself; with `found` the seeds form it from empty folders.
+    The log is replaced by a snapshot after `snapshot_after_bytes` of applied commands.
     """
 
     seeds: tuple[str, ...]
@@ -27,6 +40,7 @@
     voters: int = 0  # 0: operators change the members
     found: bool = False
     election_timeout_s: float | None = None  # None: the default of ReplicaConfig
+    snapshot_after_bytes: int = DEFAULT_LOG_BYTES
 
     @classmethod
     def from_config(cls, section: Section) -> 'ControlConfig':
@@ -46,6 +60,9 @@
             voters=section.whole('voters', 0, _MAX_VOTERS, 0),
             found=section.flag('found', default=False),
             election_timeout_s=_election_timeout_s(section),
+            snapshot_after_bytes=section.whole(
+                'snapshot_after_bytes', LEAST_LOG_BYTES, _MOST_LOG_BYTES, DEFAULT_LOG_BYTES
+            ),
         )
 
 
--- a/geraniumrail/consensus/applier.py
+++ b/geraniumrail/consensus/applier.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from geraniumrail.consensus import events
+from geraniumrail.consensus.config import ReplicaConfig
 from geraniumrail.consensus.entry import Entry, Snapshot
 from geraniumrail.consensus.interfaces import StateMachine
 from geraniumrail.consensus.journal import Journal
@@ -19,19 +20,18 @@
 class Applier:
     """Tracks the committed and applied positions and the proposals that wait for their result."""
 
-    def __init__(self, journal: Journal, machine: StateMachine, snapshot_limits: tuple[int, int]):
+    def __init__(self, journal: Journal, machine: StateMachine, config: ReplicaConfig) -> None:
         """Creates the applier and loads the snapshot.
 
         :param journal: log of the replica.
         :param machine: state machine of the caller.
-        :param snapshot_limits: minimum number of entries between snapshots, and number of entries
-            kept before a snapshot.
+        :param config: says when a snapshot is due and what is kept before it.
         """
         self.commit_index = journal.snapshot.index
         self.applied_index = journal.snapshot.index
         self._journal = journal
         self._machine = machine
-        self._snapshot_limits = snapshot_limits
+        self._config = config
         self._pending_by_index: dict[int, _Proposal] = {}
         self._applied_bytes = 0  # since the last snapshot
         machine.restore(journal.snapshot.payload)
@@ -52,7 +52,7 @@
                 if entry.index > self.commit_index:
                     break
                 self._apply(entry)
-        self._compact_log()
+            self._compact_log()
 
     def restore(self, snapshot: Snapshot) -> None:
         """Replaces the state by a snapshot from the leader.
@@ -91,15 +91,25 @@
         self._fail_proposals([waiting for waiting in self._pending_by_index if waiting <= index])
 
     def _compact_log(self) -> None:
-        """Takes a snapshot if the entries since the last one are at least as large as its state."""
-        min_entries, keep_entries = self._snapshot_limits
+        """Takes a snapshot if the log since the last one is long, and at least as large as it."""
+        config = self._config
         last = self._journal.snapshot
-        large_enough = self._applied_bytes >= len(last.payload)
-        if large_enough and self.applied_index - last.index >= min_entries:
-            payload = self._machine.snapshot()
-            self._journal.compact(self.applied_index, payload, keep_entries)
-            self._applied_bytes = 0
-            log(events.SNAPSHOT, index=self.applied_index, bytes=len(payload))
+        is_long = (
+            self.applied_index - last.index >= config.snapshot_after_entries
+            or self._applied_bytes >= config.snapshot_after_bytes
+        )
+        if not is_long or self._applied_bytes < len(last.payload):
+            return
+        payload = self._machine.snapshot()
+        self._journal.compact(self.applied_index, payload, config.keep_entries, config.keep_bytes)
+        log(
+            events.SNAPSHOT,
+            index=self.applied_index,
+            bytes=len(payload),
+            applied_bytes=self._applied_bytes,
+            log_bytes=self._journal.size,
+        )
+        self._applied_bytes = 0
 
     def _fail_proposals(self, indexes: list[int]) -> None:
         for index in indexes:
--- a/geraniumrail/consensus/config.py
+++ b/geraniumrail/consensus/config.py
@@ -2,6 +2,11 @@
 
 import dataclasses
 
+# Of entries since a snapshot, where the memory and the disk of the machine are not known.
+DEFAULT_LOG_BYTES = 16777216
+# Part of `snapshot_after_bytes` that is kept before a snapshot.
+_KEPT_PART = 8
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ReplicaConfig:
@@ -23,12 +28,19 @@
     max_command_bytes: int = 1048576
     # An idle leader sends a new commit index after this delay, not with the next heartbeat.
     commit_notice_s: float = 0.05
+    # Entries are bounded by number and by size: commands have from a few bytes to a MiB.
     snapshot_after_entries: int = 500  # entries applied since the last snapshot
+    snapshot_after_bytes: int = DEFAULT_LOG_BYTES  # the same, as the sum of their payloads
     keep_entries: int = 200  # kept before a snapshot, for followers that lag behind slightly
     max_append_entries: int = 512  # limits of one append request
     max_append_bytes: int = 524288
     install_part_bytes: int = 262144  # of a snapshot in one request
 
+    @property
+    def keep_bytes(self) -> int:
+        """Largest sum of the payloads that are kept before a snapshot."""
+        return self.snapshot_after_bytes // _KEPT_PART
+
     def with_election_timeout(self, timeout_s: float) -> 'ReplicaConfig':
         """Returns settings with another election timeout, and lease and heartbeat in proportion.
 
--- a/geraniumrail/consensus/journal.py
+++ b/geraniumrail/consensus/journal.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Sequence
 
 from geraniumrail.consensus.entry import Entry, HardState, Snapshot, Stored
+from geraniumrail.consensus.entry_sequence import EntrySequence
 from geraniumrail.consensus.interfaces import LogStorage
 from geraniumrail.consensus.membership_history import MembershipHistory
 from geraniumrail.consensus.write_queue import Batch, WriteQueue
@@ -23,8 +24,7 @@
         self.on_durable: Callable[[], None] | None = None
         self._storage = storage
         self._replica_id = stored.replica_id
-        self._base = (stored.base_index, stored.base_term)
-        self._entries = list(stored.entries)
+        self._entries = EntrySequence(stored)
         self._queue = WriteQueue()
         self.memberships = MembershipHistory(stored.snapshot)
         self.memberships.add(stored.entries)
@@ -32,27 +32,36 @@
     @property
     def base_index(self) -> int:
         """Position before the first entry in memory."""
-        return self._base[0]
+        return self._entries.base_index
 
     @property
     def last_index(self) -> int:
         """Position of the last entry."""
-        return self._base[0] + len(self._entries)
+        return self._entries.last_index
 
     @property
     def last_term(self) -> int:
         """Term of the last entry."""
-        return self._entries[-1].term if self._entries else self._base[1]
+        return self._entries.last_term
+
+    @property
+    def size(self) -> int:
+        """Sum of the payloads of the entries in memory, in bytes."""
+        return self._entries.size_after(self.base_index)
+
+    def size_after(self, index: int) -> int:
+        """Returns the sum of the payloads after a position, in bytes.
+
+        :param index: position; those before the base count as the base.
+        """
+        return self._entries.size_after(max(index, self.base_index))
 
     def term_at(self, index: int) -> int | None:
         """Returns the term of a position, or None if the log does not hold it.
 
         :param index: position.
         """
-        offset = index - self._base[0]
-        if offset == 0:
-            return self._base[1]
-        return self._entries[offset - 1].term if 0 < offset <= len(self._entries) else None
+        return self._entries.term_at(index)
 
     def read(self, first: int, entries: int, size: int) -> tuple[Entry, ...]:
         """Returns the entries from a position on, at least one if the log holds it.
@@ -61,14 +70,7 @@
         :param entries: maximum number of entries.
         :param size: maximum sum of the payloads in bytes.
         """
-        offset = first - self._base[0] - 1
-        chosen = self._entries[offset : offset + entries]
-        total = 0
-        for count, entry in enumerate(chosen):
-            total += len(entry.payload)
-            if total > size and count:
-                return tuple(chosen[:count])
-        return tuple(chosen)
+        return self._entries.read(first, entries, size)
 
     def set_hard_state(self, hard: HardState) -> None:
         """Changes term and vote; durable after the next `sync`.
@@ -85,19 +87,20 @@
         """
         first = entries[0].index
         if first <= self.last_index:
-            del self._entries[first - self._base[0] - 1 :]  # noqa: WPS420
+            self._entries.truncate(first)
             self.durable_index = min(self.durable_index, first - 1)
             self.memberships.truncate(first)
         self._entries.extend(entries)
         self.memberships.add(entries)
         self._queue.put(*entries)
 
-    def compact(self, index: int, payload: bytes, keep: int) -> None:
+    def compact(self, index: int, payload: bytes, keep_entries: int, keep_bytes: int) -> None:
         """Records a snapshot of the applied state and drops entries before it.
 
         :param index: position of the last applied entry.
         :param payload: state of the state machine.
-        :param keep: number of entries to keep before the snapshot.
+        :param keep_entries: maximum number of entries to keep before the snapshot.
+        :param keep_bytes: maximum sum of their payloads.
         """
         self.snapshot = Snapshot(
             index=index,
@@ -105,10 +108,8 @@
             membership=self.memberships.at(index),
             payload=payload,
         )
-        base = max(self._base[0], index - keep)
-        base_term = self.term_at(base) or 0
-        self._entries = self._entries[base - self._base[0] :]
-        self._base = (base, base_term)
+        first_kept = self._entries.first_within(index, keep_bytes)
+        self._entries.drop_until(max(self.base_index, index - keep_entries, first_kept - 1))
         self.memberships.compact(self.snapshot)
         self._queue_rewrite()
 
@@ -118,12 +119,11 @@
         :param snapshot: received from the leader, newer than the commit index.
         """
         agrees = self.term_at(snapshot.index) == snapshot.term
-        kept = self._entries[snapshot.index - self._base[0] :] if agrees else []
+        kept = self._entries.after(snapshot.index) if agrees else ()
         self.snapshot = snapshot
-        self._base = (snapshot.index, snapshot.term)
-        self._entries = kept
         if not agrees:
             self.durable_index = 0
+        self._entries = EntrySequence(self._stored(snapshot.index, snapshot.term, kept))
         self.memberships = MembershipHistory(snapshot)
         self.memberships.add(kept)
         self._queue_rewrite()
@@ -163,13 +163,16 @@
             self.on_durable()
 
     def _queue_rewrite(self) -> None:
-        self._queue.put(
-            Stored(
-                replica_id=self._replica_id,
-                hard=self.hard,
-                snapshot=self.snapshot,
-                base_index=self._base[0],
-                base_term=self._base[1],
-                entries=tuple(self._entries),
-            ),
+        entries = self._entries
+        kept = entries.after(entries.base_index)
+        self._queue.put(self._stored(entries.base_index, entries.base_term, kept))
+
+    def _stored(self, base_index: int, base_term: int, entries: tuple[Entry, ...]) -> Stored:
+        return Stored(
+            replica_id=self._replica_id,
+            hard=self.hard,
+            snapshot=self.snapshot,
+            base_index=base_index,
+            base_term=base_term,
+            entries=entries,
         )
--- a/geraniumrail/consensus/replica.py
+++ b/geraniumrail/consensus/replica.py
@@ -67,9 +67,7 @@
         stored = storage.load()
         journal = Journal(storage, stored)
         with logged_step('restore', len(stored.snapshot.payload)):
-            applier = Applier(
-                journal, machine, (config.snapshot_after_entries, config.keep_entries)
-            )
+            applier = Applier(journal, machine, config)
         # The replica may have confirmed the lease of a leader just before it restarted.
         election = ElectionState(
             leader_contact_at=clock.now() if leader_contact_at is None else leader_contact_at,
@@ -215,6 +213,7 @@
             applied=context.applier.applied_index,
             last_index=journal.last_index,
             snapshot_index=journal.snapshot.index,
+            log_bytes=journal.size,
             members=context.membership.members,
             lease=self.is_leader_with_lease(),
             quorum_contact_age_s=age_s if leadership is None else leadership.quorum_contact_age_s(),
--- a/geraniumrail/consensus/status.py
+++ b/geraniumrail/consensus/status.py
@@ -30,6 +30,7 @@
     lag_by_id: dict[str, int]  # leader only: entries that each member lacks
     # Leader only: seconds since each member answered.
     silence_by_id: dict[str, float] = dataclasses.field(default_factory=dict)
+    log_bytes: int = 0  # sum of the payloads of the entries after the base of the log
 
 
 @record
--- a/geraniumrail/consensus/testing.py
+++ b/geraniumrail/consensus/testing.py
@@ -76,6 +76,26 @@
         self.restored += bool(snapshot)
 
 
+class LastCommandMachine:
+    """Keeps the last command and the number of commands, like a configuration that is replaced."""
+
+    def __init__(self):
+        self.command = b''
+        self.applied = 0
+
+    def apply(self, index: int, command: bytes) -> bytes:
+        self.command = command
+        self.applied += 1
+        return b''
+
+    def snapshot(self) -> bytes:
+        return b'%d ' % self.applied + self.command
+
+    def restore(self, snapshot: bytes) -> None:
+        applied, _, self.command = snapshot.partition(b' ')
+        self.applied = int(applied or 0)
+
+
 class Disk:
     """A storage whose writes take time; a crash keeps or drops the write in progress."""
 
@@ -230,8 +250,9 @@
 class Cluster:
     """Replicas that share a clock and a network; a name is also the address."""
 
-    def __init__(self, seed: int = 1, **settings):
+    def __init__(self, seed: int = 1, machine: type = ListMachine, **settings):
         self.rng = random.Random(seed)
+        self.new_machine = machine
         self.clock = IdleClock(100)
         self.network = Network(self.clock, self.rng)
         self.settings = settings
@@ -242,10 +263,12 @@
         self.replicas_by_name: dict[str, Replica] = {}
 
     @classmethod
-    async def create(cls, size: int, seed: int = 1, **settings) -> 'Cluster':
+    async def create(
+        cls, size: int, seed: int = 1, machine: type = ListMachine, **settings
+    ) -> 'Cluster':
         """Creates a group with voters a, b, c ... ."""
         asyncio.get_running_loop().set_debug(False)
-        cluster = cls(seed, **settings)
+        cluster = cls(seed, machine, **settings)
         names = 'abcdefgh'[:size]
         for name in names:
             await cluster.start(name)
@@ -261,7 +284,7 @@
         if lose_disk or name not in self.disks_by_name:
             stored = Stored(replica_id=f'{name}.{self.rng.getrandbits(32):08x}')
             self.disks_by_name[name] = Disk(stored, self.clock, self.rng)
-        machine = ListMachine()
+        machine = self.new_machine()
         clock = SkewedClock(self.clock, 1 + self.rng.uniform(-self.skew, self.skew), len(name))
         replica = Replica.from_config(
             ReplicaConfig(name=name, address=name, **self.settings),
--- a/geraniumrail/control/control.py
+++ b/geraniumrail/control/control.py
@@ -297,6 +297,10 @@
 
 
 def _replica_config(config: DaemonConfig) -> ReplicaConfig:
-    replica_config = ReplicaConfig(name=config.instance, address=config.peers.listen)
+    replica_config = ReplicaConfig(
+        name=config.instance,
+        address=config.peers.listen,
+        snapshot_after_bytes=config.control.snapshot_after_bytes,
+    )
     timeout_s = config.control.election_timeout_s
     return replica_config if timeout_s is None else replica_config.with_election_timeout(timeout_s)
--- a/geraniumrail/daemon/gauges.py
+++ b/geraniumrail/daemon/gauges.py
@@ -159,6 +159,7 @@
         status = control.replica.status()
         self._instruments.log_term.set(status.term)
         self._instruments.log_commit.set(status.commit)
+        self._instruments.log_bytes.set(status.log_bytes)
         self._instruments.log_lag.replace(
             {(replica,): lag for replica, lag in status.lag_by_id.items()},
         )
--- a/geraniumrail/daemon/hosted_config.py
+++ b/geraniumrail/daemon/hosted_config.py
@@ -2,7 +2,9 @@
 
 import dataclasses
 
+from geraniumrail.config.control import LEAST_LOG_BYTES
 from geraniumrail.config.daemon import DaemonConfig
+from geraniumrail.consensus.config import DEFAULT_LOG_BYTES
 from geraniumrail.core.byte_budget import DEFAULT_BUDGET_BYTES
 from geraniumrail.fairness.slack import Slack
 
@@ -17,6 +19,11 @@
 # that is sent is kept twice; the rest is for the process itself.
 ANSWERS_PART = 0.2
 BODIES_PART = 0.15
+# Parts of the memory and of the disk that the log of a control process takes between snapshots. It
+# is held in memory, and on disk beside its successor while it is replaced; a restarted process
+# applies all of it before it serves, and a new replica is sent all of it.
+LOG_MEMORY_PART = 1 / 32
+LOG_DISK_PART = 1 / 16
 BYTES_PER_MB = 1_000_000
 # What an entry needs for each core that is busy forwarding: its memory without requests aside, the
 # scarcest of processor, memory and link decides how many callers it can bear.
@@ -63,6 +70,17 @@
     return int(BODIES_PART * memory_mb * BYTES_PER_MB) or DEFAULT_BUDGET_BYTES
 
 
+def log_bytes(memory_mb: float, disk_mb: float) -> int:
+    """Returns after how many bytes of commands a control process replaces its log by a snapshot.
+
+    :param memory_mb: limit of the process; 0 if it is not known.
+    :param disk_mb: of the data folder; 0 if it is not known.
+    """
+    parts = (memory_mb * LOG_MEMORY_PART, disk_mb * LOG_DISK_PART)
+    known = [int(part * BYTES_PER_MB) for part in parts if part > 0]
+    return max(LEAST_LOG_BYTES, min(known, default=DEFAULT_LOG_BYTES))
+
+
 def voters_for(losses: int) -> int:
     """Returns the number of voters whose majority outlives a number of losses.
 
--- a/geraniumrail/metrics/catalogue.py
+++ b/geraniumrail/metrics/catalogue.py
@@ -240,6 +240,12 @@
         unit='{record}',
         about='index of the last committed record that the local replica knows',
     ),
+    Spec(
+        name='geraniumrail.log_bytes',
+        kind='gauge',
+        unit='By',
+        about='bytes of the records that the local replica holds besides its snapshot',
+    ),
     Spec(
         name='geraniumrail.log_lag',
         kind='gauge',
--- a/geraniumrail/metrics/instruments.py
+++ b/geraniumrail/metrics/instruments.py
@@ -50,6 +50,7 @@
     control_bytes: Counter
     log_term: Gauge
     log_commit: Gauge
+    log_bytes: Gauge
     log_lag: Gauge
     commit: Histogram
 
