Load and create the log record by record

Change: files are read and created record by record. A new log has records of about 1 MiB; the format is the one of before, in which a log could already hold several records. Test: file_storage_test, two tests; before, loading 20 MB of entries allocated 60 MB (bound 22 MB), and writing them 41 MB (bound 4 MB).

--- a/geraniumrail/consensus/durable_files.py
+++ b/geraniumrail/consensus/durable_files.py
@@ -2,6 +2,7 @@
 
 import os
 import pathlib
+from collections.abc import Iterable
 
 
 def sync_folder(folder: pathlib.Path) -> None:
@@ -38,15 +39,15 @@
         os.fsync(opened.fileno())
 
 
-def replace_file(path: pathlib.Path, content: bytes) -> None:
+def replace_file(path: pathlib.Path, parts: Iterable[bytes]) -> None:
     """Replaces a file so that after a crash either the old or the new content is found.
 
     :param path: the file.
-    :param content: new content.
+    :param parts: new content, written one after the other.
     """
     temporary = path.with_suffix('.tmp')
     with temporary.open('wb') as opened:
-        opened.write(content)
+        opened.writelines(parts)
         opened.flush()
         os.fsync(opened.fileno())
     temporary.replace(path)
--- a/geraniumrail/consensus/file_storage.py
+++ b/geraniumrail/consensus/file_storage.py
@@ -1,9 +1,11 @@
 """Log storage in files under a data folder.
 
-`log` starts with a `LogStart`, followed by one `LogBatch` for each sync; `snapshot` is a single
-`Snapshot`. The replica id is stored in the log, so that a replica that has lost its log has also
-lost the id under which it voted. The log is replaced by a shorter one only after the snapshot has
-been stored.
+`log` starts with a `LogStart`, followed by the entries that were kept when it was created and one
+`LogBatch` for each sync since; `snapshot` is a single `Snapshot`. The replica id is stored in the
+log, so that a replica that has lost its log has also lost the id under which it voted. The log is
+replaced by a shorter one only after the snapshot has been stored.
+
+Files are read and created record by record: a log may take much of the memory of its process.
 """
 
 import asyncio
@@ -15,13 +17,14 @@
 import os
 import pathlib
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from concurrent.futures import ThreadPoolExecutor
-from typing import TypeVar
+from typing import BinaryIO, TypeVar
 
 from geraniumrail.consensus import events, frames
 from geraniumrail.consensus.durable_files import replace_file, sync_folder, truncate_file, write_all
 from geraniumrail.consensus.entry import Entry, HardState, Snapshot, Stored
+from geraniumrail.consensus.entry_sequence import EntrySequence
 from geraniumrail.consensus.load_step import logged_step
 from geraniumrail.consensus.memory_storage import new_replica_id
 from geraniumrail.core.codec import decode, encode, record
@@ -50,6 +53,9 @@
     entries: tuple[Entry, ...]
 
 
+# Limits of the records of a log that is created with entries. One longer entry is a record too.
+FRAME_ENTRIES = 1024
+FRAME_BYTES = 1048576
 # A failed write is retried after this pause; nothing is acknowledged until it succeeds.
 RETRY_PAUSE_S = 0.25
 # Of a full or faulty disk; other errors of a start are mistakes in the settings and end it.
@@ -148,8 +154,7 @@
             stored = self._load_log(path, snapshot)
         elif snapshot is None:
             stored = self._initial
-            content = _log_content(stored)
-            _wait_for_room(self._folder, functools.partial(replace_file, path, content))
+            _wait_for_room(self._folder, lambda: replace_file(path, _log_frames(stored)))
         else:
             raise LogDamagedError(file=str(path), offset=0, reason='missing')
         self._open_log()
@@ -199,11 +204,9 @@
         _retry(self._folder, work, lambda error: not self._stopped)
 
     def _compact(self, state: Stored) -> None:
-        replace_file(
-            self._folder / 'snapshot',
-            frames.frame(0, encode(state.snapshot)),
-        )
-        replace_file(self._folder / 'log', _log_content(state))
+        snapshot = encode(state.snapshot)
+        replace_file(self._folder / 'snapshot', (frames.header(0, snapshot), snapshot))
+        replace_file(self._folder / 'log', _log_frames(state))
         old = self._log
         self._log = -1
         if old >= 0:
@@ -225,30 +228,21 @@
         path = self._folder / 'snapshot'
         if not path.exists():
             return None
-        content = path.read_bytes()
-        records = list(frames.read_frames(content))
-        if len(records) != 1 or records[0][0] != len(content):
-            raise LogDamagedError(file=str(path), offset=0, reason='checksum mismatch')
-        return decode(records[0][1])
+        size = path.stat().st_size
+        with logged_step('snapshot', size), path.open('rb') as source:
+            end, record = next(frames.read_frames(source), (0, b''))
+            if not record or end != size:
+                raise LogDamagedError(file=str(path), offset=0, reason='checksum mismatch')
+            return decode(record)
 
     def _load_log(self, path: pathlib.Path, snapshot: Snapshot | None) -> Stored:
-        with logged_step('read', path.stat().st_size):
-            content = path.read_bytes()
-        with logged_step('check', len(content)):
-            records = list(frames.read_frames(content))
-        end = records[-1][0] if records else 0
-        frames.check_tail(str(path), content, end)
-        if not records:
-            raise LogDamagedError(file=str(path), offset=0, reason='the first record is damaged')
-        with logged_step('decode', end):
-            start, *batches = [decode(payload) for _, payload in records]
-        if start.snapshot_index > (snapshot.index if snapshot else 0):
-            reason = f'the snapshot of index {start.snapshot_index} is missing'
-            raise LogDamagedError(file=str(path), offset=0, reason=reason)
-        if end < len(content):
-            log(events.TAIL_TRUNCATED, file=path, offset=end, bytes=len(content) - end)
+        size = path.stat().st_size
+        with logged_step('log', size), path.open('rb') as source:
+            stored, end = _read_log(path, source, snapshot or Snapshot())
+        if end < size:
+            log(events.TAIL_TRUNCATED, file=path, offset=end, bytes=size - end)
             _wait_for_room(self._folder, functools.partial(truncate_file, path, end))
-        return _replay(start, batches, snapshot or Snapshot())
+        return drop_superseded_log(stored)
 
 
 def _wait_for_room(folder: pathlib.Path, work: Callable[[], Result]) -> Result:
@@ -279,14 +273,27 @@
     return outcome
 
 
-def _replay(start: LogStart, batches: Sequence[LogBatch], snapshot: Snapshot) -> Stored:
+def _read_log(path: pathlib.Path, source: BinaryIO, snapshot: Snapshot) -> tuple[Stored, int]:
+    """Returns the content of a log file and the end of its last intact record."""
+    records = frames.read_frames(source)
+    end, first = next(records, (0, b''))
+    if not first:
+        frames.check_tail(str(path), source, 0)
+        raise LogDamagedError(file=str(path), offset=0, reason='the first record is damaged')
+    start = decode(first)
+    if start.snapshot_index > snapshot.index:
+        reason = f'the snapshot of index {start.snapshot_index} is missing'
+        raise LogDamagedError(file=str(path), offset=0, reason=reason)
     hard = start.hard
     entries: list[Entry] = []
-    for batch in batches:
+    for end_of_record, content in records:
+        end = end_of_record
+        batch = decode(content)
         hard = batch.hard or hard
         for entry in batch.entries:
             del entries[entry.index - start.base_index - 1 :]  # noqa: WPS420
             entries.append(entry)
+    frames.check_tail(str(path), source, end)
     stored = Stored(
         replica_id=start.replica_id,
         hard=hard,
@@ -295,7 +302,7 @@
         base_term=start.base_term,
         entries=tuple(entries),
     )
-    return drop_superseded_log(stored)
+    return stored, end
 
 
 def drop_superseded_log(stored: Stored) -> Stored:
@@ -319,7 +326,8 @@
     )
 
 
-def _log_content(state: Stored) -> bytes:
+def _log_frames(state: Stored) -> Iterator[bytes]:
+    """Yields a new log in frames that are small against the log."""
     start = LogStart(
         replica_id=state.replica_id,
         hard=state.hard,
@@ -327,8 +335,14 @@
         base_index=state.base_index,
         base_term=state.base_term,
     )
-    first = frames.frame(0, encode(start))
-    if not state.entries:
-        return first
-    batch = LogBatch(hard=None, entries=state.entries)
-    return first + frames.frame(len(first), encode(batch))
+    written = frames.frame(0, encode(start))
+    yield written
+    offset = len(written)
+    entries = EntrySequence(state)
+    first = entries.base_index + 1
+    while first <= entries.last_index:
+        part = entries.read(first, FRAME_ENTRIES, FRAME_BYTES)
+        written = frames.frame(offset, encode(LogBatch(hard=None, entries=part)))
+        yield written
+        offset += len(written)
+        first += len(part)
--- a/geraniumrail/consensus/file_storage_test.py
+++ b/geraniumrail/consensus/file_storage_test.py
@@ -1,9 +1,11 @@
 """Checks that synced records are read again, a torn tail is truncated and damage is refused."""
 
 import asyncio
+import dataclasses
 import pathlib
 import random
 import tempfile
+import tracemalloc
 import unittest
 
 from geraniumrail.consensus.config import ReplicaConfig
@@ -14,11 +16,20 @@
 from geraniumrail.core.clock import SystemClock
 from geraniumrail.errors.consensus import FolderInUseError, LogDamagedError
 
+LONG_BYTES = 500_000
+LONG_COUNT = 40
+
 
 def entries(first, last, term=1):
     return [Entry(index=index, term=term, payload=b'x' * 50) for index in range(first, last + 1)]
 
 
+def long_entries():
+    return tuple(
+        Entry(index=index, term=1, payload=bytes(LONG_BYTES)) for index in range(1, LONG_COUNT + 1)
+    )
+
+
 class FileStorageTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         folder = tempfile.TemporaryDirectory()
@@ -143,6 +154,35 @@
                 await asyncio.sleep(0.01)
             await asyncio.gather(*(replica.propose(command) for command in commands))
 
+    async def peak_bytes(self, work):
+        """Returns the peak of the memory that is allocated during a piece of work."""
+        tracemalloc.start()
+        try:
+            outcome = work()
+            if asyncio.iscoroutine(outcome):
+                await outcome
+            return tracemalloc.get_traced_memory()[1]
+        finally:
+            tracemalloc.stop()
+
+    async def test_log_is_loaded_without_copies_of_the_whole(self):
+        """A start held the file, its records and its entries at once, and was killed for it."""
+        await self.written(*([entry] for entry in long_entries()))
+        storage = FileStorage.open(self.folder, 'a')
+        peak = await self.peak_bytes(storage.load)
+        await storage.close()
+        self.assertLess(peak, LONG_COUNT * LONG_BYTES + 4 * LONG_BYTES)
+
+    async def test_log_is_created_without_copies_of_the_whole(self):
+        """A process at its memory limit was killed when it replaced its log."""
+        storage = FileStorage.open(self.folder, 'a')
+        entries = long_entries()
+        state = dataclasses.replace(storage.load(), entries=entries)
+        peak = await self.peak_bytes(lambda: storage.compact(state))
+        await storage.close()
+        self.assertLess(peak, 8 * LONG_BYTES)
+        self.assertEqual((await self.loaded()).entries, entries)
+
     async def test_folder_is_locked(self):
         """Two processes on one folder would both vote."""
         storage = FileStorage.open(self.folder, 'a')
--- a/geraniumrail/consensus/frames.py
+++ b/geraniumrail/consensus/frames.py
@@ -5,8 +5,10 @@
 for example inside a command, are not read as a frame of the log.
 """
 
+import os
 import struct
 from collections.abc import Iterator
+from typing import BinaryIO
 
 import crc32c
 
@@ -23,46 +25,67 @@
     :param offset: where the frame starts in the file.
     :param record: content.
     """
-    return _HEADER.pack(_MAGIC, len(record), _checksum(offset, record)) + record
+    return header(offset, record) + record
 
 
-def read_frames(content: bytes) -> Iterator[tuple[int, bytes]]:
+def header(offset: int, record: bytes) -> bytes:
+    """Returns what precedes a record in a file.
+
+    :param offset: where the frame starts in the file.
+    :param record: content.
+    """
+    return _HEADER.pack(_MAGIC, len(record), _checksum(offset, record))
+
+
+def read_frames(source: BinaryIO) -> Iterator[tuple[int, bytes]]:
     """Yields the end and the record of each frame until the first that is not intact.
 
-    :param content: the whole file.
+    :param source: file opened for reading, at its start.
     """
+    size = os.fstat(source.fileno()).st_size
     offset = 0
-    while (record := _record_at(content, offset)) is not None:
+    while (record := _read_record(source, offset, size)) is not None:
         offset += _HEADER.size + len(record)
         yield offset, record
 
 
-def check_tail(file: str, content: bytes, end: int) -> None:
+def check_tail(file: str, source: BinaryIO, end: int) -> None:
     """Checks that nothing but an incompletely written frame follows the last intact one.
 
     :param file: path for the error message.
-    :param content: the whole file.
+    :param source: file opened for reading.
     :param end: end of the last intact frame.
     :raises LogDamagedError: if an intact frame follows: the file was damaged after it was written.
     """
-    following = content.find(_MAGIC, end + 1)
+    source.seek(end)
+    tail = source.read()
+    following = tail.find(_MAGIC, 1)
     while following >= 0:
-        if _record_at(content, following) is not None:
-            reason = f'checksum mismatch; an intact record follows at offset {following}'
+        if _is_intact(memoryview(tail)[following:], end + following):
+            reason = f'checksum mismatch; an intact record follows at offset {end + following}'
             raise LogDamagedError(file=file, offset=end, reason=reason)
-        following = content.find(_MAGIC, following + 1)
+        following = tail.find(_MAGIC, following + 1)
 
 
-def _record_at(content: bytes, offset: int) -> bytes | None:
+def _read_record(source: BinaryIO, offset: int, size: int) -> bytes | None:
     start = offset + _HEADER.size
-    if start > len(content):
+    if start > size:
         return None
-    magic, length, checksum = _HEADER.unpack_from(content, offset)
-    if magic != _MAGIC or start + length > len(content):
+    magic, length, checksum = _HEADER.unpack(source.read(_HEADER.size))
+    if magic != _MAGIC or start + length > size:
         return None
-    record = content[start : start + length]
+    record = source.read(length)
     return record if _checksum(offset, record) == checksum else None
 
 
-def _checksum(offset: int, record: bytes) -> int:
+def _is_intact(content: memoryview, offset: int) -> bool:
+    """Returns whether content begins with a frame that was written at an offset."""
+    if len(content) < _HEADER.size:
+        return False
+    _, length, checksum = _HEADER.unpack_from(content)
+    record = content[_HEADER.size : _HEADER.size + length]
+    return len(record) == length and _checksum(offset, record) == checksum
+
+
+def _checksum(offset: int, record: bytes | memoryview) -> int:
     return crc32c.crc32c(record, crc32c.crc32c(_CHECKSUM_PREFIX.pack(offset, len(record))))
