Bound what waits for the disk of a replica

The two other voters commit without the disk of a leader that hangs or is full, and its process is killed by its memory limit in the end, with all that the group was told by it in progress.

--- a/geraniumrail/consensus/journal.py
+++ b/geraniumrail/consensus/journal.py
@@ -135,12 +135,12 @@
     async def run(self) -> None:
         """Writes queued changes until cancelled."""
         while True:  # noqa: WPS457  ends by cancellation
-            for batch in await self._queue.next_batches():
-                if isinstance(batch, Stored):
-                    await self._storage.compact(batch)
-                    self.durable_index = max(self.durable_index, batch.snapshot.index)
-                else:
-                    await self._write(batch)
+            batch = await self._queue.next_batch()
+            if isinstance(batch, Stored):
+                await self._storage.compact(batch)
+                self._mark_durable(batch.entries, batch.snapshot.index)
+            else:
+                await self._write(batch)
             self._queue.mark_written()
 
     def fail(self, error: Exception) -> None:
@@ -154,18 +154,21 @@
         entries = [item for item in batch if isinstance(item, Entry)]
         hards = [item for item in batch if isinstance(item, HardState)]
         await self._storage.write(hards[-1] if hards else None, entries)
+        self._mark_durable(entries, 0)
+
+    def _mark_durable(self, entries: Sequence[Entry], snapshot_index: int) -> None:
         # Entries may have been replaced in memory while they were written.
         current = (
             item.index for item in reversed(entries) if self.term_at(item.index) == item.term
         )
-        self.durable_index = max(self.durable_index, next(current, 0))
+        self.durable_index = max(self.durable_index, snapshot_index, next(current, 0))
         if self.on_durable is not None:
             self.on_durable()
 
     def _queue_rewrite(self) -> None:
         entries = self._entries
         kept = entries.after(entries.base_index)
-        self._queue.put(self._stored(entries.base_index, entries.base_term, kept))
+        self._queue.put_rewrite(self._stored(entries.base_index, entries.base_term, kept))
 
     def _stored(self, base_index: int, base_term: int, entries: tuple[Entry, ...]) -> Stored:
         return Stored(
--- a/geraniumrail/consensus/log_size_test.py
+++ b/geraniumrail/consensus/log_size_test.py
@@ -80,6 +80,55 @@
         self.assertGreater(cluster.network.installs, 0)
         self.assertLess(payload_bytes(cluster.disks_by_name['d'].load().entries), self.bound())
 
+    def held_bytes(self, name):
+        """Returns the bytes of commands and snapshots that a replica and its disk hold."""
+        journal = self.cluster.replicas_by_name[name]._context.journal
+        queue = journal._queue
+        states = [each for each in (queue._rewrite, self.writing(name)) if isinstance(each, Stored)]
+        entries = [change for change in queue._changes if isinstance(change, Entry)]
+        entries += journal.read(journal.base_index + 1, 10_000, 1 << 40)
+        entries += [entry for state in states for entry in state.entries]
+        if isinstance(self.writing(name), tuple):
+            entries += self.writing(name)[1]
+        payloads = [entry.payload for entry in entries]
+        payloads += [state.snapshot.payload for state in states] + [journal.snapshot.payload]
+        return sum({id(payload): len(payload) for payload in payloads}.values())
+
+    def writing(self, name):
+        return self.cluster.disks_by_name[name]._writing
+
+    async def test_hanging_disk_of_the_leader_does_not_fill_its_memory(self):
+        """The others commit without the leader's disk; what waited for it had no bound."""
+        cluster = await self.create(snapshot_after_bytes=8192, max_command_bytes=4096)
+        leader = cluster.leader()
+        cluster.disks_by_name[leader].sync_s = (1e6, 1e6)
+        for number in range(100):
+            await cluster.propose(b'%d ' % number + bytes(4000))
+            # The log, its rewrite and the write in progress, and a snapshot of each.
+            self.assertLess(self.held_bytes(leader), 3 * (self.bound() + 4096))
+        self.assertEqual(cluster.leader(), leader)
+
+    async def test_log_is_whole_after_a_disk_has_hung(self):
+        """What a rewrite replaces in the queue must be as durable as if it had been written."""
+        cluster = await self.create(snapshot_after_bytes=8192, max_command_bytes=4096)
+        leader = cluster.leader()
+        disk = cluster.disks_by_name[leader]
+        usual_s, disk.sync_s = disk.sync_s, (20, 20)
+        for number in range(30):
+            await cluster.propose(b'%d ' % number + bytes(4000))
+        disk.sync_s = usual_s
+        journal = cluster.replicas_by_name[leader]._context.journal
+        await cluster.until(lambda: journal.durable_index == journal.last_index)
+        await cluster.run(journal.sync())
+        for name in 'abc':
+            if name != leader:
+                await cluster.crash(name)
+        await cluster.crash(leader)
+        await cluster.start(leader)
+        stored = disk.load()
+        self.assertEqual(stored.base_index + len(stored.entries), journal.last_index)
+        self.assertEqual(stored.entries[-1].payload[:2], b'29')
+
     async def test_snapshots_of_a_large_state_are_as_rare_as_the_log_is_short(self):
         """A snapshot for every change of a long configuration would cost more than the log."""
         cluster = await self.create(snapshot_after_bytes=100, max_command_bytes=4096)
