Refuse proposals while large ones wait for a majority

Cause: proposals that wait were limited to 4,096, whatever their size. Test: log_size_test.test_large_proposals_that_wait_for_a_majority_are_refused; before, none of 20 proposals of 4,000 bytes was refused at a bound of 8,192.

--- a/geraniumrail/consensus/config.py
+++ b/geraniumrail/consensus/config.py
@@ -36,6 +36,15 @@
     max_append_bytes: int = 524288
     install_part_bytes: int = 262144  # of a snapshot in one request
 
+    @property
+    def max_uncommitted_bytes(self) -> int:
+        """Largest sum of the payloads of a leader's uncommitted entries, or one longer command.
+
+        No snapshot can replace them: they are added to the applied part of the log, which has the
+        same bound.
+        """
+        return self.snapshot_after_bytes
+
     @property
     def keep_bytes(self) -> int:
         """Largest sum of the payloads that are kept before a snapshot."""
--- a/geraniumrail/consensus/leadership.py
+++ b/geraniumrail/consensus/leadership.py
@@ -18,6 +18,7 @@
     NoQuorumError,
     NotLeaderError,
     ProposalQueueFullError,
+    UncommittedLogFullError,
 )
 
 
@@ -94,6 +95,8 @@
         :param kind: type of the payload.
         :raises CommandTooLargeError: if the command exceeds the limit; nothing was appended.
         :raises ProposalQueueFullError: if too many proposals wait; nothing was appended.
+        :raises UncommittedLogFullError: if the proposals that wait are too large; nothing was
+            appended.
         :raises ProposalLostError: if the outcome is unknown.
         """
         context = self._context
@@ -101,6 +104,10 @@
             raise CommandTooLargeError(size=len(command), limit=context.config.max_command_bytes)
         if context.applier.pending >= context.config.max_pending_proposals:
             raise ProposalQueueFullError(limit=context.config.max_pending_proposals)
+        uncommitted = context.journal.size_after(context.applier.commit_index)
+        limit = context.config.max_uncommitted_bytes
+        if uncommitted and uncommitted + len(command) > limit:
+            raise UncommittedLogFullError(size=uncommitted, limit=limit)
         index = self._append(kind, command)
         return await context.applier.result_future(index, context.clock.now())
 
--- a/geraniumrail/consensus/log_size_test.py
+++ b/geraniumrail/consensus/log_size_test.py
@@ -1,5 +1,6 @@
 """Checks that memory and disk are bounded by bytes, whatever the size of the commands."""
 
+import asyncio
 import random
 import unittest
 
@@ -7,6 +8,7 @@
 from geraniumrail.consensus.entry import Entry, Stored
 from geraniumrail.consensus.entry_sequence import EntrySequence
 from geraniumrail.consensus.testing import Cluster, LastCommandMachine
+from geraniumrail.errors.consensus import UncommittedLogFullError
 
 LONG_BYTES = 500_000  # of a configuration with about 2,200 routes
 
@@ -129,6 +131,23 @@
         self.assertEqual(stored.base_index + len(stored.entries), journal.last_index)
         self.assertEqual(stored.entries[-1].payload[:2], b'29')
 
+    async def test_large_proposals_that_wait_for_a_majority_are_refused(self):
+        """A leader whose followers' disks hang appended proposals until its memory was full."""
+        cluster = await self.create(snapshot_after_bytes=8192, max_command_bytes=4096)
+        leader = cluster.leader()
+        followers = [cluster.disks_by_name[name] for name in 'abc' if name != leader]
+        usual_s = followers[0].sync_s
+        for disk in followers:
+            disk.sync_s = (5, 5)
+        replica = cluster.replicas_by_name[leader]
+        calls = [asyncio.ensure_future(replica.propose(bytes(4000))) for _ in range(20)]
+        done = await cluster.run(asyncio.gather(*calls, return_exceptions=True))
+        refused = [each for each in done if isinstance(each, UncommittedLogFullError)]
+        self.assertEqual(len(refused), 18)
+        for disk in followers:
+            disk.sync_s = usual_s
+        await cluster.propose(b'after')
+
     async def test_snapshots_of_a_large_state_are_as_rare_as_the_log_is_short(self):
         """A snapshot for every change of a long configuration would cost more than the log."""
         cluster = await self.create(snapshot_after_bytes=100, max_command_bytes=4096)
--- a/geraniumrail/consensus/replica.py
+++ b/geraniumrail/consensus/replica.py
@@ -119,6 +119,8 @@
         :raises NoQuorumError: if a majority can't be reached; nothing was appended.
         :raises CommandTooLargeError: if the command exceeds the limit; nothing was appended.
         :raises ProposalQueueFullError: if too many proposals wait; nothing was appended.
+        :raises UncommittedLogFullError: if the proposals that wait are too large; nothing was
+            appended.
         :raises ProposalLostError: if the outcome is unknown.
         """
         return await self._runner.require_leadership().propose(command)
--- a/geraniumrail/errors/consensus.py
+++ b/geraniumrail/errors/consensus.py
@@ -106,3 +106,10 @@
 
     type_name = 'proposal_queue_full'
     template = '{limit} proposals are already waiting'
+
+
+class UncommittedLogFullError(ConsensusError):
+    """The proposals that wait for a majority are too large together; nothing was appended."""
+
+    type_name = 'uncommitted_log_full'
+    template = 'proposals of {size} bytes are already waiting; the limit is {limit}'
