--- a/geraniumrail/consensus/disk_full_test.py
+++ b/geraniumrail/consensus/disk_full_test.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import errno
 import os
 import pathlib
@@ -138,9 +139,28 @@
             with self.assertRaises(PermissionError):
                 FileStorage.open(self.folder.parent / 'other', 'a')
 
-    async def test_snapshot_is_stored_after_refusals(self):
-        """A snapshot on a full disk must leave the old files or the new ones."""
-        state = Stored(
+    async def test_refused_snapshot_leaves_no_files(self):
+        """The parts of a snapshot and of a log that did not fit filled the disk for good."""
+        state = dataclasses.replace(self.state(), entries=entries(5, 9000))
+        for name in ('fsync', 'replace'):
+            disk = FullDisk(name)
+            disk.left = 1
+            with mock.patch.object(os, name, disk), self.assertRaises(OSError):
+                self.storage._compact(state)
+            self.assertEqual(sorted(os.listdir(self.folder)), ['lock', 'log'])
+
+    async def test_parts_of_an_interrupted_snapshot_are_removed(self):
+        """A process that was killed during a snapshot left its parts on the disk."""
+        await self.storage.close()
+        for name in ('log.tmp', 'snapshot.tmp'):
+            (self.folder / name).write_bytes(b'part')
+        self.storage = FileStorage.open(self.folder, 'a')
+        self.storage.load()
+        self.assertEqual(sorted(os.listdir(self.folder)), ['lock', 'log'])
+        await self.storage.close()
+
+    def state(self):
+        return Stored(
             replica_id=self.replica_id,
             hard=self.hard,
             snapshot=Snapshot(index=4, term=1, payload=b'state' * 99),
@@ -148,6 +168,10 @@
             base_term=1,
             entries=entries(5, 6),
         )
+
+    async def test_snapshot_is_stored_after_refusals(self):
+        """A snapshot on a full disk must leave the old files or the new ones."""
+        state = self.state()
         await self.storage.write(self.hard, entries(1, 6))
         for name in ('fsync', 'replace', 'close'):
             with self.subTest(refused=name), refused(disk := FullDisk(name)):
--- a/geraniumrail/consensus/durable_files.py
+++ b/geraniumrail/consensus/durable_files.py
@@ -45,10 +45,26 @@
     :param path: the file.
     :param parts: new content, written one after the other.
     """
-    temporary = path.with_suffix('.tmp')
-    with temporary.open('wb') as opened:
-        opened.writelines(parts)
-        opened.flush()
-        os.fsync(opened.fileno())
-    temporary.replace(path)
+    temporary = _temporary(path)
+    try:
+        with temporary.open('wb') as opened:
+            opened.writelines(parts)
+            opened.flush()
+            os.fsync(opened.fileno())
+        temporary.replace(path)
+    except OSError:
+        drop_replacement(path)  # a full disk would stay full
+        raise
     sync_folder(path.parent)
+
+
+def drop_replacement(path: pathlib.Path) -> None:
+    """Removes what an interrupted `replace_file` has left.
+
+    :param path: the file that was not replaced.
+    """
+    _temporary(path).unlink(missing_ok=True)
+
+
+def _temporary(path: pathlib.Path) -> pathlib.Path:
+    return path.with_suffix('.tmp')
--- a/geraniumrail/consensus/file_storage.py
+++ b/geraniumrail/consensus/file_storage.py
@@ -22,7 +22,13 @@
 from typing import BinaryIO, TypeVar
 
 from geraniumrail.consensus import events, frames
-from geraniumrail.consensus.durable_files import replace_file, sync_folder, truncate_file, write_all
+from geraniumrail.consensus.durable_files import (
+    drop_replacement,
+    replace_file,
+    sync_folder,
+    truncate_file,
+    write_all,
+)
 from geraniumrail.consensus.entry import Entry, HardState, Snapshot, Stored
 from geraniumrail.consensus.entry_sequence import EntrySequence
 from geraniumrail.consensus.load_step import logged_step
@@ -149,6 +155,8 @@
 
     def _load(self) -> Stored:
         path = self._folder / 'log'
+        for replaced in (path, self._folder / 'snapshot'):
+            _wait_for_room(self._folder, functools.partial(drop_replacement, replaced))
         snapshot = self._load_snapshot()
         if path.exists():
             stored = self._load_log(path, snapshot)
