Play seeded schedules with commands of unlike sizes

The schedules of failures had commands of a few bytes, in which a bound by entries is one by bytes too. Further seeds have commands of 0 to 3,000 bytes and check the bytes of each log, in memory and on disk; a log that is compacted by entries alone is detected.

--- a/geraniumrail/consensus/applier.py
+++ b/geraniumrail/consensus/applier.py
@@ -93,12 +93,7 @@
     def _compact_log(self) -> None:
         """Takes a snapshot if the log since the last one is long, and at least as large as it."""
         config = self._config
-        last = self._journal.snapshot
-        is_long = (
-            self.applied_index - last.index >= config.snapshot_after_entries
-            or self._applied_bytes >= config.snapshot_after_bytes
-        )
-        if not is_long or self._applied_bytes < len(last.payload):
+        if not self._is_long() or self._applied_bytes < len(self._journal.snapshot.payload):
             return
         payload = self._machine.snapshot()
         self._journal.compact(self.applied_index, payload, config.keep_entries, config.keep_bytes)
@@ -111,6 +106,13 @@
         )
         self._applied_bytes = 0
 
+    def _is_long(self) -> bool:
+        entries = self.applied_index - self._journal.snapshot.index
+        return (
+            entries >= self._config.snapshot_after_entries
+            or self._applied_bytes >= self._config.snapshot_after_bytes
+        )
+
     def _fail_proposals(self, indexes: list[int]) -> None:
         for index in indexes:
             future = self._pending_by_index.pop(index)[1]
--- a/geraniumrail/consensus/schedule_test.py
+++ b/geraniumrail/consensus/schedule_test.py
@@ -9,6 +9,7 @@
 from unittest import mock
 
 from geraniumrail.consensus import election
+from geraniumrail.consensus.applier import Applier
 from geraniumrail.consensus.journal import Journal
 from geraniumrail.consensus.leadership import Leadership
 from geraniumrail.consensus.request_handler import RequestHandler
@@ -16,6 +17,8 @@
 
 SEEDS = range(1, 31)
 EARLY_SEEDS = range(101, 131)
+SIZE_SEEDS = range(201, 221)
+SIZES = (0, 0, 0, 30, 300, 3000)  # bytes
 MAX_SEARCHED_SEEDS = 60
 DURATION_S = 20  # of simulated time
 
@@ -47,6 +50,12 @@
     return '' if refused == 'leader was heard' else refused
 
 
+def is_long_by_entries(applier):
+    """Replaces `Applier._is_long`."""
+    since = applier.applied_index - applier._journal.snapshot.index
+    return since >= applier._config.snapshot_after_entries
+
+
 vote_refusal_reason = RequestHandler._vote_refusal_reason
 last_index_as_durable = property(lambda journal: journal.last_index, lambda journal, index: None)
 
@@ -68,6 +77,23 @@
         violations = {one.seed: one.violations for one in reports if one.violations}
         self.assertEqual(violations, {})
 
+    def test_logs_of_unlike_commands_are_correct_and_small(self):
+        """Entries of a few bytes to 3,000 must be compacted by size, under the same failures."""
+        reports = [run_schedule(seed, DURATION_S, sizes=SIZES) for seed in SIZE_SEEDS]
+        violations = {one.seed: one.violations for one in reports if one.violations}
+        self.assertEqual(violations, {})
+        for figure in ('crashes', 'lost_disks', 'cuts', 'installs', 'unknown', 'refused', 'reads'):
+            self.assertGreater(sum(getattr(one, figure) for one in reports), 10, figure)
+        self.assertGreater(sum(one.acknowledged for one in reports), 1000)
+
+    def test_log_that_is_compacted_by_entries_alone_is_detected(self):
+        self.assert_detected(
+            201,
+            'bytes',
+            mock.patch.object(Applier, '_is_long', is_long_by_entries),
+            sizes=SIZES,
+        )
+
     def test_early_vote_despite_a_live_leader_is_detected(self):
         self.assert_detected(
             151,
@@ -118,13 +144,14 @@
             mock.patch.object(RequestHandler, '_mismatch_hint', ignore_previous_entry),
         )
 
-    def assert_detected(self, first_seed, violation, *patches, early=False):
+    def assert_detected(self, first_seed, violation, *patches, early=False, sizes=()):
         """Runs seeds, from one known to report the violation, until it is reported."""
         with contextlib.ExitStack() as stack:
             for patch in patches:
                 stack.enter_context(patch)
             for seed in itertools.islice(itertools.count(first_seed), MAX_SEARCHED_SEEDS):
-                if any(violation in found for found in run_schedule(seed, early=early).violations):
+                report = run_schedule(seed, early=early, sizes=sizes)
+                if any(violation in found for found in report.violations):
                     return
         self.fail(f'no seed has reported: {violation}')
 
--- a/geraniumrail/consensus/testing.py
+++ b/geraniumrail/consensus/testing.py
@@ -387,8 +387,9 @@
 
     names = 'abcd'
 
-    def __init__(self, cluster: Cluster, report: ScheduleReport):
+    def __init__(self, cluster: Cluster, report: ScheduleReport, sizes: Sequence[int] = ()):
         self.cluster = cluster
+        self.sizes = sizes  # of padding, one of which is added to each command
         self.report = report
         self.rng = cluster.rng
         self.clock = cluster.clock
@@ -452,6 +453,7 @@
             if replica._context.election.role == 'failed':
                 self.report.violations.append(f'{name} has failed')
             self.check_applied(name)
+            self.check_log_size(name)
         if len(holders) > 1:
             self.report.violations.append(f'{holders} hold a lease at {self.clock.now()}')
 
@@ -463,6 +465,22 @@
         elif len(applied) > common:
             self.longest_applied = list(applied)
 
+    def check_log_size(self, name: str) -> None:
+        """Checks the bytes of the log of a replica, in memory and on disk."""
+        context = self.cluster.replicas_by_name[name]._context
+        config, snapshot = context.config, context.journal.snapshot
+        # Applied, kept before the snapshot, uncommitted, and a command that exceeds each of these.
+        bound = (
+            max(config.snapshot_after_bytes, len(snapshot.payload))
+            + config.keep_bytes
+            + config.max_uncommitted_bytes
+            + 3 * max(self.sizes, default=0)
+        )
+        disk = self.cluster.disks_by_name[name]
+        on_disk = sum(len(entry.payload) for entry in disk._entries)
+        if max(context.journal.size, on_disk) > bound:
+            self.report.violations.append(f'the log of {name} exceeds {bound} bytes')
+
     def check_end(self) -> None:
         report = self.report
         applied = set(self.longest_applied)
@@ -491,6 +509,8 @@
             if not self.cluster.replicas_by_name:
                 continue
             command = b'%d' % next(self.command_numbers)
+            if self.sizes:
+                command += b'.' * self.rng.choice(self.sizes)
             try:
                 await self.choose_replica().propose(command)
             except ProposalLostError:
@@ -660,18 +680,30 @@
                 self.report.transfers += 1
 
 
+# Settings by which schedules of short and of unlike commands take snapshots often.
+ENTRY_LIMITS = {
+    'snapshot_after_entries': 25,
+    'keep_entries': 5,
+    'max_append_entries': 8,
+    'install_part_bytes': 64,
+}
+BYTE_LIMITS = {
+    'snapshot_after_bytes': 8192,
+    'max_append_bytes': 4096,
+    'install_part_bytes': 16384,
+}
+
+
 async def run_schedule_async(
-    seed: int, duration_s: float = 30, early: bool = False
+    seed: int, duration_s: float = 30, early: bool = False, sizes: Sequence[int] = ()
 ) -> ScheduleReport:
     """Runs one schedule of failures; the report is the same for the same seed."""
     report = ScheduleReport(seed)
+    limits = BYTE_LIMITS if sizes else ENTRY_LIMITS
     cluster = await Cluster.create(
         3,
         seed,
-        snapshot_after_entries=25,
-        keep_entries=5,
-        max_append_entries=8,
-        install_part_bytes=64,
+        **limits,
         # Half of the default times, so that a schedule holds twice as many elections.
         heartbeat_s=0.2,
         lease_s=0.75,
@@ -682,11 +714,13 @@
     await cluster.start('d')
     await cluster.add('d')
     cluster.skew = 0.08
-    await Schedule(cluster, report).run(duration_s)
+    await Schedule(cluster, report, sizes).run(duration_s)
     await cluster.stop()
     return report
 
 
-def run_schedule(seed: int, duration_s: float = 30, early: bool = False) -> ScheduleReport:
+def run_schedule(
+    seed: int, duration_s: float = 30, early: bool = False, sizes: Sequence[int] = ()
+) -> ScheduleReport:
     """Runs one schedule of failures in an event loop of its own."""
-    return asyncio.run(run_schedule_async(seed, duration_s, early))
+    return asyncio.run(run_schedule_async(seed, duration_s, early, sizes))
