--- a/geraniumrail/consensus/applier.py
+++ b/geraniumrail/consensus/applier.py
@@ -93,7 +93,7 @@
     def _compact_log(self) -> None:
         """Takes a snapshot if the log since the last one is long, and at least as large as it."""
         config = self._config
-        if not self._is_long() or self._applied_bytes < len(self._journal.snapshot.payload):
+        if not self._is_long() or self._replaceable_bytes < len(self._journal.snapshot.payload):
             return
         payload = self._machine.snapshot()
         self._journal.compact(self.applied_index, payload, config.keep_entries, config.keep_bytes)
@@ -110,9 +110,14 @@
         entries = self.applied_index - self._journal.snapshot.index
         return (
             entries >= self._config.snapshot_after_entries
-            or self._applied_bytes >= self._config.snapshot_after_bytes
+            or self._replaceable_bytes >= self._config.snapshot_after_bytes
         )
 
+    @property
+    def _replaceable_bytes(self) -> int:
+        """Bytes of the log that a snapshot would replace."""
+        return self._applied_bytes + self._journal.superseded_bytes
+
     def _fail_proposals(self, indexes: list[int]) -> None:
         for index in indexes:
             future = self._pending_by_index.pop(index)[1]
--- a/geraniumrail/consensus/file_storage_test.py
+++ b/geraniumrail/consensus/file_storage_test.py
@@ -11,8 +11,9 @@
 from geraniumrail.consensus.config import ReplicaConfig
 from geraniumrail.consensus.entry import Entry, HardState, Snapshot, Stored
 from geraniumrail.consensus.file_storage import FileStorage
+from geraniumrail.consensus.messages import AppendRequest
 from geraniumrail.consensus.replica import Replica
-from geraniumrail.consensus.testing import ListMachine, SimulatedTransport
+from geraniumrail.consensus.testing import LastCommandMachine, ListMachine, SimulatedTransport
 from geraniumrail.core.clock import SystemClock
 from geraniumrail.errors.consensus import FolderInUseError, LogDamagedError
 
@@ -134,11 +135,11 @@
         self.assertEqual(machine.commands, [*commands, b'after'])
         await replica.stop()
 
-    async def started(self):
-        machine = ListMachine()
+    async def started(self, new_machine=ListMachine, **settings):
+        machine = new_machine()
         replica = Replica.from_config(
             # Short times are safe because the replica is the only voter.
-            ReplicaConfig(name='a', address='a', election_timeout_s=0.05, tick_s=0.01),
+            ReplicaConfig(name='a', address='a', election_timeout_s=0.05, tick_s=0.01, **settings),
             FileStorage.open(self.folder, 'a'),
             SimulatedTransport(None, 'a'),
             machine,
@@ -183,6 +184,30 @@
         self.assertLess(peak, 8 * LONG_BYTES)
         self.assertEqual((await self.loaded()).entries, entries)
 
+    async def test_entries_that_are_replaced_do_not_fill_the_disk(self):
+        """Entries of each lost leader stayed in the file, and counted for nothing."""
+        replica, _ = await self.started(LastCommandMachine, snapshot_after_bytes=8000)
+        for term in range(1, 41):
+            # The first entry is committed; the three others are replaced by the next leader.
+            request = AppendRequest(
+                group='main',
+                group_id='group',
+                target=replica.replica_id,
+                sender='b.1',
+                address='b',
+                term=term,
+                prev_index=term - 1,
+                prev_term=term - 1,
+                commit=term,
+                entries=tuple(
+                    Entry(index=term + at, term=term, payload=bytes(1000)) for at in range(4)
+                ),
+            )
+            self.assertTrue((await replica.answer(request)).success)
+            # Bound, what is kept, and the entries of two leaders, with their headers.
+            self.assertLess(self.log.stat().st_size, 8000 + 1000 + 2 * 4000 + 1000)
+        await replica.stop()
+
     async def test_folder_is_locked(self):
         """Two processes on one folder would both vote."""
         storage = FileStorage.open(self.folder, 'a')
--- a/geraniumrail/consensus/journal.py
+++ b/geraniumrail/consensus/journal.py
@@ -21,6 +21,8 @@
         self.hard = stored.hard
         self.snapshot = stored.snapshot
         self.durable_index = stored.base_index + len(stored.entries)
+        # Bytes of entries that others have replaced; a file holds them until it is replaced.
+        self.superseded_bytes = 0
         self.on_durable: Callable[[], None] | None = None
         self._storage = storage
         self._replica_id = stored.replica_id
@@ -87,6 +89,7 @@
         """
         first = entries[0].index
         if first <= self.last_index:
+            self.superseded_bytes += self._entries.size_after(first - 1)
             self._entries.truncate(first)
             self.durable_index = min(self.durable_index, first - 1)
             self.memberships.truncate(first)
@@ -166,6 +169,7 @@
             self.on_durable()
 
     def _queue_rewrite(self) -> None:
+        self.superseded_bytes = 0
         entries = self._entries
         kept = entries.after(entries.base_index)
         self._queue.put_rewrite(self._stored(entries.base_index, entries.base_term, kept))
