--- a/geraniumrail/daemon/hosted_config.py
+++ b/geraniumrail/daemon/hosted_config.py
@@ -77,8 +77,8 @@
     :param disk_mb: of the data folder; 0 if it is not known.
     """
     parts = (memory_mb * LOG_MEMORY_PART, disk_mb * LOG_DISK_PART)
-    known = [int(part * BYTES_PER_MB) for part in parts if part > 0]
-    return max(LEAST_LOG_BYTES, min(known, default=DEFAULT_LOG_BYTES))
+    known = (int(part * BYTES_PER_MB) for part in parts if part > 0)
+    return max(LEAST_LOG_BYTES, min((DEFAULT_LOG_BYTES, *known)))
 
 
 def voters_for(losses: int) -> int:
