Stop the replica of a storage test also after a failure

A test that failed left a replica whose storage retried its writes in a removed folder for ever, so the run did not end, or the folder could not be removed (an error among 77 tests, seen once).

--- a/geraniumrail/consensus/file_storage_test.py
+++ b/geraniumrail/consensus/file_storage_test.py
@@ -187,6 +187,7 @@
     async def test_entries_that_are_replaced_do_not_fill_the_disk(self):
         """Entries of each lost leader stayed in the file, and counted for nothing."""
         replica, _ = await self.started(LastCommandMachine, snapshot_after_bytes=8000)
+        self.addAsyncCleanup(replica.stop)  # its writes would go on after a failure
         for term in range(1, 41):
             # The first entry is committed; the three others are replaced by the next leader.
             request = AppendRequest(
@@ -206,7 +207,6 @@
             self.assertTrue((await replica.answer(request)).success)
             # Bound, what is kept, and the entries of two leaders, with their headers.
             self.assertLess(self.log.stat().st_size, 8000 + 1000 + 2 * 4000 + 1000)
-        await replica.stop()
 
     async def test_folder_is_locked(self):
         """Two processes on one folder would both vote."""
