--- a/geraniumrail/daemon/hosted_config.py
+++ b/geraniumrail/daemon/hosted_config.py
@@ -45,6 +45,7 @@
     quota_slack: Slack = Slack()  # by which limits may be exceeded by all entries together
     grace_s: float = 8  # between the signal to stop and the kill
     memory_mb: float = 0  # above which the process is killed; 0: not known
+    disk_mb: float = 0  # of the data folder; 0: not known
     keep_for_s: float = KEEP_FOR_S  # how long callers may keep an answer of the directory
     cores: float = 0  # processor time in a second, in cores; 0: not known
     link_mbps: float = 0  # 0: not known
@@ -81,6 +82,16 @@
     return max(LEAST_LOG_BYTES, min((DEFAULT_LOG_BYTES, *known)))
 
 
+def sized_daemon(config: HostedConfig) -> DaemonConfig:
+    """Returns the daemon's own settings with the bound of the log that its machine allows.
+
+    :param config: settings of the process.
+    """
+    bound = log_bytes(config.memory_mb, config.disk_mb)
+    control = dataclasses.replace(config.daemon.control, snapshot_after_bytes=bound)
+    return dataclasses.replace(config.daemon, control=control)
+
+
 def voters_for(losses: int) -> int:
     """Returns the number of voters whose majority outlives a number of losses.
 
--- a/geraniumrail/daemon/hosted_daemon.py
+++ b/geraniumrail/daemon/hosted_daemon.py
@@ -16,6 +16,7 @@
     answer_budget_bytes,
     body_budget_bytes,
     entry_capacity,
+    sized_daemon,
 )
 from geraniumrail.daemon.stop_steps import StopSteps
 from geraniumrail.errors.base import GeraniumrailError
@@ -170,7 +171,7 @@
         from geraniumrail.fairness.quota import QUOTA_HEADROOM
 
         control = Control.from_config(
-            self._config.daemon,
+            sized_daemon(self._config),
             self._links,
             self._clock,
             random.Random(),
