--- a/geraniumrail/control/backend_registry_test.py
+++ b/geraniumrail/control/backend_registry_test.py
@@ -111,6 +111,44 @@
         self.assertEqual(self.changes(7, 9, 0), [])
         self.assertEqual(self.changes(8, 10, 3), [3])
 
+    def instances(self):
+        return sorted(self.registry.registered_by_instance)
+
+    def test_server_whose_address_has_another_one_is_gone(self):
+        """A server that had crashed stayed listed until the end of its lease, although another one
+        had announced itself at its address; each entry sent requests to it."""
+        self.registry.observe([announced_backend(1, incarnation=100)], 0)
+        version = self.registry.version
+        later = dataclasses.replace(announced_backend(2, incarnation=200), address='127.0.0.1:1001')
+        self.assertTrue(self.registry.observe([later], 1))
+        self.assertEqual(self.instances(), ['engine-2'])
+        self.assertEqual(self.registry.difference_since(version, READER).gone, ('engine-1',))
+
+    def test_late_announcement_of_a_replaced_server_is_outdated(self):
+        """It would list the server again, and entries would send requests to its address."""
+        earlier = announced_backend(1, incarnation=100)
+        later = dataclasses.replace(announced_backend(2, incarnation=200), address=earlier.address)
+        self.registry.observe([later], 0)
+        self.assertFalse(self.registry.observe([earlier], 1))
+        self.assertEqual(self.instances(), ['engine-2'])
+        self.assertTrue(self.registry.has_left(earlier))
+
+    def test_servers_of_unknown_start_share_an_address(self):
+        """Without a time of the start nothing tells which of them is there."""
+        first = announced_backend(1)
+        second = dataclasses.replace(announced_backend(2, incarnation=200), address=first.address)
+        self.registry.observe([first, second], 0)
+        self.assertEqual(self.instances(), ['engine-1', 'engine-2'])
+
+    def test_server_that_has_moved_is_not_replaced_at_its_earlier_address(self):
+        """An id may start again elsewhere; its earlier address belongs to another server then."""
+        moved = dataclasses.replace(
+            announced_backend(1, incarnation=150), address='127.0.0.1:2000', sequence=1
+        )
+        other = dataclasses.replace(announced_backend(2, incarnation=200), address='127.0.0.1:1001')
+        self.registry.observe([announced_backend(1, incarnation=100), moved, other], 0)
+        self.assertEqual(self.instances(), ['engine-1', 'engine-2'])
+
     def test_relayed_cold_time_is_what_is_left(self):
         """An entry that started later took a server for cold that had long been warm."""
         self.registry.observe([announced_backend(1, cold_s=3, lease_s=60)], 10)
--- a/geraniumrail/entry/cluster_view_test.py
+++ b/geraniumrail/entry/cluster_view_test.py
@@ -1,5 +1,6 @@
 """Guards the entry's view: a new leader's first update neither drops nor keeps servers wrongly."""
 
+import dataclasses
 import unittest
 
 from geraniumrail.control.backend_registry_test import announced_backend
@@ -58,6 +59,19 @@
             self.view.take(update(1, loads=(row,), registry_full=False), 0)
         self.assertFalse(cold.is_cold(server, self.clock.now() + 0.01))
 
+    async def test_server_whose_address_has_another_one_is_dropped(self):
+        """A server that crashes while the leader changes is never announced to the new leader; it
+        stayed listed for 15 s, with another server at its address."""
+        dead = announced_backend(3, lease_s=900, incarnation=100)
+        later = dataclasses.replace(announced_backend(4, incarnation=200), address=dead.address)
+        self.view.take(update(1, [dead], registry_full=False), 0)
+        self.view.take(update(2, [later]), 0)
+        named = {each.instance for each in self.view.candidates('model-bench')}
+        self.assertEqual(named, {'engine-1', 'engine-2', 'engine-4'})
+        self.view.take(update(2, noted=(dead,), registry_full=False), 0)
+        self.view.observe((dead,))
+        self.assertNotIn('engine-3', self.view.backends_by_instance)
+
     async def test_update_of_an_earlier_leader_is_refused(self):
         self.view.take(update(3), 0)
         self.assertFalse(self.view.take(update(2), 0))
--- a/geraniumrail/forwarding/forwarder_test.py
+++ b/geraniumrail/forwarding/forwarder_test.py
@@ -46,6 +46,23 @@
         return stands, reply
 
 
+class ReplacedServersTest(ForwarderCase):
+    async def test_request_does_not_walk_over_all_replaced_servers(self):
+        """A server whose address another one has taken over counted towards no limit: one request
+        was sent to six of them in 85 ms, and so was each request of each entry."""
+        answer = b'HTTP/1.1 421 Misdirected\r\nX-Request-Id: req-1\r\nContent-Length: 0\r\n\r\n'
+        stands = await self.started(*(StandIn(f'i-{number}', [answer]) for number in range(8)))
+        backends = [stand.backend() for stand in stands]
+        forwarder = testing.make_forwarder([testing.route()], backends)
+        for _ in range(40):
+            forwarder.parts.retries.record_request(testing.SERVICE, 1, forwarder.parts.clock.now())
+        reply = await self.serve(forwarder)
+        asked = sum(len(stand.requests) for stand in stands)
+        self.assertEqual(asked, forwarder.parts.config.connect_attempts)
+        self.assertEqual((reply.status, reply.error.type_name), (503, 'not_run'))
+        self.assertGreater(reply.error.fields['retry_after_s'], 0)
+
+
 class PlainAnswerTest(ForwarderCase):
     async def test_request_is_forwarded_as_it_was_sent(self):
         stand, reply = await self.one(head('req-1', body=b'hello'))
--- a/geraniumrail/forwarding/testing.py
+++ b/geraniumrail/forwarding/testing.py
@@ -17,6 +17,7 @@
 from geraniumrail.deployment.share import Share
 from geraniumrail.entry.cluster_view import ClusterView
 from geraniumrail.entry.outcomes import Outcomes
+from geraniumrail.fairness.entry_share import EntryShare
 from geraniumrail.fairness.leaderless_admission import LeaderlessAdmission
 from geraniumrail.fairness.quota import Quota
 from geraniumrail.fairness.retry_budget import RetryBudget
@@ -265,7 +266,7 @@
 
 
 def make_forwarder(
-    routes, backends, *, version=1, lease_s=60, dialect=None, engine=None, **organisation
+    routes, backends, *, version=1, lease_s=60, dialect=None, engine=None, entries=1, **organisation
 ):
     """Builds a forwarder whose view has one configuration and some backend servers."""
     clock = SystemClock()
@@ -286,6 +287,7 @@
         deployment=deployment,
         backends=tuple(backends),
         window_s=5,
+        share=EntryShare(entries=entries, share_by_organisation={}),
     )
     view.take(update, clock.now())
     parts = Parts(
