Divide the slack of retries over the entries and count it over a window

Callers on a deployment of 83 entries were refused, and its servers got 861 retries in 10 s where 790 are allowed: each entry saved up 10 retries for each service and added 0.2 a second, whatever the number of entries.

The budget is now counted over the window of the rule: a share of the entry's requests, and its part of one slack for all entries. The number of entries is the highest that the leader named in 6 s, so a new leader that has heard of a few doesn't raise the parts; the class that kept it for the limits of organisations is shared. A restarted entry doesn't know what its earlier process used, and has only its part of the slack for one window. Ratio, window and slack come from the platform's settings instead of constants; 0.9 of the ratio and half of the slack are used.

The failing test is now fairness.retry_budget_test with the same bound: the budget is built directly, since it needs the time of a restart. Two tests of the earlier constants are replaced: retries are checked in each window (102) instead of over 60 s, and the bound of saved retries is the slack.

--- a/geraniumrail/daemon/hosted_config.py
+++ b/geraniumrail/daemon/hosted_config.py
@@ -6,6 +6,7 @@
 from geraniumrail.config.daemon import DaemonConfig
 from geraniumrail.consensus.config import DEFAULT_LOG_BYTES
 from geraniumrail.core.byte_budget import DEFAULT_BUDGET_BYTES
+from geraniumrail.fairness.retry_budget import RetryLimit
 from geraniumrail.fairness.slack import Slack
 
 # A group on small machines that are close to each other; a common restart is over in two of these.
@@ -15,6 +16,11 @@
 # Part of the tolerated slack that is used; the rest covers entries that start with full buckets and
 # the one request by which a ledger exceeds its bucket.
 QUOTA_SLACK_PART = 0.75
+# Parts of what is tolerated of retries that are used. A process that restarts uses its part of the
+# slack once more.
+RETRY_RATIO = 0.2  # tolerated where nothing else is known
+RETRY_RATIO_PART = 0.9
+RETRY_SLACK_PART = 0.5
 # Parts of the memory limit. Joining an answer takes as much as the largest once more, and a body
 # that is sent is kept twice; the rest is for the process itself.
 ANSWERS_PART = 0.2
@@ -43,6 +49,8 @@
     orders_backends: bool = False  # backend servers are ordered from the platform
     duty_lease_s: float = 3  # within which two holders of a duty must not alternate
     quota_slack: Slack = Slack()  # by which limits may be exceeded by all entries together
+    retry_share: float = RETRY_RATIO_PART * RETRY_RATIO  # retries for each request
+    retry_limit: RetryLimit = RetryLimit()
     grace_s: float = 8  # between the signal to stop and the kill
     memory_mb: float = 0  # above which the process is killed; 0: not known
     disk_mb: float = 0  # of the data folder; 0: not known
@@ -109,6 +117,15 @@
     return Slack(QUOTA_SLACK_PART * tokens, window_s)
 
 
+def usable_retries(slack: float, window_s: float) -> RetryLimit:
+    """Returns the limit of retries to use of what is tolerated.
+
+    :param slack: tolerated in each window beyond a share of its requests.
+    :param window_s: its length in seconds.
+    """
+    return RetryLimit(window_s=window_s, slack=RETRY_SLACK_PART * slack)
+
+
 def entry_capacity(config: HostedConfig) -> float:
     """Returns what the machine of an entry can bear, in cores; 1 if nothing is known of it.
 
--- a/geraniumrail/daemon/hosted_daemon.py
+++ b/geraniumrail/daemon/hosted_daemon.py
@@ -226,6 +226,8 @@
             self._adapter.dialect(),
             ForwardingConfig(
                 quota_slack=self._config.quota_slack,
+                retry_share=self._config.retry_share,
+                retry_limit=self._config.retry_limit,
                 body_budget_bytes=body_budget_bytes(self._config.memory_mb),
                 connections=ConnectionsConfig(
                     connect_timeout_s=CONNECT_TIMEOUT_S,
--- a/geraniumrail/entry/cluster_view.py
+++ b/geraniumrail/entry/cluster_view.py
@@ -12,7 +12,7 @@
 from geraniumrail.entry import events
 from geraniumrail.entry.known_departures import KnownDepartures
 from geraniumrail.entry.known_evacuations import KnownEvacuations
-from geraniumrail.fairness.entry_share import EntryShare
+from geraniumrail.fairness.entry_count import EntryCount
 from geraniumrail.links.messages import ControlUpdate, EntryInfo
 from geraniumrail.routing.backend_tracker import BackendTracker
 from geraniumrail.settings.effective import Effective
@@ -44,7 +44,7 @@
         self.moves_by_id: dict[str, Move] = {}
         self.backends_by_instance: dict[str, Backend] = {}
         self.entries: tuple[EntryInfo, ...] = ()
-        self.share = EntryShare(entries=1, share_by_organisation={})
+        self.entry_count = EntryCount()
         self.drained: frozenset[str] = frozenset()
         self.evacuations = KnownEvacuations()
         self.registry_version = -1
@@ -108,7 +108,7 @@
         self._take_registry(update)
         if update.entries:
             self.entries = update.entries
-        self.share = update.share
+        self.entry_count.observe(update.share.entries, now)
         self.drained = frozenset(update.drained)
         self.evacuations.take(update, self.backends_by_instance.values())
         self._renew(sent_at + update.lease_s)
--- a/geraniumrail/entry/completions.py
+++ b/geraniumrail/entry/completions.py
@@ -43,6 +43,7 @@
         view: ClusterView,
         outcomes: Outcomes,
         watch: PartWatch,
+        retries: RetryBudget,
         client: EngineClient,
         clock: Clock,
         rng: random.Random,
@@ -53,6 +54,7 @@
         :param view: settings and backend servers.
         :param outcomes: breaker and outcome log.
         :param watch: prompt parts that crash engines.
+        :param retries: budget of the entry.
         :param client: sends to engines.
         :param clock: time.
         :param rng: source of routing draws.
@@ -65,7 +67,7 @@
         self.clock = clock
         self.rng = rng
         self.limits = Limits()
-        self.retries = RetryBudget()
+        self.retries = retries
         self.window = EngineWindow()
         self.in_progress = 0
         self._cancels: set[asyncio.Task[None]] = set()
--- a/geraniumrail/entry/entry.py
+++ b/geraniumrail/entry/entry.py
@@ -36,6 +36,7 @@
 from geraniumrail.errors.request import NotRunError
 from geraniumrail.fairness.leaderless_admission import LeaderlessAdmission
 from geraniumrail.fairness.quota import Quota
+from geraniumrail.fairness.retry_budget import RetryBudget
 from geraniumrail.forwarding.config import ForwardingConfig
 from geraniumrail.forwarding.demand import DemandCounter
 from geraniumrail.forwarding.dialect import Dialect, NoDialect
@@ -101,11 +102,15 @@
         self._connections = Connections.from_config(forwarded.connections)
         place = Place(self.entry_id, config.data_centre, config.region)
         engine_client = EngineClient(self._connections)
+        retries = RetryBudget(
+            forwarded.retry_limit, lambda: self.view.entry_count.highest, clock.now()
+        )
         self._completions = Completions(
             place,
             self.view,
             self._outcomes,
             self._watch,
+            retries,
             engine_client,
             clock,
             rng,
@@ -125,7 +130,7 @@
             view=self.view,
             outcomes=self._outcomes,
             limits=self._completions.limits,
-            retries=self._completions.retries,
+            retries=retries,
             client=service_client,
             watch=self._watch,
             clock=clock,
@@ -149,7 +154,7 @@
                 if datagrams is None
                 else Borrower(datagrams, finder, clock, rng, lambda: self.view.answered_at),
                 leaderless=LeaderlessAdmission(rng),
-                retries=self._completions.retries,
+                retries=retries,
                 usage=UsageCounter(),
                 demand=DemandCounter(),
                 places=Places(self.view, clock),
--- a/geraniumrail/entry/follower.py
+++ b/geraniumrail/entry/follower.py
@@ -66,7 +66,7 @@
         self._poked.set()
 
     def _interval_s(self) -> float:
-        return report_interval_s(self._view.share.entries)
+        return report_interval_s(self._view.entry_count.newest)
 
     async def run(self) -> None:
         """Follows until cancelled."""
--- a/geraniumrail/entry/plain_calls_test.py
+++ b/geraniumrail/entry/plain_calls_test.py
@@ -15,7 +15,7 @@
 from geraniumrail.errors.backend import ConnectionLostError
 from geraniumrail.errors.request import IncompleteAnswerError, NotRunError
 from geraniumrail.fairness.limits import Limits
-from geraniumrail.fairness.retry_budget import RetryBudget
+from geraniumrail.fairness.retry_budget import RetryBudget, RetryLimit
 from geraniumrail.links.messages import ControlUpdate
 from geraniumrail.quarantine.part_watch import PartWatch
 from geraniumrail.quarantine.quarantine import Quarantine
@@ -70,7 +70,7 @@
             )
             for number in range(servers)
         )
-        retries = RetryBudget()
+        retries = RetryBudget(RetryLimit(), lambda: 1)
         for _ in range(SERVERS * 2):
             retries.record_request(SERVICE, 1, clock.now())
 
--- a/geraniumrail/fairness/limits_test.py
+++ b/geraniumrail/fairness/limits_test.py
@@ -11,9 +11,8 @@
 from geraniumrail.fairness.organisation_limit import OrganisationLimit
 from geraniumrail.fairness.retry_budget import (
     MAX_DELAY_S,
-    MAX_SAVED_RETRIES,
-    MIN_RETRIES_PER_S,
     RetryBudget,
+    RetryLimit,
     retry_delay_s,
 )
 
@@ -71,22 +70,41 @@
 
 
 class RetryBudgetTest(unittest.TestCase):
-    def test_retries_stay_within_share_plus_constant_rate(self):
+    def test_retries_stay_within_share_plus_slack_in_any_window(self):
         """Without a budget, retries would double the load in an overload."""
-        budget = RetryBudget()
-        retries = 0
+        budget = RetryBudget(RetryLimit(window_s=10, slack=2), lambda: 1)
+        taken_at = []
         for tick in range(6000):
             budget.record_request('s', 0.1, tick / 100)
-            retries += budget.take_retry('s', tick / 100)
-        self.assertLessEqual(retries, 600 + 60 * MIN_RETRIES_PER_S + 1)
-        self.assertGreaterEqual(retries, 600)
+            if budget.take_retry('s', tick / 100):
+                taken_at.append(tick / 100)
+        for start in range(50):
+            in_window = sum(start <= at < start + 10 for at in taken_at)
+            self.assertLessEqual(in_window, 100 + 2)
+        self.assertGreaterEqual(len(taken_at), 0.95 * 600)
 
     def test_saved_retries_are_bounded(self):
         """A long time without retries must not allow a burst of them."""
-        budget = RetryBudget()
+        budget = RetryBudget(RetryLimit(window_s=10, slack=10), lambda: 1)
         budget.record_request('s', 1, 0)
         allowed = sum(budget.take_retry('s', 100_000) for _ in range(1000))
-        self.assertLessEqual(allowed, MAX_SAVED_RETRIES)
+        self.assertLessEqual(allowed, 10)
+
+    def test_slack_is_divided_over_the_entries(self):
+        """A part that each entry has by itself grows with the number of entries."""
+        budget = RetryBudget(RetryLimit(window_s=10, slack=10), lambda: 5)
+        allowed = sum(budget.take_retry('s', tick / 10) for tick in range(99))
+        self.assertEqual(allowed, 2)
+
+    def test_restarted_entry_has_only_its_part_of_the_slack(self):
+        """It has forgotten the retries of its earlier process, and sent as many once more."""
+        budget = RetryBudget(RetryLimit(window_s=10, slack=3), lambda: 1, started_at=50)
+        for tick in range(100):
+            budget.record_request('s', 0.2, 50 + tick / 10)
+        self.assertEqual(sum(budget.take_retry('s', 59.9) for _ in range(99)), 3)
+        for tick in range(100):
+            budget.record_request('s', 0.2, 60 + tick / 10)
+        self.assertGreater(sum(budget.take_retry('s', 69.9) for _ in range(99)), 15)
 
     def test_delay_grows_and_is_bounded(self):
         """Without jitter, retries would arrive at the same moment."""
--- a/geraniumrail/fairness/quota.py
+++ b/geraniumrail/fairness/quota.py
@@ -6,6 +6,7 @@
 from geraniumrail.deployment.organisation import Organisation
 from geraniumrail.fairness.bucket_size import BucketSize
 from geraniumrail.fairness.central_buckets import central_part
+from geraniumrail.fairness.entry_count import EntryCount
 from geraniumrail.fairness.entry_share import EntryShare
 from geraniumrail.fairness.limit_spending import MIDDLE_RANK
 from geraniumrail.fairness.scarce_limits import ScarceLimits
@@ -17,10 +18,6 @@
 # entry at random, so most of the difference in recent demand is chance (docs/MEASUREMENTS.md,
 # "Limits").
 EVEN_PART = 0.7
-# A lower number of entries is used only after this time, which is longer than a lease. Entries
-# report to a new leader one after the other, and each would use the parts of those that have not
-# reported yet.
-FEWER_ENTRIES_DELAY_S = 6.0
 # Used until the leader has sent the shares, which takes less than a second after the first report.
 INITIAL_PART = 0.3
 # Part of its capacity with which a bucket starts: a restarted entry must not admit a whole bucket
@@ -74,7 +71,7 @@
         :param has_central_buckets: the leader holds the central part of each limit.
         """
         self._has_central_buckets = has_central_buckets
-        self._entries_seen: tuple[tuple[float, int], ...] = ()  # seconds and number of entries
+        self._entries = EntryCount()
         self._headroom = headroom
         self._slack = slack or Slack()
         self._started_at = started_at
@@ -91,9 +88,7 @@
         :param now: seconds.
         """
         self._share = share
-        recent = (seen for seen in self._entries_seen if seen[0] > now - FEWER_ENTRIES_DELAY_S)
-        higher = (seen for seen in recent if seen[1] > share.entries)
-        self._entries_seen = (*higher, (now, share.entries))
+        self._entries.observe(share.entries, now)
         for organisation, mean in share.scarce_means.items():
             self.scarce.note(organisation, mean, now)
 
@@ -104,7 +99,7 @@
         """
         if self._share is None:
             return INITIAL_PART * self._local_part(1)
-        entries = max(1, *(count for _, count in self._entries_seen))
+        entries = self._entries.highest
         even = 1 / entries
         recent = even
         if entries == self._share.entries:
@@ -116,7 +111,7 @@
 
         :param organisation: whose limit it is.
         """
-        entries = max(1, *(count for _, count in self._entries_seen), 1)
+        entries = self._entries.highest
         rate = self._size(organisation).rate_per_s
         return central_part(entries) * rate / entries
 
--- a/geraniumrail/forwarding/retry_limit_test.py
+++ b/geraniumrail/fairness/retry_budget_test.py
@@ -3,11 +3,13 @@
 import itertools
 import unittest
 
-from geraniumrail.forwarding import testing
+from geraniumrail.fairness.retry_budget import RetryBudget, RetryLimit
 
+SERVICE = 'model-bench'
 WINDOW_S = 10
 RATIO = 0.2
 SLACK = 58  # of the smallest deployment; the test must hold for all numbers of entries with it
+USED_SLACK = SLACK / 2  # an entry that restarts uses its part once more
 REQUESTS_PER_S = 300  # of the whole service
 DAY_S = 40
 FLOOD = range(22, 26)  # seconds with four times the requests
@@ -18,31 +20,30 @@
     """Entries that get their requests in turn and want retries for each of them."""
 
     def __init__(self, count):
-        self.budgets = [self._budget(count) for _ in range(count)]
+        self._count = count
+        self.budgets = [self._budget(-WINDOW_S) for _ in range(count)]
         self.requests = [0] * DAY_S
         self.retries = [0] * DAY_S
-        self._count = count
         self._turns = itertools.cycle(range(count))
 
-    def _budget(self, count):
-        route = testing.route()
-        return testing.make_forwarder([route], [], entries=count).parts.retries
+    def _budget(self, started_at):
+        return RetryBudget(RetryLimit(WINDOW_S, USED_SLACK), lambda: self._count, started_at)
 
     def play(self, restart_at, failing):
         """Plays the day; `failing` holds the seconds in which all first attempts fail."""
         for second in range(DAY_S):
             if second == restart_at:
-                self.budgets = [self._budget(self._count) for _ in self.budgets]
+                self.budgets = [self._budget(second) for _ in self.budgets]
             rate = REQUESTS_PER_S * (4 if second in FLOOD else 1)
             for number in range(rate):
                 self._serve(second, second + number / rate, second in failing)
 
     def _serve(self, second, now, fails):
         budget = self.budgets[next(self._turns)]
-        budget.record_request(testing.SERVICE, 0.18, now)
+        budget.record_request(SERVICE, 0.18, now)
         self.requests[second] += 1
         wanted = range(WANTED_BY_REQUEST if fails else 0)
-        taken = itertools.takewhile(bool, (budget.take_retry(testing.SERVICE, now) for _ in wanted))
+        taken = itertools.takewhile(bool, (budget.take_retry(SERVICE, now) for _ in wanted))
         self.retries[second] += sum(taken)
 
     def excess(self):
@@ -55,8 +56,8 @@
         )
 
 
-class RetryLimitTest(unittest.IsolatedAsyncioTestCase):
-    async def test_retries_of_all_entries_together_stay_within_the_limit(self):
+class AllEntriesTest(unittest.TestCase):
+    def test_retries_of_all_entries_together_stay_within_the_limit(self):
         """Each entry saved up retries by itself, so that many entries together sent many times the
         slack that is allowed for all of them."""
         for count in (4, 25, 83, 320):
@@ -66,7 +67,7 @@
                     fleet.play(restart_at, range(21, 30))
                     self.assertLessEqual(fleet.excess(), 0)
 
-    async def test_few_failures_are_retried(self):
+    def test_few_failures_are_retried(self):
         """A limit that is divided over many entries must still leave some for each of them."""
         for count in (4, 25, 83):
             with self.subTest(entries=count):
--- a/geraniumrail/forwarding/config.py
+++ b/geraniumrail/forwarding/config.py
@@ -5,6 +5,7 @@
 from geraniumrail.backends.connections import ConnectionsConfig
 from geraniumrail.core.byte_budget import DEFAULT_BUDGET_BYTES
 from geraniumrail.fairness.quota import QUOTA_HEADROOM
+from geraniumrail.fairness.retry_budget import RetryLimit
 from geraniumrail.fairness.slack import Slack
 
 
@@ -13,6 +14,7 @@
     """Bounds that hold over all entries together are divided by the number of entries."""
 
     retry_share: float = 0.18  # repeats for each request; below the ratio of 0.2 that is allowed
+    retry_limit: RetryLimit = RetryLimit()
     quota_headroom: float = QUOTA_HEADROOM
     quota_slack: Slack = Slack()  # of all entries together
     # How long a new stream is taken after a planned stop has begun, and the part of its time.
--- a/geraniumrail/forwarding/cut_copies_test.py
+++ b/geraniumrail/forwarding/cut_copies_test.py
@@ -5,11 +5,11 @@
 import logging
 import unittest
 
-from geraniumrail.fairness.retry_budget import MAX_SAVED_RETRIES
 from geraniumrail.forwarding import testing
 from geraniumrail.forwarding.testing import StandIn, head
 
 LIMIT_S = 20
+SAVED_RETRIES = 10  # more than one request takes
 FIRST, SECOND = 'req-1', 'req-2'
 COPIES = {
     'refused': head(FIRST, '503 Full', b'', 'X-Not-Run: 1\r\n'),
@@ -50,7 +50,7 @@
         ]
         forwarder = testing.make_forwarder([testing.route(kind='unsafe', attempts=3)], backends)
         parts = forwarder.parts
-        parts.retries.record_request(testing.SERVICE, MAX_SAVED_RETRIES, parts.clock.now())
+        parts.retries.record_request(testing.SERVICE, SAVED_RETRIES, parts.clock.now())
         for request_id in (FIRST, SECOND):
             reply = testing.Reply()
             async with asyncio.timeout(LIMIT_S):
--- a/geraniumrail/forwarding/repeated_ids_test.py
+++ b/geraniumrail/forwarding/repeated_ids_test.py
@@ -6,11 +6,11 @@
 import unittest
 
 from geraniumrail.backends.guarded_handler import MAX_REQUESTS
-from geraniumrail.fairness.retry_budget import MAX_SAVED_RETRIES
 from geraniumrail.forwarding import testing
 from geraniumrail.forwarding.testing import CopyingStandIn, chunk, event, head
 
 LIMIT_S = 20
+SAVED_RETRIES = 10  # more than one request takes
 END = b'0\r\n\r\n'
 
 
@@ -53,7 +53,7 @@
         self.addAsyncCleanup(forwarder.parts.connections.close)
         # Repeats are a share of the requests; as many as an entry has saved that was busy before.
         now = forwarder.parts.clock.now()
-        forwarder.parts.retries.record_request(testing.SERVICE, MAX_SAVED_RETRIES, now)
+        forwarder.parts.retries.record_request(testing.SERVICE, SAVED_RETRIES, now)
         return forwarder
 
     async def serve(self, forwarder, request_id='req-1'):
--- a/geraniumrail/forwarding/run.py
+++ b/geraniumrail/forwarding/run.py
@@ -246,7 +246,7 @@
                 request=self._inbound.request_id,
                 service=self._admitted.service,
                 attempts=self._sent,
-                entries=self._parts.view.share.entries,
+                entries=self._parts.view.entry_count.highest,
             )
             raise self._given_up(failure)
 
--- a/geraniumrail/forwarding/testing.py
+++ b/geraniumrail/forwarding/testing.py
@@ -17,10 +17,9 @@
 from geraniumrail.deployment.share import Share
 from geraniumrail.entry.cluster_view import ClusterView
 from geraniumrail.entry.outcomes import Outcomes
-from geraniumrail.fairness.entry_share import EntryShare
 from geraniumrail.fairness.leaderless_admission import LeaderlessAdmission
 from geraniumrail.fairness.quota import Quota
-from geraniumrail.fairness.retry_budget import RetryBudget
+from geraniumrail.fairness.retry_budget import RetryBudget, RetryLimit
 from geraniumrail.forwarding.config import ForwardingConfig
 from geraniumrail.forwarding.demand import DemandCounter
 from geraniumrail.forwarding.dialect import Head
@@ -266,7 +265,7 @@
 
 
 def make_forwarder(
-    routes, backends, *, version=1, lease_s=60, dialect=None, engine=None, entries=1, **organisation
+    routes, backends, *, version=1, lease_s=60, dialect=None, engine=None, **organisation
 ):
     """Builds a forwarder whose view has one configuration and some backend servers."""
     clock = SystemClock()
@@ -287,7 +286,6 @@
         deployment=deployment,
         backends=tuple(backends),
         window_s=5,
-        share=EntryShare(entries=entries, share_by_organisation={}),
     )
     view.take(update, clock.now())
     parts = Parts(
@@ -299,7 +297,7 @@
         quota=Quota(),
         lender=NoLender(),
         leaderless=LeaderlessAdmission(random.Random(1)),
-        retries=RetryBudget(),
+        retries=RetryBudget(RetryLimit(), lambda: 1),
         usage=UsageCounter(),
         demand=DemandCounter(),
         places=Places(view, clock),
--- a/geraniumrail/testing/streams.py
+++ b/geraniumrail/testing/streams.py
@@ -19,6 +19,7 @@
 from geraniumrail.errors.backend import ConnectionLostError, NotSentError, StalledError
 from geraniumrail.errors.base import GeraniumrailError
 from geraniumrail.errors.request import OverloadedError
+from geraniumrail.fairness.retry_budget import RetryBudget, RetryLimit
 from geraniumrail.links.messages import ControlUpdate
 from geraniumrail.quarantine.part_watch import PartWatch
 from geraniumrail.routing.backend_tracker import BackendTracker
@@ -175,6 +176,7 @@
             view,
             Outcomes(view, self.clock),
             PartWatch(self.clock, self._refuses_connections),
+            RetryBudget(RetryLimit(), lambda: 1),
             self.engines,  # type: ignore[arg-type]
             self.clock,
             self.rng,
