Drop a backend server when another one has started at its address

A server that crashed stayed listed for up to 6 s, until the lease of its last announcement ended, and for 15 s if the leader changed meanwhile. Another server that started at its address was listed beside it.

The leader's registry and the entry's view now list one server for an address: the one that started last, by the start that it names. A late announcement of the earlier one is outdated. Only listed servers count, so that a wrong clock at a server keeps out its successor for no longer than its lease. Servers that name no start are left as they were.

--- a/geraniumrail/control/backend_registry.py
+++ b/geraniumrail/control/backend_registry.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Iterable, Iterator, Mapping
 
 from geraniumrail.control import events
+from geraniumrail.core.addresses import Addresses
 from geraniumrail.core.backend import Backend
 from geraniumrail.core.departure import Departure
 from geraniumrail.core.events import log
@@ -60,7 +61,8 @@
 
     Invariant: `registered_by_instance` is ordered by `member_version` and the departures by
     version, so that the cost of a difference grows with its length, not with the number of backend
-    servers. No registered announcement is covered by a recorded departure.
+    servers. No registered announcement is covered by a recorded departure, or is of a server at
+    whose address another registered one has started later.
     """
 
     def __init__(
@@ -76,6 +78,7 @@
         """
         self.version = first_version
         self.registered_by_instance: dict[str, RegisteredBackend] = {}
+        self._addresses = Addresses()
         self._departures_by_instance: dict[str, int] = {}
         self._oldest_version = first_version
         self._member_changes = 0
@@ -130,7 +133,7 @@
         return bool(departed)
 
     def has_left(self, backend: Backend) -> bool:
-        """Returns whether a backend server has announced that it leaves, or has left.
+        """Returns whether a backend server has announced that it leaves, has left or is replaced.
 
         :param backend: an earlier announcement of it.
         """
@@ -140,11 +143,13 @@
 
     def _is_outdated(self, backend: Backend) -> bool:
         departure = self._departures().get(backend.instance)
-        return departure is not None and departure.covers(backend)
+        has_departed = departure is not None and departure.covers(backend)
+        return has_departed or self._addresses.is_replaced(backend)
 
     def _remove(self, instance: str) -> None:
         self.version += 1
         removed = self.registered_by_instance.pop(instance)
+        self._addresses.remove(instance)
         self._size_by_group[_group(removed.backend)] -= 1
         self._member_changes += 1
         self._departures_by_instance[instance] = self.version
@@ -215,6 +220,15 @@
             return False
         if registered is not None and backend.freshness <= registered.backend.freshness:
             return False
+        replaced = self._addresses.add(backend)
+        if replaced is not None:
+            log(
+                events.BACKEND_REPLACED,
+                instance=replaced,
+                by=backend.instance,
+                address=backend.address,
+            )
+            self._remove(replaced)
         self.version += 1
         cold_until = now + backend.cold_s if backend.cold_s > 0 else 0
         changed = (
--- a/geraniumrail/control/events.py
+++ b/geraniumrail/control/events.py
@@ -123,3 +123,8 @@
     'control.cold_assumed',
     'The backend servers of a data centre count as cold until they announce themselves.',
 )
+BACKEND_REPLACED = Event.define(
+    1438,
+    'control.backend_replaced',
+    'Another backend server has started at the address of one that was listed; that one is gone.',
+)
--- a/geraniumrail/entry/cluster_view.py
+++ b/geraniumrail/entry/cluster_view.py
@@ -4,6 +4,7 @@
 import contextlib
 from collections.abc import Iterable
 
+from geraniumrail.core.addresses import Addresses
 from geraniumrail.core.backend import Backend
 from geraniumrail.core.clock import Clock
 from geraniumrail.core.events import log
@@ -53,6 +54,7 @@
         self._clock = clock
         self._term = 0
         self._lease_until: float = 0
+        self._addresses = Addresses()
         self._unconfirmed: set[str] = set()
         self._departures = KnownDepartures()
         self._confirm_until: float = 0
@@ -134,6 +136,7 @@
 
     def _drop(self, instance: str) -> None:
         self.backends_by_instance.pop(instance, None)
+        self._addresses.remove(instance)
         self.knowledge.remove(instance)
 
     def end_lease(self) -> None:
@@ -153,8 +156,11 @@
             known = self.backends_by_instance.get(backend.instance)
             if known is not None and backend.freshness < known.freshness:
                 continue
-            if self._departures.has_left(backend):
+            if self._departures.has_left(backend) or self._addresses.is_replaced(backend):
                 continue
+            replaced = self._addresses.add(backend)
+            if replaced is not None:
+                self.forget(replaced)
             if backend.state == 'leaving' and (known is None or known.state != 'leaving'):
                 log(events.BACKEND_LEAVING, instance=backend.instance, service=backend.service)
             self.backends_by_instance[backend.instance] = backend
@@ -246,7 +252,8 @@
             self._departures.remove(backend.instance)
         self.observe(update.backends)
         for note in update.noted:
-            if note.instance not in self.backends_by_instance:
+            is_replaced = self._addresses.is_replaced(note)
+            if note.instance not in self.backends_by_instance and not is_replaced:
                 # Its lease is short: until it has announced itself, or is gone.
                 self.backends_by_instance[note.instance] = note
                 self.knowledge.observe(note, now)
