Bound the replaced servers that one request meets

A request was sent to six servers in 85 ms, each of which answered that it is another one than was meant (421). Such an answer counts neither as an attempt nor as a failed connection, so that only the budget of retries bounded the walk, and each request of each entry made it.

After three of them, or as many as the attempts of the route if that is more, the request is refused with a Retry-After: what the entry knows is old then. In the failing test, eight servers answer 421; one request was sent to all of them, and is sent to three now.

--- a/geraniumrail/forwarding/run.py
+++ b/geraniumrail/forwarding/run.py
@@ -71,6 +71,7 @@
         self._sent = 0  # attempts that count towards the limit of the route
         self._lost = 0  # backend servers that were lost before they had proved to survive it
         self._unsent = 0  # backend servers to which no connection could be made
+        self._replaced = 0  # backend servers at whose address another one answered
         self._may_have_run = False
         self._notes = RunNotes(inbound, admitted, parts)
 
@@ -226,9 +227,11 @@
         :raises GeraniumrailError: the final answer otherwise.
         """
         self._limit = None
-        unreachable = self._unsent >= self._parts.config.connect_attempts
-        unrepeatable = self._may_have_run and not self._admitted.route.repeatable
-        if self._left_s() <= 0 or unreachable or unrepeatable:
+        route, most = self._admitted.route, self._parts.config.connect_attempts
+        # What this entry knows is old then, and the next ones may be gone as well.
+        misled = self._unsent >= most or self._replaced >= max(most, route.attempts)
+        unrepeatable = self._may_have_run and not route.repeatable
+        if self._left_s() <= 0 or misled or unrepeatable:
             raise self._given_up(failure)
         if isinstance(failure, NotSentError):
             return
@@ -350,6 +353,7 @@
             knowledge.mark_unresponsive(backend.instance, now)
         elif refused and error.fields.get('wrong_instance'):
             self._sent -= 1
+            self._replaced += 1
             self._parts.view.forget(backend.instance)
         elif refused:
             self._notes.head(attempt)
