Serve callers of a cut-off entry over connections of other entries

Callers of an entry that had lost its links to all servers were refused for as long as the links were gone: it took each failed connection for a failure of that server, and had no other way to any of them.

An entry whose new connections fail at two servers, and at four others that it tries then, asks another entry to open the connection and to pass the bytes on. It decides everything else itself, so that limits, usage, deadlines, resuming and at most once hold as before. Servers that refuse connections are reported as crashed only if others accept them.

--- a/geraniumrail/backends/connections.py
+++ b/geraniumrail/backends/connections.py
@@ -19,6 +19,7 @@
 from geraniumrail.backends.exchange_connector import EXCHANGE, ExchangeConnector
 from geraniumrail.backends.guarded_handler import GuardedHandler, IdleLimits
 from geraniumrail.backends.held_response import HeldResponse
+from geraniumrail.backends.path import DirectPath, MakeHandler, Path
 from geraniumrail.core import header_bytes
 from geraniumrail.core.backend import Backend
 from geraniumrail.core.byte_budget import DEFAULT_BUDGET_BYTES
@@ -62,17 +63,20 @@
         self._fresh = fresh
 
     @classmethod
-    def from_config(cls, config: ConnectionsConfig) -> 'Connections':
+    def from_config(cls, config: ConnectionsConfig, path: Path | None = None) -> 'Connections':
         """Creates the sessions; an event loop must be running.
 
         :param config: limits.
+        :param path: how new connections are opened; None: directly.
         """
         header_bytes.install()
         idle = IdleLimits(config.keep_alive_s)
         budget = AnswerBudget(config.answer_budget_bytes)
+        handler = functools.partial(GuardedHandler, asyncio.get_running_loop(), idle, budget)
+        make = functools.partial(_session, config, handler, path or DirectPath())
         return cls(
-            _session(config, idle, budget, force_close=False),
-            _session(config, idle, budget, force_close=True),
+            make(force_close=False),
+            make(force_close=True),
             idle,
             budget,
         )
@@ -141,14 +145,15 @@
 
 
 def _session(
-    config: ConnectionsConfig, idle: IdleLimits, budget: AnswerBudget, *, force_close: bool
+    config: ConnectionsConfig, factory: MakeHandler, path: Path, *, force_close: bool
 ) -> ClientSession:
     keep_alive: dict[str, Any] = {'force_close': True}
     if not force_close:
         keep_alive = {'keepalive_timeout': config.keep_alive_s}
     socket_factory = functools.partial(make_socket, config)
     connector = ExchangeConnector(
-        factory=functools.partial(GuardedHandler, asyncio.get_running_loop(), idle, budget),
+        factory=factory,
+        path=path,
         limit=0,
         socket_factory=socket_factory,
         **keep_alive,
--- a/geraniumrail/backends/exchange_connector.py
+++ b/geraniumrail/backends/exchange_connector.py
@@ -1,15 +1,18 @@
 """Chooses the connection of each request."""
 
 import contextvars
+import functools
 from typing import Any
 
 from aiohttp import ClientRequest, ClientTimeout, TCPConnector
+from aiohttp.client_proto import ResponseHandler
 from aiohttp.connector import Connection
 from aiohttp.tracing import Trace
 
 from geraniumrail.backends import events
 from geraniumrail.backends.exchange import Exchange, ResendError, WithdrawnError
 from geraniumrail.backends.guarded_handler import GuardedHandler
+from geraniumrail.backends.path import Path
 from geraniumrail.core.events import log
 
 # The HTTP library passes nothing of the caller on to the connector but the request.
@@ -27,9 +30,10 @@
     def __init__(self, **params: Any) -> None:
         """Creates the pool of connections.
 
-        :param params: of the HTTP library, and `factory`, which makes a `GuardedHandler`.
+        :param params: of the HTTP library; `factory`, which makes a `GuardedHandler`; and `path`.
         """
         factory = params.pop('factory')
+        self._path: Path = params.pop('path')
         super().__init__(**params)
         # The library has no public way to choose the protocol of its connections.
         self._factory = factory
@@ -52,6 +56,9 @@
         while True:
             connection = await super().connect(req, traces, timeout)
             handler = connection.protocol
+            if handler is not None and not self._path.suits(handler):
+                connection.close()
+                continue
             if not isinstance(handler, GuardedHandler) or handler.claim(exchange.request_id):
                 break
             log(
@@ -66,3 +73,10 @@
             raise WithdrawnError
         exchange.connected = True
         return connection
+
+    async def _create_connection(
+        self, req: ClientRequest, traces: list[Trace], timeout: ClientTimeout
+    ) -> ResponseHandler:
+        direct = functools.partial(super()._create_connection, req, traces, timeout)
+        address = f'{req.url.raw_host}:{req.port}'
+        return await self._path.connect(address, direct, self._factory)
--- a/geraniumrail/core/event_page.py
+++ b/geraniumrail/core/event_page.py
@@ -33,6 +33,7 @@
     'forwarding': 1800,
     'tasks': 1900,
     'quarantine': 2000,
+    'relay': 2100,
 }
 LEVEL_NAMES = {
     logging.DEBUG: 'debug',
--- a/geraniumrail/daemon/gauges.py
+++ b/geraniumrail/daemon/gauges.py
@@ -105,8 +105,7 @@
         )
         held = entry.forwarder.parts.watch.quarantines
         self._instruments.quarantines.replace(collections.Counter((each.service,) for each in held))
-        self._instruments.held_body_bytes.set(entry.forwarder.bodies.held_bytes)
-        self.show_answers(entry.forwarder.parts.connections.budget)
+        self._show_held(entry)
         self.count_limit_rejections(entry.forwarder.parts.quota.scarce.rejected)
         self._instruments.settings_revision.set(view.tree.revision)
         self._instruments.lease_left.set(view.lease_left_s())
@@ -117,6 +116,11 @@
             {(service,): depth for service, depth in entry.queue_depths().items()},
         )
 
+    def _show_held(self, entry: 'Entry') -> None:
+        self._instruments.relayed_connections.set(entry.relay.connections)
+        self._instruments.held_body_bytes.set(entry.forwarder.bodies.held_bytes)
+        self.show_answers(entry.forwarder.parts.connections.budget)
+
     def show_cold(self, cold: 'ColdBackends', backends: 'Iterable[Backend]', now: float) -> None:
         """Sets the number of cold backend servers.
 
--- a/geraniumrail/entry/entry.py
+++ b/geraniumrail/entry/entry.py
@@ -7,7 +7,6 @@
 from collections.abc import AsyncIterator
 
 from geraniumrail.backends.chunk import Chunk
-from geraniumrail.backends.connection_probe import refuses_connections
 from geraniumrail.backends.connections import Connections
 from geraniumrail.backends.engine_client import EngineClient
 from geraniumrail.backends.service_client import ServiceClient
@@ -51,6 +50,8 @@
 from geraniumrail.links.pool import LinkPool
 from geraniumrail.links.server import LinkServer
 from geraniumrail.quarantine.part_watch import PartWatch
+from geraniumrail.relay.paths import Paths
+from geraniumrail.relay.server import RelayServer
 from geraniumrail.routing.backend_tracker import BackendTracker
 from geraniumrail.tasks.ending import end_tasks
 from geraniumrail.tasks.supervise import supervise
@@ -97,9 +98,11 @@
         self.learn_seeds = finder.learn
         self.control = ControlLink(finder, links, clock, rng)
         self._outcomes = Outcomes(self.view, clock)
-        self._watch = PartWatch(clock, refuses_connections)
         forwarded = forwarding or ForwardingConfig()
-        self._connections = Connections.from_config(forwarded.connections)
+        paths = Paths(self.entry_id, self.view, links, clock, rng)
+        self._watch = PartWatch(clock, paths.has_ended)
+        self.relay = RelayServer(self.view, paths.reach, forwarded.connections)
+        self._connections = Connections.from_config(forwarded.connections, paths)
         place = Place(self.entry_id, config.data_centre, config.region)
         engine_client = EngineClient(self._connections)
         retries = RetryBudget(
@@ -235,6 +238,7 @@
         :param server: the links of this process.
         """
         self._notices.register(server)
+        self.relay.register(server)
 
     async def start(self) -> None:
         """Starts the background tasks."""
@@ -256,6 +260,7 @@
         """Leaves the list of entries and waits until no caller needs this entry any more."""
         self._reporter.state = 'leaving'
         self.directory.is_leaving = True
+        self.relay.is_leaving = True
         left_at = self._clock.now()
         self._follower.poke()
         while self.view.answered_at < left_at and self._clock.now() < left_at + LEAVE_LIMIT_S:
@@ -277,6 +282,7 @@
         """
         self._reporter.state = 'leaving'
         self.directory.is_leaving = True
+        self.relay.is_leaving = True
         self.forwarder.leave(ends_at)
         self._follower.poke()
 
--- a/geraniumrail/errors/link.py
+++ b/geraniumrail/errors/link.py
@@ -23,3 +23,10 @@
 
     type_name = 'unknown_call'
     template = '{address} does not handle {name}'
+
+
+class RelayRefusedError(LinkError):
+    """The other entry has opened no connection to a backend server; nothing was sent there."""
+
+    type_name = 'relay_refused'
+    template = 'no relayed connection to {address}: {reason}'
--- a/geraniumrail/links/client.py
+++ b/geraniumrail/links/client.py
@@ -1,7 +1,7 @@
 """Calls another daemon; a call without an answer replaces the connection."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator, AsyncIterator
 from typing import Any
 
 import grpc
@@ -9,7 +9,7 @@
 from geraniumrail.core.refused import Refused
 from geraniumrail.errors.link import LinkError
 from geraniumrail.links import wire
-from geraniumrail.links.method import CALL, FOLLOW, OPTIONS
+from geraniumrail.links.method import CALL, FOLLOW, OPTIONS, RELAY
 from geraniumrail.links.tls import LinkTls
 
 # Other calls on a replaced channel may still be answered.
@@ -59,15 +59,29 @@
             raise reply.to_error()
         return reply
 
-    async def follow(self, reports: AsyncIterator[object]) -> AsyncIterator[Any]:
+    def follow(self, reports: AsyncIterator[object]) -> AsyncGenerator[Any, None]:
         """Opens the stream of a follower on a new connection.
 
         :param reports: records to send.
         :raises LinkError: when the stream breaks.
         :raises GeraniumrailError: the failure that the other daemon answered.
         """
+        return self._stream(FOLLOW, reports)
+
+    def relay(self, records: AsyncIterator[object]) -> AsyncGenerator[Any, None]:
+        """Opens the stream of one relayed connection on a new connection.
+
+        :param records: records to send.
+        :raises LinkError: when the stream breaks.
+        :raises GeraniumrailError: the failure that the other daemon answered.
+        """
+        return self._stream(RELAY, records)
+
+    async def _stream(
+        self, method: str, reports: AsyncIterator[object]
+    ) -> AsyncGenerator[Any, None]:
         channel = self._new_channel()
-        stream = channel.stream_stream(FOLLOW, wire.encode, wire.decode)
+        stream = channel.stream_stream(method, wire.encode, wire.decode)
         cancelled = _cancellations()
         try:
             async for update in stream(reports):
--- a/geraniumrail/links/method.py
+++ b/geraniumrail/links/method.py
@@ -3,6 +3,7 @@
 SERVICE = 'geraniumrail.Link'
 CALL = f'/{SERVICE}/Call'
 FOLLOW = f'/{SERVICE}/Follow'
+RELAY = f'/{SERVICE}/Relay'
 
 MAX_MESSAGE_BYTES = 64 * 1024 * 1024  # a snapshot travels in one message
 
--- a/geraniumrail/links/server.py
+++ b/geraniumrail/links/server.py
@@ -30,6 +30,7 @@
         self._tls = tls
         self._handlers_by_type: dict[type, CallHandler] = {}
         self._follow: FollowHandler | None = None
+        self._relay: FollowHandler | None = None
         self._server: grpc.aio.Server | None = None
 
     def register(self, request: type, handler: CallHandler) -> None:
@@ -47,16 +48,20 @@
         """
         self._follow = handler
 
+    def register_relay(self, handler: FollowHandler) -> None:
+        """Handles the streams of relayed connections.
+
+        :param handler: gets the records of one connection and yields those of the other side.
+        """
+        self._relay = handler
+
     async def start(self) -> None:
         """Listens."""
         self._server = grpc.aio.server(options=OPTIONS)
         methods = {
             'Call': grpc.unary_unary_rpc_method_handler(self._call, wire.decode, wire.encode),
-            'Follow': grpc.stream_stream_rpc_method_handler(
-                self._stream,
-                wire.decode,
-                wire.encode,
-            ),
+            'Follow': self._stream_method(lambda: self._follow),
+            'Relay': self._stream_method(lambda: self._relay),
         }
         generic = grpc.method_handlers_generic_handler(SERVICE, methods)
         self._server.add_generic_rpc_handlers((generic,))
@@ -81,15 +86,17 @@
         except GeraniumrailError as error:
             return Refused.from_error(error)
 
-    async def _stream(
-        self,
-        reports: AsyncIterator[object],
-        context: grpc.aio.ServicerContext,
-    ) -> AsyncIterator[object]:
-        if self._follow is None:
-            return
-        try:
-            async for update in self._follow(reports):
-                yield update
-        except GeraniumrailError as error:
-            yield Refused.from_error(error)
+    def _stream_method(self, registered: Callable[[], FollowHandler | None]) -> Any:
+        async def stream(  # noqa: WPS430 - gRPC takes a generator function
+            records: AsyncIterator[object], context: grpc.aio.ServicerContext
+        ) -> AsyncIterator[object]:
+            handler = registered()
+            if handler is None:
+                return
+            try:
+                async for update in handler(records):
+                    yield update
+            except GeraniumrailError as error:
+                yield Refused.from_error(error)
+
+        return grpc.stream_stream_rpc_method_handler(stream, wire.decode, wire.encode)
--- a/geraniumrail/metrics/catalogue.py
+++ b/geraniumrail/metrics/catalogue.py
@@ -169,6 +169,12 @@
         labels=('service',),
         about='requests, and sets of prompt parts whose requests, that this entry holds back',
     ),
+    Spec(
+        name='geraniumrail.relayed_connections',
+        kind='gauge',
+        unit='{connection}',
+        about='connections to backend servers that this entry holds for entries that are cut off',
+    ),
     Spec(
         name='geraniumrail.held_answer_bytes',
         kind='gauge',
--- a/geraniumrail/metrics/instruments.py
+++ b/geraniumrail/metrics/instruments.py
@@ -39,6 +39,7 @@
     limited_rate: Gauge
     server_speed: Gauge
     quarantines: Gauge
+    relayed_connections: Gauge
     held_answer_bytes: Gauge
     held_body_bytes: Gauge
     answers_broken_off: Counter
