Keep the parts of common limits while a new leader hears of the entries

Right after a change of leader an entry was told that there are as few entries as had reported by then, and used the parts of the others: at a limited plain service its places, and of a server that names a limit the rate that the leader has not allotted yet. The limits of organisations and the budget of retries already use the highest number of 6 s; these two do as well now. Callers saw no failure from it; it was found by looking for the cause of the retries elsewhere. The test fails before (1 is not 83).

--- a/geraniumrail/entry/entry.py
+++ b/geraniumrail/entry/entry.py
@@ -375,7 +375,7 @@
     def _updated(self, update: ControlUpdate) -> None:
         self._outcomes.follow_moves()
         limits = self.view.knowledge.limits
-        limits.entries = len(self.view.entries)
+        limits.entries = self.view.entry_count.highest
         now = self._clock.now()
         limits.take_allotted(update.engine_rates, now)
         cold = self.view.knowledge.cold
--- a/geraniumrail/forwarding/places.py
+++ b/geraniumrail/forwarding/places.py
@@ -96,6 +96,6 @@
         gate = self.gates.get(service)
         spec = self._view.table.services_by_name.get(service)
         if gate is None and spec is not None and spec.engine is None:
-            gate = ServiceGate(self._clock, lambda: self._view.entry_count.newest)
+            gate = ServiceGate(self._clock, lambda: self._view.entry_count.highest)
             self.gates[service] = gate
         return gate
--- a/geraniumrail/forwarding/places_test.py
+++ b/geraniumrail/forwarding/places_test.py
@@ -53,6 +53,14 @@
                 await asyncio.sleep(0.001)
         return task, reply
 
+    async def test_new_leader_that_knows_few_entries_leaves_the_parts_as_they_were(self):
+        """Each entry took the places of those that had not reported to the new leader yet."""
+        forwarder = await self.forwarder(target_s=0.2)
+        gate = forwarder.parts.places.gates[SERVICE]
+        for entries in (83, 1):
+            forwarder.parts.view.entry_count.observe(entries, self.clock.now())
+            self.assertEqual(gate.limits.entries(), 83)
+
     async def test_request_without_a_place_in_time_is_rejected_and_not_sent(self):
         """It was sent, rejected by the server after the trip, or answered late."""
         forwarder = await self.forwarder(target_s=0.2)
