--- a/geraniumrail/relay/relay_test.py
+++ b/geraniumrail/relay/relay_test.py
@@ -2,14 +2,13 @@
 
 import asyncio
 import dataclasses
-import logging
 import random
-import unittest
 from unittest import mock
 
 from geraniumrail.backends.connections import Connections, ConnectionsConfig
 from geraniumrail.forwarding import testing
 from geraniumrail.forwarding.forwarder import Forwarder
+from geraniumrail.forwarding.forwarder_test import END, LIMIT_S, ForwarderCase
 from geraniumrail.forwarding.testing import CLOSE, HANG, RESET, StandIn, chunk, event, head
 from geraniumrail.links.messages import ControlUpdate, EntryInfo
 from geraniumrail.links.pool import LinkPool
@@ -19,8 +18,6 @@
 from geraniumrail.relay.reach import Reach
 from geraniumrail.relay.server import RelayServer
 
-LIMIT_S = 20
-END = b'0\r\n\r\n'
 SILENT, REFUSED = TimeoutError, ConnectionRefusedError
 
 
@@ -47,17 +44,7 @@
     )
 
 
-class RelayCase(unittest.IsolatedAsyncioTestCase):
-    def setUp(self):
-        logging.disable(logging.CRITICAL)
-        self.addCleanup(logging.disable, logging.NOTSET)
-
-    async def started(self, *stands):
-        for stand in stands:
-            await stand.start()
-            self.addAsyncCleanup(stand.stop)
-        return stands
-
+class RelayCase(ForwarderCase):
     async def start_helper(self, backends):
         """Returns an entry that reaches the servers, and the address of its links."""
         made = testing.make_forwarder([testing.route()], backends)
@@ -94,12 +81,6 @@
         while helper.connections:  # noqa: ASYNC110 - the server has no event for it
             await asyncio.sleep(0.01)
 
-    async def serve(self, forwarder, **changes):
-        reply = testing.Reply()
-        async with asyncio.timeout(LIMIT_S):
-            await forwarder.serve(testing.inbound(forwarder.parts.clock, **changes), reply)
-        return reply
-
     async def stranded(self, *scripts, route=None, cut=SILENT, servers=3):
         """Returns servers that all play the scripts, a helper and a forwarder without a path."""
         shared = list(scripts)
