--- a/geraniumrail/links/messages.py
+++ b/geraniumrail/links/messages.py
@@ -113,6 +113,7 @@
     wall: float = 0  # time of day at the entry when it sent the report
     demand: tuple[ServiceDemand, ...] = ()
     holds_lease: bool = False  # the entry has taken an update, and may serve
+    takes_packed: bool = False  # the entry reads `ControlUpdate.packed_deployment`
     crashes: tuple[CrashNote, ...] = ()
     sounds: tuple[SoundPart, ...] = ()
     # Seconds since the last request that a quarantine covers, by its label.
