Bound what a helping entry holds; skip probes where a path is known

Found in review: 512 relayed connections with buffers of 128 KB each may take 64 MB of the 160 MB that the smallest entries have; there are at most 128 with 32 KB now. And each crash of a server made every entry that had lost a request there connect to four others, to tell the crash from a cut; an entry that a server has just accepted knows that it has a path.

--- a/geraniumrail/relay/paths.py
+++ b/geraniumrail/relay/paths.py
@@ -100,6 +100,8 @@
         """
         if self.reach.is_cut_off or not await refuses_connections(backend):
             return False
+        if self.reach.connected_lately():
+            return True
         others = self._others(frozenset((backend.address,)))
         return not others or await self._accepts_any(others)
 
--- a/geraniumrail/relay/reach.py
+++ b/geraniumrail/relay/reach.py
@@ -10,6 +10,7 @@
 # them, others are tried before this entry takes itself for cut off.
 MIN_FAILED = 2
 FAILED_WITHIN_S = 5.0
+CONNECTED_WITHIN_S = 0.3  # before a server refused a connection
 # While the entry is cut off, one connection in this time is also tried directly.
 PROBE_INTERVAL_S = 0.4
 
@@ -26,6 +27,7 @@
         self.is_silent = False  # connections got no answer, rather than a refusal
         self._now = now
         self._failed_at_by_address: dict[str, float] = {}
+        self._connected_at = -math.inf
         self._probed_at = -math.inf
 
     def note_connected(self, address: str) -> None:
@@ -34,6 +36,7 @@
         :param address: ip:port.
         """
         self._failed_at_by_address.clear()
+        self._connected_at = self._now()
         if self.is_cut_off:
             self.is_cut_off = False
             log(events.REACHED_AGAIN, address=address)
@@ -67,6 +70,10 @@
             self.is_silent = is_silent
             log(events.CUT_OFF, addresses=sorted(self.failed), is_silent=is_silent)
 
+    def connected_lately(self) -> bool:
+        """Returns whether a server has just accepted a connection, so that there is a path."""
+        return self._now() - self._connected_at < CONNECTED_WITHIN_S
+
     def wants_probe(self) -> bool:
         """Returns whether a direct connection is to be tried, and notes that it is."""
         if not self.is_cut_off or self._now() < self._probed_at + PROBE_INTERVAL_S:
--- a/geraniumrail/relay/relay_test.py
+++ b/geraniumrail/relay/relay_test.py
@@ -248,5 +248,14 @@
             await asyncio.sleep(0.2)
         self.assertEqual(watch.report(), ((), ()))
 
+    async def test_refusal_is_an_end_only_if_other_servers_accept(self):
+        """At the beginning of a cut, connections are lost before the entry knows of the cut."""
+        stands, _, _ = await self.stranded(cut=REFUSED)
+        backend = stands[0].backend()
+        with mock.patch('geraniumrail.relay.paths.refuses_connections', self.refuses):
+            self.assertFalse(await self.paths.has_ended(backend))
+            self.paths.cut = None
+            self.assertTrue(await self.paths.has_ended(backend))
+
     async def refuses(self, backend):
         return True
--- a/geraniumrail/relay/server.py
+++ b/geraniumrail/relay/server.py
@@ -16,8 +16,9 @@
 from geraniumrail.relay.messages import RelayedBytes, RelayEnded, RelayOpened
 from geraniumrail.relay.reach import Reach
 
-MAX_CONNECTIONS = 512  # a few descriptors and some 10 KB each
-READ_BYTES = 65536
+# Bounds the memory and the descriptors of a helper; the smallest machines of entries have 160 MB.
+MAX_CONNECTIONS = 128
+READ_BYTES = 16384
 
 
 class RelayServer:
