Follower tests: the stand-in of the view has the number of entries

Since the view keeps the numbers of entries instead of the newest share, the follower's tests failed on the missing field; the checks are the same.

--- a/geraniumrail/entry/follower_test.py
+++ b/geraniumrail/entry/follower_test.py
@@ -37,7 +37,9 @@
         clock = ManualClock()
         links = Links(clock, leader_by_member)
         follower = Follower(
-            types.SimpleNamespace(end_lease=lambda: None, share=types.SimpleNamespace(entries=4)),
+            types.SimpleNamespace(
+                end_lease=lambda: None, entry_count=types.SimpleNamespace(newest=4)
+            ),
             types.SimpleNamespace(requeue_all=lambda: None),
             LeaderFinder(MEMBERS),
             links,
